--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,10 @@
-//! hillwall makes the decisions of a router that spreads keys over cache servers before a slow
+//! juniperladder makes the decisions of a router that spreads keys over cache servers before a slow
 //! origin: where each request goes, when it is refused, and what happens when servers overload,
 //! vanish, drain or start cold. It does no I/O, reads no clock and keeps no global state: the
 //! router feeds it [`Event`]s and carries out the [`Action`]s that come back.
 //!
 //! ```
-//! use hillwall::*;
+//! use juniperladder::*;
 //!
 //! let settings = Settings {
 //!     balancers: 2,
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -1,4 +1,4 @@
-//! Hosts hillwall balancers behind the simulator's JSON lines. It translates and nothing else.
+//! Hosts juniperladder balancers behind the simulator's JSON lines. It translates and nothing else.
 
 mod wire;
 
@@ -27,7 +27,7 @@
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("hillwall-wirehost: {problem}");
+            eprintln!("juniperladder-wirehost: {problem}");
             ExitCode::FAILURE
         }
     }
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 
 use base64::Engine;
-use hillwall::*;
+use juniperladder::*;
 use rustc_hash::FxHashMap;
 use serde::Deserialize;
 
