--- /dev/null
+++ b/node/src/config.rs
@@ -0,0 +1,219 @@
+//! The configuration, read once into the few values that the program uses.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use juniperladder::{Class, Effect, Group, Limits, Micros, Mode, Rules, Settings, Tenant};
+use serde::Deserialize;
+
+use crate::clock::duration;
+use crate::name_table::{Catalog, Names};
+
+/// Everything that is settled at the start.
+#[derive(Debug)]
+pub struct Config {
+    /// This balancer's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// For random numbers, new with each start.
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// The list as this balancer last had it.
+    pub known: Catalog,
+    /// What the module is told.
+    pub settings: Settings,
+    /// The names that stand for the settings' numbers.
+    pub names: Names,
+    /// The classes' names, in the order of the settings.
+    pub classes: Vec<String>,
+    /// How long a connection may take to come up.
+    pub connect_timeout: Duration,
+    /// How long a host keeps an idle connection.
+    pub idle: Duration,
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: String,
+    discovery: String,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: FileLimits,
+    #[serde(default)]
+    known: Catalog,
+    settings: Env,
+}
+
+#[derive(Deserialize)]
+struct FileLimits {
+    sockets: usize,
+}
+
+impl Default for FileLimits {
+    fn default() -> FileLimits {
+        FileLimits { sockets: 1024 }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Env {
+    #[serde(default)]
+    az: u32,
+    balancers: u32,
+    categories: Vec<Category>,
+    #[serde(default)]
+    extra: Extra,
+    kinds: Vec<String>,
+    limits: EnvLimits,
+    #[serde(default)]
+    membership_mode: String,
+    #[serde(default)]
+    orgs: Vec<Org>,
+    rules: EnvRules,
+    tick: u64,
+    #[serde(default)]
+    weights: String,
+    zones: Vec<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Category {
+    name: String,
+    aim: u64,
+    #[serde(default)]
+    aim_stretch: f64,
+    #[serde(default)]
+    effect: String,
+    give_up: u64,
+    #[serde(default)]
+    group: String,
+    #[serde(default)]
+    late_worth: f64,
+    #[serde(default)]
+    window: u64,
+    worth: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+struct Extra {
+    mode: String,
+    origin_kind: Option<i64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct EnvLimits {
+    conn_idle: u64,
+    connect_timeout: u64,
+    max_attempts: u32,
+    #[serde(default)]
+    max_retry_after: u64,
+    #[serde(default)]
+    may_duplicate: bool,
+    #[serde(default)]
+    retry_after: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Org {
+    allowance_per_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct EnvRules {
+    ask_within: u64,
+    cold_share: f64,
+    warm_up: u64,
+}
+
+impl Config {
+    /// Reads the file that the environment names. A problem is told in one line.
+    pub fn from_environment() -> Result<Config, String> {
+        let path = std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?;
+        let shown = path.to_string_lossy().into_owned();
+        let text = std::fs::read(&path).map_err(|e| format!("cannot read {shown}: {e}"))?;
+        Config::parse(text).map_err(|e| format!("{shown}: {e}"))
+    }
+
+    /// Reads a configuration's text.
+    pub fn parse(mut text: Vec<u8>) -> Result<Config, String> {
+        // A serde message may span lines; the start's one plain line must not.
+        let file: File =
+            simd_json::from_slice(&mut text).map_err(|e| e.to_string().replace(['\n', '\r'], " "))?;
+        let env = file.settings;
+        let address = |name: &str, text: &str| {
+            text.parse::<SocketAddr>().map_err(|_| format!("{name}: {text:?} is no address and port"))
+        };
+        let origin = env.extra.origin_kind.and_then(|kind| u32::try_from(kind).ok());
+        let origin = origin.filter(|_| env.extra.mode == "aside");
+        let classes = env.categories.iter().map(Category::class).collect();
+        Ok(Config {
+            listen: address("listen", &file.listen)?,
+            discovery: address("discovery", &file.discovery)?,
+            name: file.name,
+            seed: u64::from_str_radix(&file.seed, 16)
+                .unwrap_or_else(|_| crate::name_table::hash(file.seed.as_bytes())),
+            sockets: file.limits.sockets,
+            known: file.known,
+            classes: env.categories.into_iter().map(|c| c.name).collect(),
+            connect_timeout: duration(Micros(env.limits.connect_timeout)),
+            idle: duration(Micros(env.limits.conn_idle)),
+            names: Names { zones: env.zones, kinds: env.kinds },
+            settings: Settings {
+                balancers: env.balancers,
+                zone: env.az,
+                classes,
+                tenants: env.orgs.iter().map(|o| Tenant { allowance_per_s: o.allowance_per_s }).collect(),
+                mode: origin.map_or(Mode::Through, Mode::Aside),
+                subscribe: env.membership_mode == "subscribe",
+                weighted: matches!(env.weights.as_str(), "nominal" | "rough"),
+                tick: Micros(env.tick),
+                limits: Limits {
+                    max_attempts: env.limits.max_attempts,
+                    max_retry_after: Micros(env.limits.max_retry_after),
+                    retry_after: env.limits.retry_after,
+                    may_duplicate: env.limits.may_duplicate,
+                },
+                rules: Rules {
+                    ask_within: Micros(env.rules.ask_within),
+                    cold_share: env.rules.cold_share,
+                    warm_up: Micros(env.rules.warm_up),
+                },
+            },
+        })
+    }
+}
+
+impl Category {
+    fn class(&self) -> Class {
+        Class {
+            aim: Micros(self.aim),
+            aim_stretch: self.aim_stretch,
+            deadline: Micros(self.give_up),
+            effect: match self.effect.as_str() {
+                "pure" => Effect::Safe,
+                "token" => Effect::Keyed,
+                _ => Effect::Unsafe,
+            },
+            group: match self.group.as_str() {
+                "zone" => Group::Zone,
+                "cell" => Group::Cell,
+                _ => Group::All,
+            },
+            window: Micros(self.window),
+            worth: self.worth,
+            late_worth: self.late_worth,
+        }
+    }
+}
--- /dev/null
+++ b/node/src/counters.rs
@@ -0,0 +1,80 @@
+//! What the balancer took in, sent and answered, counted since its start.
+
+use std::cell::Cell;
+use std::fmt;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
+        /// One number for each kind of thing that happens.
+        #[derive(Debug, Default)]
+        pub struct Counters { $($(#[$doc])* pub $name: Cell<u64>),* }
+
+        impl Counters {
+            /// Every counter with its name, in a fixed order.
+            pub fn all(&self) -> Vec<(&'static str, u64)> {
+                vec![$((stringify!($name), self.$name.get())),*]
+            }
+        }
+    };
+}
+
+counters! {
+    /// Connections accepted from clients.
+    clients,
+    /// Commands taken.
+    commands,
+    /// Lines from clients that were no command.
+    malformed,
+    /// Commands whose client left before the answer.
+    left,
+    /// Commands answered with a value or a receipt.
+    served,
+    /// Commands answered with a nack.
+    nacked,
+    /// Commands answered as failed.
+    failed,
+    /// Commands that the module had not ended at their deadline.
+    overdue,
+    /// Executions begun.
+    executions,
+    /// Executions that a host answered with a value or a receipt.
+    ok,
+    /// Executions that a cache host answered with a miss.
+    misses,
+    /// Executions that ended in an error.
+    errors,
+    /// Executions turned away.
+    full,
+    /// Executions that timed out.
+    timeouts,
+    /// Executions that found no connection.
+    connect_failed,
+    /// Executions whose connection broke.
+    resets,
+    /// Executions called off before their first byte, as the host drains or is gone.
+    moot,
+    /// Answers that came after their execution had timed out.
+    late_answers,
+    /// Answers that could not be understood or were for another id.
+    bad_answers,
+    /// Connections opened to hosts.
+    opened,
+    /// Lists and changes that discovery has told.
+    lists,
+    /// Calls to discovery that failed, and watches that ended.
+    discovery_failures,
+}
+
+/// Adds one.
+pub fn count(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (place, (name, value)) in self.all().into_iter().enumerate() {
+            write!(out, "{}{name}={value}", if place > 0 { " " } else { "" })?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/node/src/exchange.rs
@@ -0,0 +1,494 @@
+//! Where the client side and the server side meet. The exchange owns the module, the open commands, the
+//! executions and the timers; it knows no protocol, and neither side knows the other.
+
+use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use juniperladder::{
+    Action, Balancer, Entry, Event, ListKind, Micros, Outcome, Request, RequestId, ServerId, Settings, State,
+    Status,
+};
+use rustc_hash::FxHashMap;
+use slog::{info, Logger};
+use tokio::sync::{oneshot, Notify};
+use tokio::time::sleep_until;
+
+use crate::clock::Clock;
+use crate::counters::{count, Counters};
+
+/// How long before its client gives up a command is over here: the way of the answer back, and of the
+/// command here, which nothing tells.
+const MARGIN: Micros = Micros(10_000);
+
+/// What a client asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Command {
+    /// The client's id for it.
+    pub id: Bytes,
+    /// What it is about.
+    pub key: Bytes,
+    /// The value that it writes; none for a read.
+    pub value: Option<Bytes>,
+    /// Its class, by its place in the settings.
+    pub class: u32,
+    /// How long the client waits; none if it does not say.
+    pub wait: Option<Micros>,
+    /// All names and values that came with it.
+    pub properties: Vec<(Bytes, Bytes)>,
+}
+
+/// A command's final answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Served: the value read.
+    Value(Bytes),
+    /// Served: the receipt of a write.
+    Receipt(Bytes),
+    /// A nack: trying again is harmless, after this time if it is not zero.
+    Nack(Micros),
+    /// Failed.
+    Failed,
+}
+
+/// What a host replied to an execution.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// A final answer.
+    Served(Answer),
+    /// The host lacks the key.
+    Miss {
+        /// Whether another fetch of the key is out.
+        fetching: bool,
+    },
+    /// It failed; it may have run.
+    Error,
+    /// Turned away; it never ran.
+    Full,
+}
+
+/// How an execution ended on the network.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End {
+    /// With a reply.
+    Reply(Reply),
+    /// Before its last byte was written: it never ran.
+    NotSent,
+    /// After its last byte was written: it may have run.
+    Broken,
+    /// Before its first byte, since the host drains or is gone.
+    CalledOff,
+}
+
+/// A host of the name table.
+#[derive(Clone, Debug)]
+pub struct Host {
+    /// What the module is told of it.
+    pub entry: Entry,
+    /// Where it listens.
+    pub address: Option<SocketAddr>,
+}
+
+/// Names one execution for as long as the program runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ExecutionId(pub u64);
+
+/// Names one command for as long as the program runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CommandId(u64);
+
+impl CommandId {
+    // The module's id is one of the exchange's own: a client that gives one id twice confuses nobody.
+    fn request(self) -> RequestId {
+        let mut bytes = [0; 36];
+        bytes[..8].copy_from_slice(&self.0.to_le_bytes());
+        RequestId(bytes)
+    }
+
+    fn of(request: &RequestId) -> CommandId {
+        CommandId(request.0[..8].iter().rev().fold(0, |sum, byte| sum << 8 | u64::from(*byte)))
+    }
+}
+
+/// One attempt at a command at one host.
+#[derive(Clone, Debug)]
+pub struct Execution {
+    /// Its name.
+    pub id: ExecutionId,
+    /// What to send.
+    pub command: Rc<Command>,
+    /// Where to.
+    pub server: ServerId,
+    /// Until when its answer is waited for.
+    pub until: Micros,
+}
+
+/// Carries executions to hosts. No method may call the exchange: what is to be told comes from a task.
+pub trait Carrier {
+    /// The name table has news.
+    fn listed(&self, kind: ListKind, hosts: &[Host]);
+    /// Start an execution.
+    fn begin(&self, execution: Execution);
+    /// Its answer is not waited for any longer. Tells whether its last byte has been written.
+    fn abandon(&self, id: ExecutionId, server: ServerId) -> bool;
+}
+
+struct Open {
+    command: Rc<Command>,
+    answer: oneshot::Sender<Answer>,
+    deadline: Micros,
+    attempts: u32,
+    out: u32,
+    /// The client sends no more and may be gone; the module has let go of it.
+    left: bool,
+}
+
+struct Running {
+    command: CommandId,
+    server: ServerId,
+    attempt: u32,
+    sent: Micros,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Module(u64),
+    Execution(ExecutionId),
+    Command(CommandId),
+}
+
+struct Inner {
+    balancer: Balancer,
+    carrier: Rc<dyn Carrier>,
+    commands: FxHashMap<CommandId, Open>,
+    executions: FxHashMap<ExecutionId, Running>,
+    timers: BinaryHeap<Reverse<(Micros, Due)>>,
+    actions: Vec<Action>,
+    last: u64,
+    serving: FxHashMap<ServerId, State>,
+}
+
+/// The object through which all parts meet.
+pub struct Exchange {
+    inner: RefCell<Inner>,
+    clock: Clock,
+    longest: Vec<Micros>,
+    counters: Rc<Counters>,
+    timer_set: Notify,
+    watch: Notify,
+    idle: Notify,
+    next_timer: Cell<Micros>,
+    log: Logger,
+}
+
+impl Exchange {
+    /// An exchange that sends executions by this carrier.
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        carrier: Rc<dyn Carrier>,
+        clock: Clock,
+        counters: Rc<Counters>,
+        log: Logger,
+    ) -> Rc<Exchange> {
+        let longest = settings.classes.iter().map(|class| class.deadline).collect();
+        let inner = Inner {
+            balancer: Balancer::new(settings, seed),
+            carrier,
+            commands: FxHashMap::default(),
+            executions: FxHashMap::default(),
+            timers: BinaryHeap::new(),
+            actions: Vec::new(),
+            last: 0,
+            serving: FxHashMap::default(),
+        };
+        Rc::new(Exchange {
+            inner: RefCell::new(inner),
+            clock,
+            longest,
+            counters,
+            timer_set: Notify::new(),
+            watch: Notify::new(),
+            idle: Notify::new(),
+            next_timer: Cell::new(Micros(u64::MAX)),
+            log,
+        })
+    }
+
+    /// The program's counters.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// The program's clock.
+    pub fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    /// Whether commands can be served: some host is known.
+    pub fn ready(&self) -> bool {
+        self.inner.borrow().serving.values().any(|state| *state == State::Serving)
+    }
+
+    /// Takes a command; its one answer comes on the receiver.
+    pub fn take(&self, command: Command) -> (CommandId, oneshot::Receiver<Answer>) {
+        count(&self.counters.commands);
+        let now = self.clock.now();
+        let (answer, receiver) = oneshot::channel();
+        let mut inner = self.inner.borrow_mut();
+        inner.last += 1;
+        let id = CommandId(inner.last);
+        // A client that names no wait, or one longer than its class allows, waits as the class has it.
+        let most = self.longest.get(command.class as usize).or(self.longest.last());
+        let most = most.copied().unwrap_or(Micros(1_000_000));
+        let wait = command.wait.map_or(most, |wait| wait.min(most));
+        let deadline = now.plus(wait.minus(MARGIN));
+        let request = Request {
+            id: id.request(),
+            deadline,
+            hint: None,
+            key: Some(crate::name_table::key(&command.key)),
+            write: command.value.is_some(),
+            class: command.class,
+            tenant: 0,
+        };
+        let command = Rc::new(command);
+        inner.commands.insert(id, Open { command, answer, deadline, attempts: 0, out: 0, left: false });
+        inner.timers.push(Reverse((deadline, Due::Command(id))));
+        self.handle(&mut inner, now, Event::Request(request));
+        (id, receiver)
+    }
+
+    /// The client is gone: nothing is owed any more.
+    pub fn gone(&self, id: CommandId) {
+        let mut inner = self.inner.borrow_mut();
+        if let Some(open) = inner.commands.remove(&id) {
+            count(&self.counters.left);
+            if !open.left {
+                self.handle(&mut inner, self.clock.now(), Event::Gone(id.request()));
+            }
+        }
+        self.check_idle(&inner);
+    }
+
+    /// The client sends no more. It may be gone or wait for its answer, which cannot be told apart: no
+    /// new execution begins for it, and what is out already may still answer it.
+    pub fn left(&self, id: CommandId) {
+        let mut inner = self.inner.borrow_mut();
+        let Some(open) = inner.commands.get_mut(&id) else { return };
+        if open.left {
+            return;
+        }
+        open.left = true;
+        let out = open.out;
+        self.handle(&mut inner, self.clock.now(), Event::Gone(id.request()));
+        if out == 0 {
+            self.finish(&mut inner, id, Answer::Failed);
+        }
+    }
+
+    /// An execution has ended.
+    pub fn ended(&self, id: ExecutionId, end: End) {
+        let mut inner = self.inner.borrow_mut();
+        let Some(running) = inner.executions.remove(&id) else {
+            count(&self.counters.late_answers);
+            return;
+        };
+        let fetching = matches!(end, End::Reply(Reply::Miss { fetching: true }));
+        let (status, answer) = match end {
+            End::Reply(Reply::Served(answer)) => (Status::Ok, Some(answer)),
+            End::Reply(Reply::Miss { .. }) => (Status::Miss, None),
+            End::Reply(Reply::Error) => (Status::Error, None),
+            End::Reply(Reply::Full) => (Status::Full, None),
+            End::NotSent => (Status::ConnectFailed, None),
+            End::Broken => (Status::Reset, None),
+            End::CalledOff => (Status::Moot, None),
+        };
+        self.conclude(&mut inner, running, status, fetching, answer);
+    }
+
+    /// The name table has news.
+    pub fn listed(&self, kind: ListKind, hosts: &[Host]) {
+        let mut inner = self.inner.borrow_mut();
+        if kind != ListKind::Unavailable {
+            if kind != ListKind::Update {
+                inner.serving.clear();
+            }
+            for Host { entry, .. } in hosts {
+                inner.serving.insert(entry.server, entry.state);
+            }
+            inner.serving.retain(|_, state| *state != State::Deleted);
+            inner.carrier.listed(kind, hosts);
+        }
+        let entries: Vec<Entry> = hosts.iter().map(|host| host.entry.clone()).collect();
+        self.handle(&mut inner, self.clock.now(), Event::Endpoints(kind, &entries));
+    }
+
+    /// Waits until the module wants discovery's changes.
+    pub async fn watch_wanted(&self) {
+        self.watch.notified().await;
+    }
+
+    /// Waits until no command is open.
+    pub async fn idle(&self) {
+        while !self.inner.borrow().commands.is_empty() {
+            self.idle.notified().await;
+        }
+    }
+
+    /// Fires the timers, for as long as it is polled.
+    pub async fn run(&self) {
+        loop {
+            let next = self.fire();
+            self.next_timer.set(next);
+            tokio::select! {
+                () = sleep_until(self.clock.instant(next.min(self.clock.now().plus(Micros(3_600_000_000))))) => {}
+                () = self.timer_set.notified() => {}
+            }
+        }
+    }
+
+    /// Fires what is due and tells when the next timer is.
+    fn fire(&self) -> Micros {
+        loop {
+            let mut inner = self.inner.borrow_mut();
+            let now = self.clock.now();
+            match inner.timers.peek() {
+                Some(Reverse((at, _))) if *at <= now => {}
+                Some(Reverse((at, _))) => return *at,
+                None => return Micros(u64::MAX),
+            }
+            let Some(Reverse((_, due))) = inner.timers.pop() else { continue };
+            match due {
+                Due::Module(token) => self.handle(&mut inner, now, Event::Timer(token)),
+                Due::Execution(id) => self.expire(&mut inner, id),
+                Due::Command(id) => {
+                    // The executions' time-outs come first and let the module end it; this guards against
+                    // a command that it has forgotten.
+                    let out: Vec<_> =
+                        inner.executions.iter().filter(|(_, r)| r.command == id).map(|(id, _)| *id).collect();
+                    out.into_iter().for_each(|id| self.expire(&mut inner, id));
+                    if inner.commands.contains_key(&id) {
+                        count(&self.counters.overdue);
+                        self.finish(&mut inner, id, Answer::Failed);
+                        self.handle(&mut inner, now, Event::Gone(id.request()));
+                    }
+                }
+            }
+        }
+    }
+
+    fn expire(&self, inner: &mut Inner, id: ExecutionId) {
+        let Some(running) = inner.executions.remove(&id) else { return };
+        // What was never written whole cannot have run.
+        let written = inner.carrier.abandon(id, running.server);
+        let status = if written { Status::Timeout } else { Status::ConnectFailed };
+        self.conclude(inner, running, status, false, None);
+    }
+
+    fn conclude(
+        &self,
+        inner: &mut Inner,
+        running: Running,
+        status: Status,
+        fetching: bool,
+        answer: Option<Answer>,
+    ) {
+        count(match status {
+            Status::Ok => &self.counters.ok,
+            Status::Miss => &self.counters.misses,
+            Status::Full => &self.counters.full,
+            Status::Timeout => &self.counters.timeouts,
+            Status::ConnectFailed => &self.counters.connect_failed,
+            Status::Reset => &self.counters.resets,
+            Status::Moot | Status::Cancelled => &self.counters.moot,
+            Status::Error => &self.counters.errors,
+        });
+        let now = self.clock.now();
+        let mut closed = true;
+        if let Some(open) = inner.commands.get_mut(&running.command) {
+            open.out -= 1;
+            closed = open.left;
+            let last = open.left && open.out == 0;
+            if let Some(answer) = answer {
+                closed = true;
+                self.finish(inner, running.command, answer);
+            } else if last {
+                self.finish(inner, running.command, Answer::Failed);
+            }
+        }
+        let outcome = Outcome {
+            id: running.command.request(),
+            server: running.server,
+            attempt: running.attempt,
+            latency: now.minus(running.sent),
+            status,
+            closed,
+            fetching,
+        };
+        self.handle(inner, now, Event::Outcome(outcome));
+    }
+
+    fn finish(&self, inner: &mut Inner, id: CommandId, answer: Answer) {
+        if let Some(open) = inner.commands.remove(&id) {
+            count(match answer {
+                Answer::Value(_) | Answer::Receipt(_) => &self.counters.served,
+                Answer::Nack(_) => &self.counters.nacked,
+                Answer::Failed => &self.counters.failed,
+            });
+            // The connection may have ended in this very moment; then nobody waits for it.
+            let _ = open.answer.send(answer);
+        }
+        self.check_idle(inner);
+    }
+
+    fn check_idle(&self, inner: &Inner) {
+        if inner.commands.is_empty() {
+            self.idle.notify_waiters();
+        }
+    }
+
+    fn handle(&self, inner: &mut Inner, now: Micros, event: Event) {
+        let mut actions = std::mem::take(&mut inner.actions);
+        inner.balancer.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.act(inner, now, action);
+        }
+        inner.actions = actions;
+        if let Some(Reverse((at, _))) = inner.timers.peek() {
+            if *at < self.next_timer.get() {
+                self.timer_set.notify_one();
+            }
+        }
+    }
+
+    fn act(&self, inner: &mut Inner, now: Micros, action: Action) {
+        match action {
+            Action::Send { id, server, timeout } => {
+                let command_id = CommandId::of(&id);
+                let Some(open) = inner.commands.get_mut(&command_id) else { return };
+                let until = if timeout.0 == 0 { open.deadline } else { now.plus(timeout).min(open.deadline) };
+                let running = Running { command: command_id, server, attempt: open.attempts, sent: now };
+                open.attempts += 1;
+                open.out += 1;
+                let command = Rc::clone(&open.command);
+                inner.last += 1;
+                let id = ExecutionId(inner.last);
+                count(&self.counters.executions);
+                inner.executions.insert(id, running);
+                inner.timers.push(Reverse((until, Due::Execution(id))));
+                inner.carrier.begin(Execution { id, command, server, until });
+            }
+            Action::Refuse { id, retry_after } => {
+                self.finish(inner, CommandId::of(&id), Answer::Nack(retry_after));
+            }
+            Action::Fail { id } => self.finish(inner, CommandId::of(&id), Answer::Failed),
+            Action::Timer { at, token } => inner.timers.push(Reverse((at, Due::Module(token)))),
+            Action::Watch => self.watch.notify_one(),
+            Action::Log(line) => info!(self.log, "module"; "line" => line),
+        }
+    }
+}
--- /dev/null
+++ b/node/src/http.rs
@@ -0,0 +1,224 @@
+//! HTTP/1.1 as the origin and discovery speak it: bytes to values and back, nothing else.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use juniperladder::Micros;
+use winnow::ascii::{digit1, hex_digit1, space0};
+use winnow::combinator::{opt, preceded, repeat, separated_pair, terminated};
+use winnow::prelude::*;
+use winnow::token::{take_till, take_while};
+
+use crate::exchange::{Answer, Command, Reply};
+use crate::memcache::{number, write_properties, MAX_VALUE};
+
+/// The longest head of a response.
+const MAX_HEAD: usize = 16 * 1024;
+
+/// How a response's body is delimited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    Length(usize),
+    Chunked,
+    UntilClose,
+}
+
+/// The head of a response, as far as it matters here.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Head {
+    /// The status.
+    pub status: u16,
+    /// Whether the request is said never to have run.
+    pub never_ran: bool,
+    /// Whether the connection ends with this response.
+    pub close: bool,
+    framing: Framing,
+}
+
+fn status<'a>(input: &mut &'a [u8]) -> winnow::Result<(&'a [u8], &'a [u8])> {
+    let version = preceded(b"HTTP/1.", digit1);
+    let code = take_while(3..=3, |b: u8| b.is_ascii_digit());
+    terminated(separated_pair(version, b' ', code), (take_till(0.., (b'\r', b'\n')), end)).parse_next(input)
+}
+
+fn end(input: &mut &[u8]) -> winnow::Result<()> {
+    (opt(b'\r'), b'\n').void().parse_next(input)
+}
+
+fn header<'a>(input: &mut &'a [u8]) -> winnow::Result<(&'a [u8], &'a [u8])> {
+    let name = take_while(1.., |b: u8| b.is_ascii_graphic() && b != b':');
+    let value = take_till(0.., (b'\r', b'\n'));
+    terminated(separated_pair(name, (b':', space0), value), end).parse_next(input)
+}
+
+fn head<'a>(input: &mut &'a [u8]) -> winnow::Result<Head> {
+    let (minor, code) = status(input)?;
+    let headers: Vec<(&'a [u8], &'a [u8])> = terminated(repeat(0.., header), end).parse_next(input)?;
+    let has = |name: &str, part: &str| {
+        headers.iter().any(|(n, v)| {
+            n.eq_ignore_ascii_case(name.as_bytes())
+                && v.split(|b| *b == b',').any(|v| v.trim_ascii().eq_ignore_ascii_case(part.as_bytes()))
+        })
+    };
+    let length = headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(b"content-length"));
+    let framing = match length {
+        _ if has("transfer-encoding", "chunked") => Framing::Chunked,
+        Some((_, text)) => {
+            let length = number(text.trim_ascii()).and_then(|n| usize::try_from(n).ok());
+            Framing::Length(length.ok_or_else(winnow::error::ContextError::new)?)
+        }
+        None if code == b"204" || code == b"304" => Framing::Length(0),
+        None => Framing::UntilClose,
+    };
+    Ok(Head {
+        status: code.iter().fold(0, |sum, digit| sum * 10 + u16::from(digit - b'0')),
+        never_ran: has("x-never-ran", "1"),
+        close: has("connection", "close") || minor == b"0" || framing == Framing::UntilClose,
+        framing,
+    })
+}
+
+fn chunk_size<'a>(input: &mut &'a [u8]) -> winnow::Result<&'a [u8]> {
+    terminated(hex_digit1, (take_till(0.., (b'\r', b'\n')), end)).parse_next(input)
+}
+
+/// A response as it comes in. The caller takes from `body` what it wants while more is on its way.
+#[derive(Debug, Default)]
+pub struct Response {
+    /// The head, once it is whole.
+    pub head: Option<Head>,
+    /// The body so far, or what was not taken of it.
+    pub body: BytesMut,
+    /// Whether the response is whole.
+    pub done: bool,
+    left: usize,
+    in_chunk: bool,
+    last_chunk: bool,
+}
+
+impl Response {
+    /// Takes what belongs to this response off the input.
+    pub fn read(&mut self, input: &mut BytesMut) -> Result<(), String> {
+        if self.head.is_none() {
+            let Some(length) = head_length(input) else {
+                return if input.len() > MAX_HEAD {
+                    Err("a response's head has no end".into())
+                } else {
+                    Ok(())
+                };
+            };
+            let text = input.split_to(length);
+            let parsed = head.parse(&text[..]);
+            let parsed = parsed.map_err(|_| {
+                format!("not a response: {:?}", String::from_utf8_lossy(&text[..length.min(80)]))
+            })?;
+            if let Framing::Length(length) = parsed.framing {
+                self.left = length;
+            }
+            self.head = Some(parsed);
+        }
+        match self.head.as_ref().map(|head| head.framing) {
+            Some(Framing::Length(_)) => {
+                self.take(input);
+                self.done = self.left == 0;
+            }
+            Some(Framing::Chunked) => self.read_chunks(input)?,
+            _ => self.body.unsplit(input.split()),
+        }
+        Ok(())
+    }
+
+    /// The connection has ended: a body without a length is whole by that.
+    pub fn ended(&mut self) {
+        self.done |= self.head.as_ref().is_some_and(|head| head.framing == Framing::UntilClose);
+    }
+
+    fn take(&mut self, input: &mut BytesMut) {
+        let part = input.split_to(self.left.min(input.len()));
+        self.left -= part.len();
+        self.body.unsplit(part);
+    }
+
+    fn read_chunks(&mut self, input: &mut BytesMut) -> Result<(), String> {
+        while !self.done {
+            self.take(input);
+            if self.left > 0 {
+                return Ok(());
+            }
+            let Some(end) = memchr::memchr(b'\n', input) else {
+                return if input.len() > MAX_HEAD { Err("a chunk's size has no end".into()) } else { Ok(()) };
+            };
+            let text = input.split_to(end + 1);
+            if self.in_chunk || self.last_chunk {
+                // The end of a chunk's data, or the trailer, whose empty line ends the body.
+                let blank = text.trim_ascii().is_empty();
+                if self.in_chunk && !blank {
+                    return Err("a chunk without its end".into());
+                }
+                self.done = self.last_chunk && blank;
+                self.in_chunk = false;
+                continue;
+            }
+            let digits = chunk_size.parse(&text[..]).ok().and_then(|d| std::str::from_utf8(d).ok());
+            let size = digits.and_then(|d| usize::from_str_radix(d, 16).ok()).ok_or("not a chunk's size")?;
+            self.left = size;
+            self.in_chunk = size > 0;
+            self.last_chunk = size == 0;
+        }
+        Ok(())
+    }
+}
+
+fn head_length(input: &[u8]) -> Option<usize> {
+    let mut from = 0;
+    loop {
+        let end = from + memchr::memchr(b'\n', &input[from..])?;
+        match &input[end + 1..] {
+            [b'\n', ..] => return Some(end + 2),
+            [b'\r', b'\n', ..] => return Some(end + 3),
+            _ => from = end + 1,
+        }
+    }
+}
+
+/// Writes a command to the origin.
+pub fn write_command(out: &mut BytesMut, command: &Command, host: &str, wait: Micros) {
+    out.put_slice(if command.value.is_some() { b"PUT /" } else { b"GET /" });
+    for byte in &command.key {
+        // What would end the path, or is no URI character, is written in percent form.
+        if byte.is_ascii_graphic() && !b"%?#\"<>\\^`{|}".contains(byte) {
+            out.put_u8(*byte);
+        } else {
+            out.put_slice(format!("%{byte:02X}").as_bytes());
+        }
+    }
+    out.put_slice(format!(" HTTP/1.1\r\nHost: {host}\r\nX-Trace-Id: ").as_bytes());
+    out.put_slice(&command.id);
+    out.put_slice(b"\r\nX-Props: ");
+    write_properties(out, command, wait);
+    if let Some(value) = &command.value {
+        out.put_slice(format!("\r\nContent-Length: {}\r\n\r\n", value.len()).as_bytes());
+        out.put_slice(value);
+    } else {
+        out.put_slice(b"\r\n\r\n");
+    }
+}
+
+/// What the origin's whole response to a command means.
+pub fn reply(response: &Response, write: bool) -> Reply {
+    let Some(head) = &response.head else { return Reply::Error };
+    match head.status {
+        200 if response.body.len() > MAX_VALUE => Reply::Error,
+        200 => {
+            let body = Bytes::copy_from_slice(&response.body);
+            Reply::Served(if write { Answer::Receipt(body) } else { Answer::Value(body) })
+        }
+        503 | 504 if head.never_ran => Reply::Full,
+        _ => Reply::Error,
+    }
+}
+
+/// Writes a call to discovery.
+pub fn write_call(out: &mut BytesMut, path: &str, host: &str) {
+    out.put_slice(
+        format!("GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n").as_bytes(),
+    );
+}
--- /dev/null
+++ b/node/src/lib.rs
@@ -0,0 +1,111 @@
+//! The real balancer: juniperladder's decisions on real sockets.
+//!
+//! The client side ([`service`]) and the server side ([`upstream`]) meet only in the [`exchange`].
+
+pub mod clock;
+pub mod config;
+pub mod counters;
+pub mod exchange;
+pub mod http;
+pub mod memcache;
+pub mod name_table;
+pub mod service;
+pub mod shutdown;
+pub mod upstream;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use juniperladder::{ListKind, Mode};
+use slog::{info, o, Drain, Logger};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::{spawn_local, LocalSet};
+
+use config::Config;
+
+/// Descriptors that are neither clients' nor hosts': the listener, discovery, the runtime and the log.
+const OWN_SOCKETS: usize = 64;
+/// The part of the other descriptors that connections to hosts may take.
+const UPSTREAM_PART: f64 = 0.4;
+/// How long an answer is awaited whose execution has timed out.
+const LATE: Duration = Duration::from_secs(3);
+
+/// Runs a balancer as the environment describes it, until it is told to stop.
+pub fn run_from_environment() -> Result<(), String> {
+    let config = Config::from_environment()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
+    let drain = slog_term::FullFormat::new(slog_term::PlainDecorator::new(std::io::stderr())).build().fuse();
+    // A full pipe must not hold the one thread up: lines are dropped then, and that is told.
+    let drain = slog_async::Async::new(drain)
+        .chan_size(1024)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build()
+        .fuse();
+    let log = Logger::root(drain, o!("name" => config.name.clone()));
+    LocalSet::new().block_on(&runtime, run(config, log))
+}
+
+/// Runs a balancer until a signal ends it.
+pub async fn run(config: Config, log: Logger) -> Result<(), String> {
+    let clock = clock::Clock::start();
+    let counters = Rc::new(counters::Counters::default());
+    let sockets = config.sockets.saturating_sub(OWN_SOCKETS).max(16);
+    let upstream_sockets = (sockets as f64 * UPSTREAM_PART) as usize;
+    let limits = upstream::Limits {
+        connections: upstream_sockets,
+        connect_timeout: config.connect_timeout,
+        idle: config.idle,
+        late: LATE,
+        origin: match config.settings.mode {
+            Mode::Aside(kind) => Some(kind),
+            Mode::Through => None,
+        },
+    };
+    let upstream = upstream::Upstream::new(limits, clock, Rc::clone(&counters), log.clone());
+    let exchange = exchange::Exchange::new(
+        config.settings,
+        config.seed,
+        Rc::clone(&upstream) as Rc<dyn exchange::Carrier>,
+        clock,
+        Rc::clone(&counters),
+        log.clone(),
+    );
+    upstream.attach(&exchange);
+    let mut table = name_table::NameTable::new(config.names);
+    let (_, hosts) = table.take(config.known, &log);
+    exchange.listed(ListKind::Restored, &hosts);
+
+    let shutdown = Rc::new(shutdown::Shutdown::default());
+    let listener = TcpListener::bind(config.listen).await;
+    let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let service = service::Service::new(
+        Rc::clone(&exchange),
+        config.classes,
+        Rc::clone(&shutdown),
+        sockets - upstream_sockets,
+        log.clone(),
+    );
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
+    let mut report = signal(SignalKind::user_defined1()).map_err(|e| format!("no signals: {e}"))?;
+    info!(log, "listening"; "address" => config.listen.to_string(), "hosts" => hosts.len());
+
+    let timers = Rc::clone(&exchange);
+    spawn_local(async move { timers.run().await });
+    spawn_local(name_table::follow(table, config.discovery, Rc::clone(&exchange), log.clone()));
+    spawn_local(service.accept(listener));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = report.recv() => info!(log, "counters"; "all" => counters.to_string()),
+        }
+    }
+    info!(log, "stopping");
+    shutdown.run().await;
+    exchange.idle().await;
+    info!(log, "stopped"; "counters" => counters.to_string());
+    Ok(())
+}
--- /dev/null
+++ b/node/src/memcache.rs
@@ -0,0 +1,284 @@
+//! The meta commands of the memcache text protocol: bytes to values and back, nothing else.
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use juniperladder::Micros;
+use winnow::combinator::{preceded, repeat, separated_pair, terminated};
+use winnow::prelude::*;
+use winnow::token::take_while;
+
+use crate::clock::{from_ms, to_ms};
+use crate::exchange::{Answer, Command, Reply};
+
+/// The longest line; a key, an id and a few properties are far shorter.
+const MAX_LINE: usize = 4096;
+/// The longest value.
+pub const MAX_VALUE: usize = 64 * 1024;
+/// The longest value that is skipped to keep a connection in step.
+const MAX_SKIPPED: usize = 1024 * 1024;
+/// The longest key, as memcache has it.
+const MAX_KEY: usize = 250;
+
+/// What a client's connection brought next.
+#[derive(Debug, PartialEq)]
+pub enum Incoming {
+    /// `mn`.
+    Ready,
+    /// A command, and its class by name.
+    Command(Box<Command>, Bytes),
+    /// No command; this is the whole answer.
+    Malformed(&'static str),
+    /// The same, and what follows cannot be told apart from it: the connection has to end.
+    Lost(&'static str),
+    /// `quit`.
+    Quit,
+}
+
+/// The commands on one connection, found in the bytes as they come.
+#[derive(Debug, Default)]
+pub struct Commands {
+    /// Bytes of a refused value that are still to come.
+    skip: usize,
+    /// A write whose value is not there yet, so that its line is read once.
+    pending: Option<(Box<Command>, Bytes, usize)>,
+}
+
+type Flags<'a> = Vec<&'a [u8]>;
+
+fn word<'a>(input: &mut &'a [u8]) -> winnow::Result<&'a [u8]> {
+    take_while(1.., |byte: u8| byte > b' ' && byte != 0x7f).parse_next(input)
+}
+
+fn words<'a>(input: &mut &'a [u8]) -> winnow::Result<Flags<'a>> {
+    terminated(repeat(0.., preceded(take_while(1.., b' '), word)), take_while(0.., b' ')).parse_next(input)
+}
+
+fn line<'a>(input: &mut &'a [u8]) -> winnow::Result<(&'a [u8], Flags<'a>)> {
+    (word, words).parse_next(input)
+}
+
+fn property<'a>(input: &mut &'a [u8]) -> winnow::Result<(&'a [u8], &'a [u8])> {
+    separated_pair(take_while(1.., |b| b != b'='), b'=', take_while(0.., |_| true)).parse_next(input)
+}
+
+/// A decimal number that is nothing but digits.
+pub fn number(text: &[u8]) -> Option<u64> {
+    winnow::ascii::dec_uint::<_, u64, winnow::error::ContextError>.parse(text).ok()
+}
+
+/// Where the first line ends, as (length without its end, length with it).
+fn line_end(input: &[u8]) -> Option<(usize, usize)> {
+    let end = memchr::memchr(b'\n', input)?;
+    let bare = if end > 0 && input[end - 1] == b'\r' { end - 1 } else { end };
+    Some((bare, end + 1))
+}
+
+impl Commands {
+    /// Whether a command has begun that is not whole.
+    pub fn unfinished(&self) -> bool {
+        self.pending.is_some() || self.skip > 0
+    }
+
+    /// Takes the next command off the input; none until more has come.
+    pub fn next(&mut self, input: &mut BytesMut) -> Option<Incoming> {
+        if self.skip > 0 {
+            let part = self.skip.min(input.len());
+            input.advance(part);
+            self.skip -= part;
+            if self.skip > 0 {
+                return None;
+            }
+        }
+        if self.pending.is_none() {
+            let Some((bare, whole)) = line_end(input) else {
+                // A line that never ends must not fill the memory.
+                return (input.len() > MAX_LINE).then_some(Incoming::Lost("CLIENT_ERROR line too long"));
+            };
+            let text = input.split_to(whole).freeze().slice(..bare);
+            if bare > MAX_LINE {
+                return Some(Incoming::Malformed("CLIENT_ERROR line too long"));
+            }
+            match command(&text) {
+                Ok(Line::Whole(incoming)) => return Some(incoming),
+                Ok(Line::Write(command, class, length)) => self.pending = Some((command, class, length)),
+                Ok(Line::TooLarge(length)) if length <= MAX_SKIPPED => {
+                    self.skip = length + 2;
+                    return Some(Incoming::Malformed("SERVER_ERROR object too large for cache"));
+                }
+                Ok(Line::TooLarge(_)) => {
+                    return Some(Incoming::Lost("SERVER_ERROR object too large for cache"))
+                }
+                Err(problem) => return Some(problem),
+            }
+        }
+        let length = self.pending.as_ref()?.2;
+        if input.len() < length + 2 {
+            return None;
+        }
+        let (mut command, class, _) = self.pending.take()?;
+        if &input[length..length + 2] != b"\r\n" {
+            return Some(Incoming::Lost("CLIENT_ERROR bad data chunk"));
+        }
+        command.value = Some(input.split_to(length).freeze());
+        input.advance(2);
+        Some(Incoming::Command(command, class))
+    }
+}
+
+enum Line {
+    Whole(Incoming),
+    Write(Box<Command>, Bytes, usize),
+    TooLarge(usize),
+}
+
+fn command(text: &Bytes) -> Result<Line, Incoming> {
+    let Ok((name, rest)) = line.parse(text) else { return Err(Incoming::Malformed("ERROR")) };
+    match (name, rest.as_slice()) {
+        (b"mn", []) => Ok(Line::Whole(Incoming::Ready)),
+        (b"quit", []) => Ok(Line::Whole(Incoming::Quit)),
+        (b"mg", [key, flags @ ..]) => {
+            let (command, class) = described(text, key, flags).map_err(Incoming::Malformed)?;
+            Ok(Line::Whole(Incoming::Command(command, class)))
+        }
+        (b"ms", [key, length, flags @ ..]) => {
+            // Without a length nobody can tell where the value ends.
+            let length = number(length).ok_or(Incoming::Lost("CLIENT_ERROR bad data chunk"))?;
+            let length = usize::try_from(length).unwrap_or(usize::MAX);
+            if length > MAX_VALUE {
+                return Ok(Line::TooLarge(length));
+            }
+            // The value follows all the same, and read as a line it would be another error.
+            let (command, class) = described(text, key, flags).map_err(Incoming::Lost)?;
+            Ok(Line::Write(command, class, length))
+        }
+        (b"mg" | b"ms", _) => Err(Incoming::Malformed("CLIENT_ERROR bad command line format")),
+        _ => Err(Incoming::Malformed("ERROR")),
+    }
+}
+
+fn described(text: &Bytes, key: &[u8], flags: &[&[u8]]) -> Result<(Box<Command>, Bytes), &'static str> {
+    let find = |name: u8| flags.iter().find(|f| f[0] == name).map(|f| text.slice_ref(&f[1..]));
+    if key.len() > MAX_KEY {
+        return Err("CLIENT_ERROR key too long");
+    }
+    let id = find(b'O').filter(|id| !id.is_empty()).ok_or("CLIENT_ERROR no id")?;
+    let list = find(b'P').unwrap_or_default();
+    let mut properties = Vec::new();
+    for item in list.split(|b| *b == b',').filter(|item| !item.is_empty()) {
+        let (name, value) = property.parse(item).map_err(|_| "CLIENT_ERROR bad properties")?;
+        properties.push((list.slice_ref(name), list.slice_ref(value)));
+    }
+    let value_of = |name: &[u8]| properties.iter().find(|(n, _)| n == name).map(|(_, v)| v.clone());
+    let wait = match value_of(b"d") {
+        Some(text) => Some(from_ms(number(&text).ok_or("CLIENT_ERROR bad properties")?)),
+        None => None,
+    };
+    let class = value_of(b"c").unwrap_or_default();
+    let command = Command { id, key: text.slice_ref(key), value: None, class: 0, wait, properties };
+    Ok((Box::new(command), class))
+}
+
+/// Writes a final answer to a client.
+pub fn write_answer(out: &mut BytesMut, id: &[u8], answer: &Answer) {
+    match answer {
+        Answer::Value(value) => {
+            out.put_slice(format!("VA {} O", value.len()).as_bytes());
+            out.put_slice(id);
+            out.put_slice(b"\r\n");
+            out.put_slice(value);
+        }
+        Answer::Receipt(receipt) => {
+            out.put_slice(b"HD O");
+            out.put_slice(id);
+            out.put_slice(b" c");
+            out.put_slice(receipt);
+        }
+        Answer::Nack(Micros(0)) => out.put_slice(b"SERVER_ERROR busy"),
+        Answer::Nack(wait) => out.put_slice(format!("SERVER_ERROR busy {}", to_ms(*wait)).as_bytes()),
+        Answer::Failed => out.put_slice(b"SERVER_ERROR failed"),
+    }
+    out.put_slice(b"\r\n");
+}
+
+/// The list of names and values as it came, but for `d`, which tells the wait that is left.
+pub fn write_properties(out: &mut BytesMut, command: &Command, wait: Micros) {
+    for (place, (name, value)) in command.properties.iter().enumerate() {
+        if place > 0 {
+            out.put_u8(b',');
+        }
+        out.put_slice(name);
+        out.put_u8(b'=');
+        if name.as_ref() == b"d" {
+            out.put_slice(to_ms(wait).max(1).to_string().as_bytes());
+        } else {
+            out.put_slice(value);
+        }
+    }
+}
+
+/// Writes a command to a cache host.
+pub fn write_command(out: &mut BytesMut, command: &Command, wait: Micros) {
+    out.put_slice(if command.value.is_some() { b"ms " } else { b"mg " });
+    out.put_slice(&command.key);
+    match &command.value {
+        Some(value) => out.put_slice(format!(" {}", value.len()).as_bytes()),
+        None => out.put_slice(b" v"),
+    }
+    out.put_slice(b" O");
+    out.put_slice(&command.id);
+    if !command.properties.is_empty() {
+        out.put_slice(b" P");
+        write_properties(out, command, wait);
+    }
+    out.put_slice(b"\r\n");
+    if let Some(value) = &command.value {
+        out.put_slice(value);
+        out.put_slice(b"\r\n");
+    }
+}
+
+/// Takes a cache host's answer to this command off the input: none until it is whole, an error when it
+/// cannot be one.
+pub fn answer(input: &mut BytesMut, command: &Command) -> Result<Option<Reply>, String> {
+    let Some((bare, whole)) = line_end(input) else {
+        return if input.len() > MAX_LINE { Err("an answer's line has no end".into()) } else { Ok(None) };
+    };
+    let strange = |text: &[u8]| format!("not an answer: {:?}", String::from_utf8_lossy(text));
+    let text = &input[..bare];
+    let (name, flags) = line.parse(text).map_err(|_| strange(text))?;
+    let flag = |name: u8| flags.iter().find(|f| f[0] == name).map(|f| &f[1..]);
+    if matches!(name, b"VA" | b"HD" | b"EN") && flag(b'O') != Some(&command.id[..]) {
+        return Err(format!("an answer for another id: {:?}", String::from_utf8_lossy(text)));
+    }
+    let mut value = None;
+    let reply = match (name, flags.first().copied()) {
+        (b"VA", Some(length)) => {
+            let length = number(length).and_then(|n| usize::try_from(n).ok()).ok_or_else(|| strange(text))?;
+            if length > MAX_VALUE {
+                return Err(strange(text));
+            }
+            if input.len() < whole + length + 2 {
+                return Ok(None);
+            }
+            if &input[whole + length..whole + length + 2] != b"\r\n" {
+                return Err("a value without its end".into());
+            }
+            value = Some(length);
+            None
+        }
+        (b"HD", _) => {
+            let receipt = flag(b'c').ok_or_else(|| strange(text))?;
+            Some(Reply::Served(Answer::Receipt(Bytes::copy_from_slice(receipt))))
+        }
+        (b"EN", _) => Some(Reply::Miss { fetching: flags.contains(&&b"Z"[..]) }),
+        (b"SERVER_ERROR", Some(b"failed")) => Some(Reply::Error),
+        (b"SERVER_ERROR", Some(b"busy")) => Some(Reply::Full),
+        _ => return Err(strange(text)),
+    };
+    input.advance(whole);
+    if let Some(length) = value {
+        let value = input.split_to(length).freeze();
+        input.advance(2);
+        return Ok(Some(Reply::Served(Answer::Value(value))));
+    }
+    Ok(reply)
+}
--- /dev/null
+++ b/node/src/name_table.rs
@@ -0,0 +1,236 @@
+//! The name table: discovery's list, and the watch on its changes.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use juniperladder::{Entry, Key, ListKind, ServerId, State};
+use rustc_hash::FxHashMap;
+use serde::Deserialize;
+use slog::{info, warn, Logger};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::clock::from_ms;
+use crate::counters::count;
+use crate::exchange::{Exchange, Host};
+use crate::http::{write_call, Response};
+
+/// Discovery writes a line at least every two seconds; a watch silent for this long is dead, as a
+/// machine that is cut off says nothing and its connection stays open.
+const SILENCE: Duration = Duration::from_secs(5);
+/// How long discovery's first line may take.
+const CALL: Duration = Duration::from_secs(4);
+/// The longest line of a watch.
+const MAX_LINE: usize = 4 * 1024 * 1024;
+
+/// The names that stand for the settings' numbers.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Kinds of machine.
+    pub kinds: Vec<String>,
+}
+
+/// A list, or the changes to one, in discovery's form.
+#[derive(Debug, Default, Deserialize)]
+pub struct Catalog {
+    #[serde(default)]
+    generation: u64,
+    #[serde(default)]
+    reset: bool,
+    #[serde(default)]
+    instances: Vec<Instance>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Instance {
+    instance_id: String,
+    host_port: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    machine_type: String,
+    #[serde(default)]
+    cell: u32,
+    #[serde(default = "in_service")]
+    lifecycle: String,
+    #[serde(default = "one")]
+    weight: f64,
+    #[serde(default)]
+    started_at_ms: u64,
+}
+
+fn in_service() -> String {
+    "in_service".into()
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// A hash of 64 bits that is the same at every balancer and after every restart (FNV-1a, then mixed).
+pub fn hash(bytes: &[u8]) -> u64 {
+    let mixed = bytes.iter().fold(0xcbf2_9ce4_8422_2325_u64, |sum, byte| {
+        (sum ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    let mixed = (mixed ^ (mixed >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    mixed ^ (mixed >> 33)
+}
+
+/// A key's number: its own value where it is sixteen hexadecimal digits, so that no two of them meet,
+/// and a hash otherwise. Placement rests on its being the same everywhere.
+pub fn key(text: &[u8]) -> Key {
+    Key(hexadecimal(text, 16).unwrap_or_else(|| hash(text)))
+}
+
+/// The value of exactly so many lower-case hexadecimal digits.
+fn hexadecimal(text: &[u8], digits: usize) -> Option<u64> {
+    let plain = text.len() == digits && text.iter().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+    let text = std::str::from_utf8(text).ok().filter(|_| plain)?;
+    u64::from_str_radix(text, 16).ok()
+}
+
+/// Discovery's list in the module's terms.
+#[derive(Debug, Default)]
+pub struct NameTable {
+    names: Names,
+    generation: Option<u64>,
+    ids: FxHashMap<String, ServerId>,
+    taken: FxHashMap<ServerId, String>,
+}
+
+impl NameTable {
+    /// An empty table.
+    pub fn new(names: Names) -> NameTable {
+        NameTable { names, ..NameTable::default() }
+    }
+
+    /// A host's number: the eight hexadecimal digits of its name, or a hash of another name. Two names
+    /// that met would be one host to the module, so the later one gets the next hash.
+    fn id(&mut self, name: &str) -> ServerId {
+        if let Some(id) = self.ids.get(name) {
+            return *id;
+        }
+        let digits = name.rsplit('-').next().unwrap_or_default();
+        let mut number = hexadecimal(digits.as_bytes(), 8).unwrap_or_else(|| hash(name.as_bytes()));
+        while self.taken.contains_key(&ServerId(number as u32)) {
+            number = hash(&number.to_le_bytes());
+        }
+        let id = ServerId(number as u32);
+        self.ids.insert(name.to_owned(), id);
+        self.taken.insert(id, name.to_owned());
+        id
+    }
+
+    /// Takes a list or its changes in; entries that make no sense are left out and told.
+    pub fn take(&mut self, catalog: Catalog, log: &Logger) -> (ListKind, Vec<Host>) {
+        let kind = if catalog.reset { ListKind::Replace } else { ListKind::Update };
+        self.generation = Some(catalog.generation);
+        let mut instances = catalog.instances;
+        // In order of name, so that even numbers of names that meet are the same at every balancer.
+        instances.sort_by(|a, b| a.instance_id.cmp(&b.instance_id));
+        let mut hosts = Vec::with_capacity(instances.len());
+        for instance in instances {
+            let state = match instance.lifecycle.as_str() {
+                "in_service" => State::Serving,
+                "terminated" => State::Deleted,
+                "terminating" => State::Draining,
+                other => {
+                    // A state this balancer does not know is no reason to send there.
+                    warn!(log, "unknown lifecycle"; "host" => &instance.instance_id, "lifecycle" => other);
+                    State::Draining
+                }
+            };
+            let address: Option<SocketAddr> = instance.host_port.parse().ok();
+            if address.is_none() && state != State::Deleted {
+                warn!(log, "no address"; "host" => &instance.instance_id, "address" => &instance.host_port);
+                continue;
+            }
+            let place = |names: &[String], name: &str| {
+                names.iter().position(|n| n == name).map_or(u32::MAX, |place| place as u32)
+            };
+            let entry = Entry {
+                server: self.id(&instance.instance_id),
+                zone: place(&self.names.zones, &instance.zone),
+                kind: place(&self.names.kinds, &instance.machine_type),
+                cell: instance.cell,
+                state,
+                weight: instance.weight,
+                started: from_ms(instance.started_at_ms),
+            };
+            hosts.push(Host { entry, address });
+        }
+        (kind, hosts)
+    }
+
+    fn path(&self) -> String {
+        match self.generation {
+            Some(generation) => format!("/catalog/members?follow=1&since={generation}"),
+            None => "/catalog/members?follow=1".into(),
+        }
+    }
+}
+
+/// Watches discovery whenever the module asks for it, and tells the module what comes.
+pub async fn follow(mut table: NameTable, discovery: SocketAddr, exchange: Rc<Exchange>, log: Logger) {
+    loop {
+        exchange.watch_wanted().await;
+        let problem = match watch(&mut table, discovery, &exchange, &log).await {
+            Ok(()) => "the watch has ended".to_owned(),
+            Err(problem) => problem,
+        };
+        // The module spaces the calls out: it asks again after a wait of its own.
+        warn!(log, "discovery"; "problem" => problem);
+        count(&exchange.counters().discovery_failures);
+        exchange.listed(ListKind::Unavailable, &[]);
+    }
+}
+
+async fn watch(
+    table: &mut NameTable,
+    discovery: SocketAddr,
+    exchange: &Exchange,
+    log: &Logger,
+) -> Result<(), String> {
+    let lost = |e: std::io::Error| e.to_string();
+    let connect = timeout(CALL, TcpStream::connect(discovery)).await;
+    let mut stream = connect.map_err(|_| "no connection in time".to_owned())?.map_err(lost)?;
+    let mut call = BytesMut::new();
+    write_call(&mut call, &table.path(), &discovery.to_string());
+    stream.write_all(&call).await.map_err(lost)?;
+    let (mut response, mut input) = (Response::default(), BytesMut::new());
+    loop {
+        let read = timeout(SILENCE, stream.read_buf(&mut input)).await;
+        if read.map_err(|_| "silent".to_owned())?.map_err(lost)? == 0 {
+            return Ok(());
+        }
+        response.read(&mut input)?;
+        if let Some(head) = response.head.as_ref().filter(|head| head.status != 200) {
+            return Err(format!("status {}", head.status));
+        }
+        while let Some(end) = memchr::memchr(b'\n', &response.body) {
+            let mut line = response.body.split_to(end + 1);
+            if line.trim_ascii().is_empty() {
+                continue;
+            }
+            let catalog = simd_json::from_slice::<Catalog>(&mut line);
+            let catalog = catalog.map_err(|e| format!("not a list: {e}"))?;
+            let (kind, hosts) = table.take(catalog, log);
+            count(&exchange.counters().lists);
+            info!(log, "list"; "generation" => table.generation, "whole" => kind == ListKind::Replace,
+                "entries" => hosts.len());
+            exchange.listed(kind, &hosts);
+        }
+        if response.body.len() > MAX_LINE {
+            return Err("a line without an end".into());
+        }
+        if response.done {
+            return Ok(());
+        }
+    }
+}
--- /dev/null
+++ b/node/src/service.rs
@@ -0,0 +1,227 @@
+//! The client side: service clients' connections, the commands on them, and the answers in their order.
+
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::io;
+use std::rc::Rc;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use slog::{warn, Logger};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, Duration};
+
+use crate::counters::count;
+use crate::exchange::{Answer, CommandId, Exchange};
+use crate::memcache::{write_answer, Commands, Incoming};
+use crate::shutdown::Shutdown;
+
+/// Commands that one connection may have open: enough for any pipeline, a bound for one that runs away.
+const MAX_OWED: usize = 128;
+/// Answer bytes that may stand unwritten before a connection's further commands have to wait.
+const MAX_OUTPUT: usize = 256 * 1024;
+
+/// What a connection owes its client, in order.
+#[derive(Debug)]
+enum Owed {
+    /// Words that need nobody else.
+    Line(&'static str),
+    /// A command's answer.
+    Command(CommandId, Bytes, oneshot::Receiver<Answer>),
+}
+
+/// What all service clients share.
+pub struct Service {
+    exchange: Rc<Exchange>,
+    classes: Vec<String>,
+    shutdown: Rc<Shutdown>,
+    limit: usize,
+    open: Cell<usize>,
+    log: Logger,
+}
+
+/// Counts a connection for as long as it lives.
+struct Counted(Rc<Service>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let open = self.0.open.get() - 1;
+        self.0.open.set(open);
+        self.0.shutdown.connections(open);
+    }
+}
+
+impl Service {
+    /// A service that holds at most so many connections.
+    pub fn new(
+        exchange: Rc<Exchange>,
+        classes: Vec<String>,
+        shutdown: Rc<Shutdown>,
+        limit: usize,
+        log: Logger,
+    ) -> Rc<Service> {
+        Rc::new(Service { exchange, classes, shutdown, limit, open: Cell::new(0), log })
+    }
+
+    /// Accepts service clients for as long as it is polled.
+    pub async fn accept(self: Rc<Service>, listener: TcpListener) {
+        loop {
+            if self.open.get() >= self.limit {
+                // The backlog holds who comes now until another leaves.
+                sleep(Duration::from_millis(5)).await;
+                continue;
+            }
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    count(&self.exchange.counters().clients);
+                    self.shutdown.accepted();
+                    self.open.set(self.open.get() + 1);
+                    self.shutdown.connections(self.open.get());
+                    let _ = stream.set_nodelay(true);
+                    let counted = Counted(Rc::clone(&self));
+                    spawn_local(async move {
+                        let mut client = ServiceClient::new(&counted.0);
+                        // A connection that breaks has no one to be told.
+                        let _ = client.serve(stream).await;
+                    });
+                }
+                Err(problem) => {
+                    // Out of descriptors, or a client that left at once: neither may end the program.
+                    warn!(self.log, "accept"; "problem" => problem.to_string());
+                    sleep(Duration::from_millis(10)).await;
+                }
+            }
+        }
+    }
+}
+
+/// One client's connection.
+struct ServiceClient<'a> {
+    service: &'a Service,
+    commands: Commands,
+    input: BytesMut,
+    output: BytesMut,
+    owed: VecDeque<Owed>,
+    /// The client sends no more, or nothing after this can be understood.
+    ended: bool,
+}
+
+impl<'a> ServiceClient<'a> {
+    fn new(service: &'a Service) -> ServiceClient<'a> {
+        ServiceClient {
+            service,
+            commands: Commands::default(),
+            input: BytesMut::new(),
+            output: BytesMut::new(),
+            owed: VecDeque::new(),
+            ended: false,
+        }
+    }
+
+    fn idle(&self) -> bool {
+        self.owed.is_empty() && self.output.is_empty() && self.input.is_empty() && !self.commands.unfinished()
+    }
+
+    async fn serve<S: AsyncRead + AsyncWrite>(&mut self, stream: S) -> io::Result<()> {
+        let (mut reader, mut writer) = tokio::io::split(stream);
+        loop {
+            self.take();
+            if self.ended && self.owed.is_empty() && self.output.is_empty() {
+                return writer.shutdown().await;
+            }
+            let room = !self.ended && self.owed.len() < MAX_OWED && self.output.len() < MAX_OUTPUT;
+            let idle = self.idle();
+            tokio::select! {
+                biased;
+                answered = next_answer(&mut self.owed) => self.write(answered),
+                written = writer.write_buf(&mut self.output), if !self.output.is_empty() => {
+                    written?;
+                }
+                read = reader.read_buf(&mut self.input), if room => {
+                    if read? == 0 {
+                        self.leave();
+                    }
+                }
+                () = self.service.shutdown.closing(), if idle => return writer.shutdown().await,
+            }
+        }
+    }
+
+    /// Takes every whole command in hand.
+    fn take(&mut self) {
+        while !self.ended && self.owed.len() < MAX_OWED && self.output.len() < MAX_OUTPUT {
+            let counters = self.service.exchange.counters();
+            match self.commands.next(&mut self.input) {
+                None => return,
+                Some(Incoming::Ready) if self.service.exchange.ready() => {
+                    self.owed.push_back(Owed::Line("MN"))
+                }
+                Some(Incoming::Ready) => self.owed.push_back(Owed::Line("SERVER_ERROR not ready")),
+                Some(Incoming::Command(mut command, class)) => {
+                    let place = self.service.classes.iter().position(|name| name.as_bytes() == class);
+                    command.class = place.map_or(u32::MAX, |place| place as u32);
+                    let text = command.id.clone();
+                    let (id, answer) = self.service.exchange.take(*command);
+                    self.owed.push_back(Owed::Command(id, text, answer));
+                }
+                Some(Incoming::Malformed(line)) => {
+                    count(&counters.malformed);
+                    self.owed.push_back(Owed::Line(line));
+                }
+                Some(Incoming::Lost(line)) => {
+                    count(&counters.malformed);
+                    self.owed.push_back(Owed::Line(line));
+                    self.ended = true;
+                }
+                Some(Incoming::Quit) => self.ended = true,
+            }
+        }
+    }
+
+    /// The client has closed its side: it is gone, or waits for the answers that it is owed.
+    fn leave(&mut self) {
+        self.ended = true;
+        for owed in &self.owed {
+            if let Owed::Command(id, ..) = owed {
+                self.service.exchange.left(*id);
+            }
+        }
+    }
+
+    fn write(&mut self, (owed, answer): (Owed, Answer)) {
+        match owed {
+            Owed::Line(line) => {
+                self.output.put_slice(line.as_bytes());
+                self.output.put_slice(b"\r\n");
+            }
+            Owed::Command(_, id, _) => write_answer(&mut self.output, &id, &answer),
+        }
+    }
+}
+
+impl Drop for ServiceClient<'_> {
+    /// The connection has ended: whoever is still owed an answer is gone.
+    fn drop(&mut self) {
+        for owed in &self.owed {
+            if let Owed::Command(id, ..) = owed {
+                self.service.exchange.gone(*id);
+            }
+        }
+    }
+}
+
+/// Waits for the first answer owed; the others wait behind it.
+async fn next_answer(owed: &mut VecDeque<Owed>) -> (Owed, Answer) {
+    let answer = match owed.front_mut() {
+        None => std::future::pending().await,
+        Some(Owed::Line(_)) => Answer::Failed,
+        // The exchange answers everything it took; should it ever drop one, that command has failed.
+        Some(Owed::Command(_, _, answer)) => answer.await.unwrap_or(Answer::Failed),
+    };
+    match owed.pop_front() {
+        Some(first) => (first, answer),
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/node/src/shutdown.rs
@@ -0,0 +1,56 @@
+//! The planned end: go on while clients still come, answer all that was taken, then close.
+
+use std::cell::Cell;
+
+use tokio::sync::Notify;
+use tokio::time::{sleep_until, Duration, Instant};
+
+/// After the signal the front goes on dealing out connections for a moment. Only when none has come for
+/// this long are the clients' connections closed, since those whose are closed open new ones.
+const QUIET: Duration = Duration::from_millis(450);
+
+/// How far the end has come.
+#[derive(Debug, Default)]
+pub struct Shutdown {
+    last: Cell<Option<Instant>>,
+    closing: Cell<bool>,
+    open: Cell<usize>,
+    changed: Notify,
+}
+
+impl Shutdown {
+    /// A connection was accepted.
+    pub fn accepted(&self) {
+        self.last.set(Some(Instant::now()));
+    }
+
+    /// So many connections are open.
+    pub fn connections(&self, open: usize) {
+        self.open.set(open);
+        self.changed.notify_waiters();
+    }
+
+    /// Waits until connections should close between commands.
+    pub async fn closing(&self) {
+        while !self.closing.get() {
+            self.changed.notified().await;
+        }
+    }
+
+    /// Runs the end from the signal on, until every connection is closed.
+    pub async fn run(&self) {
+        let signal = Instant::now();
+        loop {
+            let quiet = self.last.get().unwrap_or(signal).max(signal) + QUIET;
+            if Instant::now() >= quiet {
+                break;
+            }
+            sleep_until(quiet).await;
+        }
+        self.closing.set(true);
+        self.changed.notify_waiters();
+        while self.open.get() > 0 {
+            self.changed.notified().await;
+        }
+    }
+}
--- /dev/null
+++ b/node/src/upstream.rs
@@ -0,0 +1,395 @@
+//! The server side: pools of connections to the cache hosts and the origin, and the executions on them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use bytes::BytesMut;
+use juniperladder::{ListKind, ServerId, State};
+use rustc_hash::FxHashMap;
+use slog::{warn, Logger};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use crate::clock::Clock;
+use crate::counters::{count, Counters};
+use crate::exchange::{Carrier, End, Exchange, Execution, ExecutionId, Host, Reply};
+use crate::http::{self, Response};
+use crate::memcache;
+
+/// The part of a host's idle time after which a connection is closed here: a write must never cross the
+/// host's close.
+const IDLE_PART: f64 = 0.7;
+
+/// What the pools are told at the start.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Connections to all hosts together.
+    pub connections: usize,
+    /// How long one may take to come up.
+    pub connect_timeout: Duration,
+    /// How long a host keeps an idle one.
+    pub idle: Duration,
+    /// How long an answer is awaited whose execution has timed out.
+    pub late: Duration,
+    /// The kind of the origin, which speaks HTTP.
+    pub origin: Option<u32>,
+}
+
+/// An idle connection: it is given its next execution here.
+struct Idle {
+    id: u64,
+    next: oneshot::Sender<Execution>,
+}
+
+#[derive(Default)]
+struct Pool {
+    address: Option<SocketAddr>,
+    origin: bool,
+    open: bool,
+    waiting: VecDeque<Execution>,
+    idle: Vec<Idle>,
+    connecting: usize,
+    /// Executions on connections, and whether the last byte is written.
+    running: FxHashMap<ExecutionId, bool>,
+}
+
+/// All pools.
+pub struct Upstream {
+    pools: RefCell<FxHashMap<ServerId, Pool>>,
+    exchange: RefCell<Weak<Exchange>>,
+    this: Weak<Upstream>,
+    limits: Limits,
+    clock: Clock,
+    counters: Rc<Counters>,
+    connections: Cell<usize>,
+    last: Cell<u64>,
+    log: Logger,
+}
+
+/// Counts a connection for as long as it lives.
+struct Counted(Rc<Upstream>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
+impl Upstream {
+    /// Pools without any host yet.
+    pub fn new(limits: Limits, clock: Clock, counters: Rc<Counters>, log: Logger) -> Rc<Upstream> {
+        Rc::new_cyclic(|this| Upstream {
+            pools: RefCell::default(),
+            exchange: RefCell::default(),
+            this: this.clone(),
+            limits,
+            clock,
+            counters,
+            connections: Cell::new(0),
+            last: Cell::new(0),
+            log,
+        })
+    }
+
+    /// Tells which exchange hears of the executions' ends.
+    pub fn attach(&self, exchange: &Rc<Exchange>) {
+        *self.exchange.borrow_mut() = Rc::downgrade(exchange);
+    }
+
+    fn ended(&self, id: ExecutionId, end: End) {
+        if let Some(exchange) = self.exchange.borrow().upgrade() {
+            exchange.ended(id, end);
+        }
+    }
+
+    /// Ends an execution from a task of its own, as the exchange may be the caller.
+    fn end_later(&self, id: ExecutionId, end: End) {
+        if let Some(this) = self.this.upgrade() {
+            spawn_local(async move { this.ended(id, end) });
+        }
+    }
+
+    /// Opens connections for the executions that wait, one for each, as far as there is room.
+    fn connect(&self, server: ServerId, pool: &mut Pool) {
+        let (Some(this), Some(address)) = (self.this.upgrade(), pool.address) else { return };
+        while pool.connecting < pool.waiting.len() && self.connections.get() < self.limits.connections {
+            pool.connecting += 1;
+            self.connections.set(self.connections.get() + 1);
+            let counted = Counted(Rc::clone(&this));
+            let lane = Lane { server, origin: pool.origin, address };
+            spawn_local(async move { lane.open(&counted.0).await });
+        }
+    }
+
+    /// The next execution for a connection that has nothing to do.
+    fn next(&self, server: ServerId) -> Option<Execution> {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.get_mut(&server)?;
+        let execution = pool.waiting.pop_front()?;
+        pool.running.insert(execution.id, false);
+        Some(execution)
+    }
+
+    /// Puts an execution back of which nothing was written.
+    fn put_back(&self, server: ServerId, execution: Execution) {
+        let mut pools = self.pools.borrow_mut();
+        match pools.get_mut(&server).filter(|pool| pool.open) {
+            Some(pool) => {
+                if pool.running.remove(&execution.id).is_some() {
+                    pool.waiting.push_front(execution);
+                    self.connect(server, pool);
+                }
+            }
+            None => self.end_later(execution.id, End::CalledOff),
+        }
+    }
+
+    /// A connection did not come up: one execution fails if fewer connections than executions are left.
+    fn not_up(&self, server: ServerId) {
+        let failed = {
+            let mut pools = self.pools.borrow_mut();
+            let Some(pool) = pools.get_mut(&server) else { return };
+            pool.connecting -= 1;
+            if pool.waiting.len() > pool.connecting {
+                pool.waiting.pop_front()
+            } else {
+                None
+            }
+        };
+        if let Some(execution) = failed {
+            self.ended(execution.id, End::NotSent);
+        }
+    }
+
+    fn set_written(&self, server: ServerId, id: ExecutionId) {
+        if let Some(written) = self.pools.borrow_mut().get_mut(&server).and_then(|p| p.running.get_mut(&id)) {
+            *written = true;
+        }
+    }
+
+    fn stopped(&self, server: ServerId, id: ExecutionId, end: End) {
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&server) {
+            pool.running.remove(&id);
+        }
+        self.ended(id, end);
+    }
+
+    /// Waits for the next execution on an idle connection.
+    fn rest(&self, server: ServerId) -> Option<(u64, oneshot::Receiver<Execution>)> {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.get_mut(&server).filter(|pool| pool.open)?;
+        let (next, receiver) = oneshot::channel();
+        let id = self.last.get() + 1;
+        self.last.set(id);
+        pool.idle.push(Idle { id, next });
+        Some((id, receiver))
+    }
+
+    fn unrest(&self, server: ServerId, id: u64) {
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&server) {
+            pool.idle.retain(|idle| idle.id != id);
+        }
+    }
+}
+
+impl Carrier for Upstream {
+    fn listed(&self, kind: ListKind, hosts: &[Host]) {
+        let mut pools = self.pools.borrow_mut();
+        if kind != ListKind::Update {
+            pools.values_mut().for_each(|pool| pool.open = false);
+        }
+        for Host { entry, address } in hosts {
+            let pool = pools.entry(entry.server).or_default();
+            pool.open = entry.state == State::Serving;
+            pool.origin = self.limits.origin == Some(entry.kind);
+            if address.is_some() && pool.address != *address {
+                pool.address = *address;
+                pool.idle.clear();
+            }
+        }
+        for pool in pools.values_mut().filter(|pool| !pool.open) {
+            // Nothing may begin at a host that drains or is gone: its first byte would count.
+            pool.idle.clear();
+            for execution in pool.waiting.drain(..) {
+                self.end_later(execution.id, End::CalledOff);
+            }
+        }
+        pools.retain(|_, pool| pool.open || pool.connecting > 0 || !pool.running.is_empty());
+    }
+
+    fn begin(&self, execution: Execution) {
+        let mut pools = self.pools.borrow_mut();
+        let server = execution.server;
+        let Some(pool) = pools.get_mut(&server).filter(|pool| pool.open && pool.address.is_some()) else {
+            return self.end_later(execution.id, End::CalledOff);
+        };
+        let mut execution = execution;
+        // The connection used last is taken first, so that those that are not needed grow old.
+        while let Some(idle) = pool.idle.pop() {
+            let id = execution.id;
+            match idle.next.send(execution) {
+                Ok(()) => {
+                    pool.running.insert(id, false);
+                    return;
+                }
+                Err(back) => execution = back,
+            }
+        }
+        pool.waiting.push_back(execution);
+        self.connect(server, pool);
+    }
+
+    fn abandon(&self, id: ExecutionId, server: ServerId) -> bool {
+        let mut pools = self.pools.borrow_mut();
+        let Some(pool) = pools.get_mut(&server) else { return false };
+        pool.waiting.retain(|execution| execution.id != id);
+        pool.running.get(&id).copied().unwrap_or(false)
+    }
+}
+
+/// One connection to a host.
+struct Lane {
+    server: ServerId,
+    origin: bool,
+    address: SocketAddr,
+}
+
+/// What a connection does after an execution.
+#[derive(Debug, PartialEq, Eq)]
+enum After {
+    Keep,
+    Close,
+}
+
+impl Lane {
+    async fn open(self, upstream: &Upstream) {
+        let connect = timeout(upstream.limits.connect_timeout, TcpStream::connect(self.address)).await;
+        let Ok(Ok(stream)) = connect else { return upstream.not_up(self.server) };
+        count(&upstream.counters.opened);
+        let _ = stream.set_nodelay(true);
+        if let Some(pool) = upstream.pools.borrow_mut().get_mut(&self.server) {
+            pool.connecting -= 1;
+        }
+        self.carry(upstream, stream).await;
+        // What waits for room may open a connection now.
+        for (server, pool) in upstream.pools.borrow_mut().iter_mut() {
+            upstream.connect(*server, pool);
+        }
+    }
+
+    async fn carry(&self, upstream: &Upstream, mut stream: TcpStream) {
+        let mut input = BytesMut::new();
+        loop {
+            let execution = match upstream.next(self.server) {
+                Some(execution) => execution,
+                None => match self.rest(upstream, &mut stream).await {
+                    Some(execution) => execution,
+                    None => return,
+                },
+            };
+            // A connection that ended meanwhile is no try: nothing of the execution was written.
+            if !input.is_empty() || !quiet(&stream) {
+                return upstream.put_back(self.server, execution);
+            }
+            if self.execute(upstream, &mut stream, &mut input, execution).await == After::Close {
+                return;
+            }
+        }
+    }
+
+    /// Waits idle for an execution; none when the connection has to close.
+    async fn rest(&self, upstream: &Upstream, stream: &mut TcpStream) -> Option<Execution> {
+        let (id, mut next) = upstream.rest(self.server)?;
+        let idle = upstream.limits.idle.mul_f64(IDLE_PART);
+        let given = tokio::select! {
+            biased;
+            given = &mut next => return given.ok(),
+            _ = stream.readable() => None,
+            () = sleep(idle) => None,
+        };
+        upstream.unrest(self.server, id);
+        if let Ok(execution) = next.try_recv() {
+            upstream.put_back(self.server, execution);
+        }
+        given
+    }
+
+    async fn execute<S: AsyncRead + AsyncWrite + Unpin>(
+        &self,
+        upstream: &Upstream,
+        stream: &mut S,
+        input: &mut BytesMut,
+        execution: Execution,
+    ) -> After {
+        let id = execution.id;
+        let now = upstream.clock.now();
+        let wait = execution.until.minus(now);
+        let mut output = BytesMut::new();
+        if self.origin {
+            http::write_command(&mut output, &execution.command, &self.address.to_string(), wait);
+        } else {
+            memcache::write_command(&mut output, &execution.command, wait);
+        }
+        let most = crate::clock::duration(wait);
+        let written = timeout(most, stream.write_all(&output)).await;
+        if !matches!(written, Ok(Ok(()))) {
+            upstream.stopped(self.server, id, End::NotSent);
+            return After::Close;
+        }
+        upstream.set_written(self.server, id);
+        let read = timeout(most + upstream.limits.late, self.reply(stream, input, &execution)).await;
+        let (end, after) = match read {
+            Ok(Ok((reply, after))) => (End::Reply(reply), after),
+            Ok(Err(problem)) => {
+                if let Some(problem) = problem {
+                    count(&upstream.counters.bad_answers);
+                    warn!(upstream.log, "bad answer"; "host" => self.address.to_string(), "problem" => problem);
+                }
+                (End::Broken, After::Close)
+            }
+            Err(_) => (End::Broken, After::Close),
+        };
+        upstream.stopped(self.server, id, end);
+        after
+    }
+
+    /// Reads the reply; an error holds what was wrong with it, and nothing if the connection broke.
+    async fn reply<S: AsyncRead + Unpin>(
+        &self,
+        stream: &mut S,
+        input: &mut BytesMut,
+        execution: &Execution,
+    ) -> Result<(Reply, After), Option<String>> {
+        let mut response = Response::default();
+        loop {
+            let read = stream.read_buf(input).await.map_err(|_| None)?;
+            if self.origin {
+                response.read(input).map_err(Some)?;
+                if read == 0 {
+                    response.ended();
+                }
+                if response.done {
+                    let close = response.head.as_ref().is_none_or(|head| head.close);
+                    let reply = http::reply(&response, execution.command.value.is_some());
+                    return Ok((reply, if close { After::Close } else { After::Keep }));
+                }
+            } else if let Some(reply) = memcache::answer(input, &execution.command).map_err(Some)? {
+                return Ok((reply, After::Keep));
+            }
+            if read == 0 {
+                return Err(None);
+            }
+        }
+    }
+}
+
+/// Whether an idle connection is still up and silent.
+fn quiet(stream: &TcpStream) -> bool {
+    matches!(stream.try_read(&mut [0]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+}
