--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -217,3 +217,40 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SOUND: &str = r#"{"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.2:2","seed":"8c1f30d27a5be964",
+        "limits":{"cores":1.0,"memory_mb":192,"sockets":512},
+        "known":{"generation":41,"reset":true,"instances":[]},
+        "settings":{"az":1,"balancers":3,"categories":[{"aim":750000,"effect":"pure","give-up":1500000,"group":"all",
+          "late-worth":0.0,"name":"read","stream":false,"window":5000000,"worth":1.0}],
+        "extra":{"mode":"aside","origin-kind":2},"kinds":["a","b","origin"],"weights":"rough",
+        "limits":{"conn-idle":5000000,"connect-timeout":250000,"max-attempts":3,"max-retry-after":2000000,
+          "may-duplicate":true,"retry-after":true},"membership-mode":"subscribe","orgs":[],
+        "rules":{"ask-within":10000000,"cold-share":0.32,"warm-up":9000000},"tick":5000,"zones":["x","y"]}}"#;
+
+    #[test]
+    fn a_sound_configuration_is_read() {
+        let config = Config::parse(SOUND.into()).unwrap();
+        assert_eq!((config.seed, config.sockets), (0x8c1f_30d2_7a5b_e964, 512));
+        assert_eq!((config.settings.mode, config.settings.zone), (Mode::Aside(2), 1));
+        assert_eq!(
+            (config.idle, config.connect_timeout),
+            (Duration::from_secs(5), Duration::from_millis(250))
+        );
+        assert!(config.settings.subscribe && config.settings.weighted);
+    }
+
+    #[test]
+    fn a_broken_configuration_is_one_plain_line() {
+        let no_port = SOUND.replace("127.0.0.1:1", "127.0.0.1");
+        let no_rules = SOUND.replace("\"rules\"", "\"fools\"");
+        for text in ["", "{", "[]", &no_port, &no_rules, &SOUND[..SOUND.len() / 2]] {
+            let problem = Config::parse(text.into()).unwrap_err();
+            assert!(!problem.is_empty() && !problem.contains('\n'), "{problem:?}");
+        }
+    }
+}
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -492,3 +492,86 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::testing::{self, command, exchange, settings, settle, Recorder};
+    use juniperladder::Effect;
+    use tokio::task::spawn_local;
+    use tokio::time::{Duration, Instant};
+
+    fn with_timers(attempts: u32, effect: Effect, hosts: u32) -> (Rc<Exchange>, Rc<Recorder>) {
+        let recorder = Rc::new(Recorder::default());
+        let exchange = exchange(settings(attempts, effect), recorder.clone(), hosts);
+        let timers = Rc::clone(&exchange);
+        spawn_local(async move { timers.run().await });
+        (exchange, recorder)
+    }
+
+    /// Rule 1: silent hosts or not, the one answer comes before the client gives up.
+    #[test]
+    fn every_command_is_answered_before_its_deadline() {
+        testing::run(async {
+            for (attempts, effect) in [(1, Effect::Unsafe), (3, Effect::Safe), (3, Effect::Keyed)] {
+                let (exchange, recorder) = with_timers(attempts, effect, 3);
+                let start = Instant::now();
+                let (_, answer) = exchange.take(command("1", None));
+                assert!(matches!(answer.await, Ok(Answer::Failed | Answer::Nack(_))));
+                assert!(start.elapsed() < Duration::from_millis(480), "{:?}", start.elapsed());
+                assert!(!recorder.begun.borrow().is_empty());
+                assert!(
+                    exchange.inner.borrow().executions.is_empty() || exchange.counters.timeouts.get() > 0
+                );
+                assert_eq!(exchange.counters.overdue.get(), 0, "the module ends it, not the net below it");
+            }
+        });
+    }
+
+    /// What the module gives up is answered at once, not at its deadline.
+    #[test]
+    fn a_command_that_is_given_up_is_answered_at_once() {
+        testing::run(async {
+            let (exchange, recorder) = with_timers(1, Effect::Safe, 1);
+            let start = Instant::now();
+            let (_, answer) = exchange.take(command("1", None));
+            let execution = recorder.begun.borrow_mut().pop().unwrap();
+            exchange.ended(execution.id, End::NotSent);
+            assert!(matches!(answer.await, Ok(Answer::Nack(_))));
+            assert_eq!(start.elapsed(), Duration::ZERO);
+        });
+    }
+
+    /// A client that half-closes may be gone: nothing begins for it, what is out still answers it.
+    #[test]
+    fn a_half_closed_client_is_answered_by_what_is_out() {
+        testing::run(async {
+            for served in [true, false] {
+                let (exchange, recorder) = with_timers(3, Effect::Safe, 3);
+                let (id, answer) = exchange.take(command("1", None));
+                let execution = recorder.begun.borrow_mut().pop().unwrap();
+                exchange.left(id);
+                let value = Answer::Value(Bytes::from_static(b"v"));
+                let reply = if served { Reply::Served(value.clone()) } else { Reply::Error };
+                exchange.ended(execution.id, End::Reply(reply));
+                assert_eq!(answer.await, Ok(if served { value } else { Answer::Failed }));
+                settle().await;
+                assert!(recorder.begun.borrow().is_empty());
+            }
+        });
+    }
+
+    /// An id that a client gives twice makes two commands.
+    #[test]
+    fn commands_with_one_id_are_two() {
+        testing::run(async {
+            let (exchange, recorder) = with_timers(1, Effect::Safe, 1);
+            let answers = [exchange.take(command("1", None)).1, exchange.take(command("1", None)).1];
+            for (execution, answer) in recorder.begun.take().into_iter().zip(answers) {
+                let value = Answer::Value(Bytes::from(execution.id.0.to_string()));
+                exchange.ended(execution.id, End::Reply(Reply::Served(value.clone())));
+                assert_eq!(answer.await, Ok(value));
+            }
+        });
+    }
+}
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -222,3 +222,74 @@
         format!("GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n").as_bytes(),
     );
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::testing::command;
+
+    fn read(text: &[u8], cut: usize) -> Result<Response, String> {
+        let (mut response, mut input) = (Response::default(), BytesMut::new());
+        for piece in text.chunks(cut) {
+            input.extend_from_slice(piece);
+            response.read(&mut input)?;
+        }
+        assert!(!response.done || input.is_empty());
+        Ok(response)
+    }
+
+    #[test]
+    fn bodies_of_either_framing_come_in_whatever_pieces() {
+        let plain = &b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\nEndpoint-Load-Metrics: qps=7\r\n\r\nhello"[..];
+        let chunked = &b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\nA: b\r\n\r\n"[..];
+        for text in [plain, chunked] {
+            for cut in 1..text.len() {
+                let response = read(text, cut).unwrap();
+                assert!(response.done && response.body == b"hello"[..], "cut at {cut}");
+            }
+            assert!(!read(&text[..text.len() - 1], 7).unwrap().done);
+        }
+    }
+
+    #[test]
+    fn a_body_without_a_length_ends_with_its_connection() {
+        let mut response = read(b"HTTP/1.1 200 OK\r\n\r\nhello", 4).unwrap();
+        assert!(!response.done);
+        response.ended();
+        assert!(response.done && response.head.unwrap().close);
+    }
+
+    #[test]
+    fn what_is_no_response_is_an_error() {
+        for text in [
+            &b"SSH-2.0\r\n\r\n"[..],
+            b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n",
+        ] {
+            assert!(read(text, 99).is_err());
+        }
+    }
+
+    #[test]
+    fn the_origin_says_whether_a_command_ran() {
+        let says = |text: &[u8]| reply(&read(text, 99).unwrap(), true);
+        let receipt = Reply::Served(Answer::Receipt(Bytes::from_static(b"r1")));
+        assert_eq!(says(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nr1"), receipt);
+        assert_eq!(says(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), Reply::Error);
+        assert_eq!(says(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), Reply::Error);
+        assert_eq!(says(b"HTTP/1.1 504 No\r\nx-never-ran: 1\r\nContent-Length: 0\r\n\r\n"), Reply::Full);
+    }
+
+    #[test]
+    fn a_command_to_the_origin_keeps_its_key_and_id() {
+        let mut out = BytesMut::new();
+        let mut write = command("9b", Some(b"v\r\n".to_vec()));
+        write.key = Bytes::from_static(b"a/b?c%");
+        write_command(&mut out, &write, "127.0.0.1:1", Micros(79_500));
+        let want =
+            "PUT /a/b%3Fc%25 HTTP/1.1\r\nHost: 127.0.0.1:1\r\nX-Trace-Id: 9b\r\nX-Props: c=read,d=80\r\n\
+            Content-Length: 3\r\n\r\nv\r\n";
+        assert_eq!(out, want.as_bytes());
+    }
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -13,6 +13,9 @@
 pub mod shutdown;
 pub mod upstream;
 
+#[cfg(test)]
+mod testing;
+
 use std::rc::Rc;
 use std::time::Duration;
 
--- a/node/src/name_table.rs
+++ b/node/src/name_table.rs
@@ -234,3 +234,97 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::testing::{self, log, settle, Recorder};
+    use juniperladder::Effect;
+    use tokio::net::TcpListener;
+
+    fn names() -> Names {
+        Names { zones: vec!["east".into(), "west".into()], kinds: vec!["m1".into(), "origin".into()] }
+    }
+
+    fn catalog(text: &str) -> Catalog {
+        simd_json::from_slice(&mut text.as_bytes().to_vec()).unwrap()
+    }
+
+    #[test]
+    fn entries_are_mapped_as_the_settings_have_them() {
+        let text = r#"{"generation":41,"reset":true,"more":1,"instances":[
+            {"instanceId":"s-5be2a07c","hostPort":"127.0.0.1:5","zone":"west","machineType":"origin","cell":3,
+             "lifecycle":"terminating","weight":1.5,"startedAtMs":7},
+            {"instanceId":"s-00000001","hostPort":"nowhere","zone":"west"},
+            {"instanceId":"s-00000002","hostPort":"127.0.0.1:6","zone":"north","lifecycle":"terminated"}]}"#;
+        let mut table = NameTable::new(names());
+        let (kind, hosts) = table.take(catalog(text), &log());
+        assert_eq!(kind, ListKind::Replace);
+        let [gone, origin] = &hosts[..] else { panic!("one has no address: {hosts:?}") };
+        let entry = &origin.entry;
+        assert_eq!((entry.server, entry.zone, entry.kind, entry.cell), (ServerId(0x5be2_a07c), 1, 1, 3));
+        assert_eq!((entry.state, entry.weight, entry.started), (State::Draining, 1.5, from_ms(7)));
+        assert_eq!((gone.entry.state, gone.entry.zone), (State::Deleted, u32::MAX));
+        assert_eq!(table.path(), "/catalog/members?follow=1&since=41");
+    }
+
+    /// Placement hashes these numbers: another value after an update would move every key.
+    #[test]
+    fn numbers_of_names_and_keys_stay_the_same() {
+        let mut table = NameTable::new(names());
+        assert_eq!(table.id("s-5be2a07c"), ServerId(0x5be2_a07c));
+        assert_eq!(table.id("origin"), ServerId(0x4062_4628));
+        let meets = table.id("t-5be2a07c");
+        assert_ne!(meets, table.id("s-5be2a07c"), "two names are two hosts");
+        assert_eq!(meets, table.id("t-5be2a07c"));
+        assert_eq!(key(b"7f3a9c21e0b4d655"), Key(0x7f3a_9c21_e0b4_d655));
+        assert_eq!(
+            key(b"7F3A9C21E0B4D655"),
+            Key(hash(b"7F3A9C21E0B4D655")),
+            "another key than in lower case"
+        );
+    }
+
+    async fn told(text: &'static [u8]) -> (u64, u64) {
+        let discovery = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let address = discovery.local_addr().unwrap();
+        let exchange = testing::exchange(testing::settings(1, Effect::Safe), Rc::new(Recorder::default()), 1);
+        let mut table = NameTable::new(names());
+        let answer = async {
+            let (mut stream, _) = discovery.accept().await.unwrap();
+            let mut call = BytesMut::new();
+            while !call.ends_with(b"\r\n\r\n") {
+                stream.read_buf(&mut call).await.unwrap();
+            }
+            stream.write_all(text).await.unwrap();
+            settle().await;
+            // The connection stays up: what is silent is found by the clock alone.
+            std::future::pending::<()>().await;
+        };
+        let log = log();
+        tokio::select! {
+            ended = watch(&mut table, address, &exchange, &log) => assert!(ended.is_err(), "{ended:?}"),
+            () = answer => {}
+        }
+        (exchange.counters().lists.get(), table.generation.unwrap_or_default())
+    }
+
+    /// A watch that says nothing, fails or makes no sense ends, and what came before it stays.
+    #[test]
+    fn a_watch_that_is_dead_or_malformed_ends() {
+        testing::run(async {
+            const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            let list = "2a\r\n{\"generation\":3,\"reset\":true,\"instances\":[\r\n3\r\n]}\n\r\n1\r\n\n\r\n";
+            let texts = [
+                (format!("{HEAD}{list}"), (1, 3)),
+                (format!("{HEAD}{list}4\r\n{{]}}\n\r\n"), (1, 3)),
+                (HEAD.to_owned(), (0, 0)),
+                ("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n".to_owned(), (0, 0)),
+                ("nonsense\r\n\r\n".to_owned(), (0, 0)),
+            ];
+            for (text, want) in texts {
+                assert_eq!(told(text.into_bytes().leak()).await, want);
+            }
+        });
+    }
+}
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -225,3 +225,141 @@
         None => std::future::pending().await,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::exchange::{End, Reply};
+    use crate::testing::{self, settle, Recorder};
+    use juniperladder::Effect;
+    use proptest::prelude::*;
+    use tokio::io::duplex;
+
+    /// A step on a client's connection.
+    #[derive(Clone, Debug)]
+    enum Step {
+        /// The client sends this; the answer is known at once where there is one.
+        Line(&'static str, Option<&'static str>),
+        /// The oldest execution that is out, or the newest, ends.
+        End { newest: bool, served: bool },
+    }
+
+    fn step() -> impl Strategy<Value = Step> {
+        let lines = prop_oneof![
+            Just(Step::Line("mn\r\n", Some("MN\r\n"))),
+            Just(Step::Line("nonsense\r\n", Some("ERROR\r\n"))),
+            Just(Step::Line("mg\r\n", Some("CLIENT_ERROR bad command line format\r\n"))),
+            Just(Step::Line("mg k v Oid Pc=read,d=480\r\n", None)),
+            Just(Step::Line("ms k 5 Oid Pc=read,d=480,k=1\r\na\r\nmg\r\n", None)),
+        ];
+        prop_oneof![3 => lines, 2 => any::<(bool, bool)>().prop_map(|(newest, served)| Step::End { newest, served })]
+    }
+
+    fn service(recorder: &Rc<Recorder>) -> Rc<Service> {
+        let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), recorder.clone(), 1);
+        Service::new(exchange, vec!["read".into()], Rc::default(), 8, testing::log())
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 128, failure_persistence: None,
+            rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..ProptestConfig::default() })]
+
+        /// Whatever comes in whatever pieces, each command gets its one answer, in the order of the
+        /// commands, and a client that closes its side still gets all of them.
+        #[test]
+        fn answers_keep_the_order_of_commands(steps in prop::collection::vec(step(), 1..24), cut in 1..40usize) {
+            let (got, want) = testing::run(async {
+                let recorder = Rc::new(Recorder::default());
+                let service = service(&recorder);
+                let (near, mut far) = duplex(1 << 16);
+                let serving = Rc::clone(&service);
+                let task = spawn_local(async move { ServiceClient::new(&serving).serve(near).await });
+                // The model: the answers owed, and which executions they wait for.
+                let mut owed: Vec<Option<&str>> = Vec::new();
+                let mut out: Vec<usize> = Vec::new();
+                for step in steps {
+                    match step {
+                        Step::Line(text, answer) => {
+                            for piece in text.as_bytes().chunks(cut) {
+                                far.write_all(piece).await.unwrap();
+                                settle().await;
+                            }
+                            if answer.is_none() {
+                                out.push(owed.len());
+                            }
+                            owed.push(answer);
+                        }
+                        Step::End { newest, served } if !out.is_empty() => {
+                            let at = if newest { out.len() - 1 } else { 0 };
+                            let execution = recorder.begun.borrow_mut().remove(at);
+                            let value = Bytes::from_static(b"x\r\ny");
+                            let (reply, answer) = if served {
+                                (Reply::Served(Answer::Value(value)), "VA 4 Oid\r\nx\r\ny\r\n")
+                            } else {
+                                (Reply::Error, "SERVER_ERROR failed\r\n")
+                            };
+                            service.exchange.ended(execution.id, End::Reply(reply));
+                            owed[out.remove(at)] = Some(answer);
+                        }
+                        Step::End { .. } => {}
+                    }
+                    settle().await;
+                }
+                far.shutdown().await.unwrap();
+                settle().await;
+                for execution in recorder.begun.take() {
+                    service.exchange.ended(execution.id, End::Broken);
+                }
+                let mut got = String::new();
+                far.read_to_string(&mut got).await.unwrap();
+                task.await.unwrap().unwrap();
+                (got, owed.into_iter().map(|a| a.unwrap_or("SERVER_ERROR failed\r\n")).collect::<String>())
+            });
+            prop_assert_eq!(got, want);
+        }
+    }
+
+    /// A client whose connection breaks has gone away: nothing is sent for it any more.
+    #[test]
+    fn a_broken_connection_ends_its_commands() {
+        testing::run(async {
+            let recorder = Rc::new(Recorder::default());
+            let service = service(&recorder);
+            let (near, mut far) = duplex(1 << 16);
+            far.write_all(b"mg a v O1 Pc=read,d=480\r\nmg b v O2 Pc=read,d=480\r\n").await.unwrap();
+            let mut client = ServiceClient::new(&service);
+            tokio::select! {
+                biased;
+                _ = client.serve(near) => panic!("it still owes answers"),
+                () = settle() => {}
+            }
+            assert_eq!(recorder.begun.borrow().len(), 2);
+            drop(client);
+            service.exchange.idle().await;
+            assert_eq!(service.exchange.counters().left.get(), 2);
+        });
+    }
+
+    /// On a planned end a connection closes between commands, never with one owed or half read.
+    #[test]
+    fn a_closing_service_answers_first() {
+        testing::run(async {
+            let recorder = Rc::new(Recorder::default());
+            let service = service(&recorder);
+            let (near, mut far) = duplex(1 << 16);
+            let serving = Rc::clone(&service);
+            spawn_local(async move { ServiceClient::new(&serving).serve(near).await });
+            service.shutdown.connections(0);
+            far.write_all(b"mg a v O1 Pc=read,d=480\r\n").await.unwrap();
+            settle().await;
+            service.shutdown.run().await;
+            settle().await;
+            let execution = recorder.begun.borrow_mut().pop().unwrap();
+            let value = Answer::Value(Bytes::from_static(b"v"));
+            service.exchange.ended(execution.id, End::Reply(Reply::Served(value)));
+            let mut got = String::new();
+            far.read_to_string(&mut got).await.unwrap();
+            assert_eq!(got, "VA 1 O1\r\nv\r\n");
+        });
+    }
+}
--- a/node/src/shutdown.rs
+++ b/node/src/shutdown.rs
@@ -54,3 +54,29 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::testing;
+
+    /// The front deals out connections for up to 0.4 s after the signal; to close those that are open
+    /// meanwhile would only bring more.
+    #[test]
+    fn connections_close_only_when_no_new_ones_come() {
+        testing::run(async {
+            let shutdown = Shutdown::default();
+            let start = Instant::now();
+            let clients = async {
+                shutdown.connections(1);
+                sleep_until(start + Duration::from_millis(400)).await;
+                shutdown.accepted();
+                shutdown.connections(2);
+                shutdown.closing().await;
+                assert_eq!(start.elapsed(), Duration::from_millis(400) + QUIET);
+                shutdown.connections(0);
+            };
+            tokio::join!(shutdown.run(), clients);
+        });
+    }
+}
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -393,3 +393,136 @@
 fn quiet(stream: &TcpStream) -> bool {
     matches!(stream.try_read(&mut [0]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::exchange::Answer;
+    use crate::testing::{self, host, settle, Recorder, HOST};
+    use juniperladder::Effect;
+    use proptest::prelude::*;
+    use tokio::io::duplex;
+
+    /// What a host does with one execution.
+    #[derive(Clone, Debug)]
+    enum Peer {
+        /// Reads so many bytes and closes.
+        Leaves(usize),
+        /// Answers this, in pieces, and closes.
+        Answers(&'static str),
+        /// Says nothing.
+        Silent,
+    }
+
+    fn peer() -> impl Strategy<Value = Peer> {
+        prop_oneof![
+            (0..400usize).prop_map(Peer::Leaves),
+            Just(Peer::Answers("HD O7 cr1 h1 Lqps=7,queue=2\r\n")),
+            Just(Peer::Answers("EN O7 h0 Z\r\n")),
+            Just(Peer::Answers("SERVER_ERROR busy Lqps=7\r\n")),
+            Just(Peer::Answers("SERVER_ERROR failed\r\n")),
+            Just(Peer::Answers("HD O8 cr1\r\n")),
+            Just(Peer::Answers("VA 3 O7\r\nab")),
+            Just(Peer::Answers("VA 99999999 O7\r\n")),
+            Just(Peer::Answers("nonsense\r\n")),
+            Just(Peer::Silent),
+        ]
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None,
+            rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..ProptestConfig::default() })]
+
+        /// An execution ends by what was written and what came back: it never ran while its last byte
+        /// was not written, and an answer for another id is none.
+        #[test]
+        fn an_execution_ends_by_what_was_written(peer in peer(), size in 0..300usize, cut in 1..9usize, room in 1..200usize) {
+            testing::run(async {
+                let recorder = Rc::new(Recorder::default());
+                let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), recorder.clone(), 1);
+                let upstream = testing::upstream(1);
+                upstream.attach(&exchange);
+                let (_, answer) = exchange.take(testing::command("7", Some(vec![b'x'; size])));
+                let execution = recorder.begun.borrow_mut().pop().unwrap();
+                let (mut near, mut far) = duplex(room);
+                let lane = Lane { server: HOST, origin: false, address: ([127, 0, 0, 1], 1).into() };
+                let mut wire = BytesMut::new();
+                memcache::write_command(&mut wire, &execution.command, juniperladder::Micros(470_000));
+                let length = wire.len();
+                let want = match &peer {
+                    Peer::Leaves(n) if n + room >= length => "resets",
+                    Peer::Leaves(_) => "connect_failed",
+                    Peer::Answers(text) if text.starts_with("HD O7") => "ok",
+                    Peer::Answers(text) if text.starts_with("EN") => "misses",
+                    Peer::Answers(text) if text.contains("busy") => "full",
+                    Peer::Answers(text) if text.contains("failed") => "errors",
+                    Peer::Answers(_) | Peer::Silent => "resets",
+                };
+                let host = async {
+                    let mut seen = vec![0; match peer { Peer::Leaves(n) => n.min(length), _ => length }];
+                    far.read_exact(&mut seen).await.unwrap();
+                    match peer {
+                        Peer::Answers(text) => for piece in text.as_bytes().chunks(cut) {
+                            // Whoever has read enough may hang up on the rest.
+                            let _ = far.write_all(piece).await;
+                            settle().await;
+                        },
+                        Peer::Silent => sleep(Duration::from_secs(60)).await,
+                        Peer::Leaves(_) => settle().await,
+                    }
+                    drop(far);
+                };
+                let mut input = BytesMut::new();
+                let carry = async {
+                    let after = lane.execute(&upstream, &mut near, &mut input, execution).await;
+                    drop(near);
+                    after
+                };
+                let (after, ()) = tokio::join!(carry, host);
+                let counted: Vec<_> = exchange.counters().all().into_iter()
+                    .filter(|(name, n)| *n > 0 && !["commands", "executions", "served", "nacked", "failed"].contains(name))
+                    .collect();
+                assert_eq!(counted, [(want, 1)]);
+                assert_eq!(after == After::Keep, ["ok", "misses", "full", "errors"].contains(&want));
+                let served = matches!(answer.await, Ok(Answer::Receipt(_)));
+                assert_eq!(served, want == "ok");
+            });
+        }
+    }
+
+    /// The drain rule counts a send's first byte: what still waits for a connection must not begin.
+    #[test]
+    fn a_draining_host_gets_nothing_that_waits() {
+        testing::run(async {
+            let upstream = testing::upstream(0);
+            let exchange = testing::exchange(testing::settings(1, Effect::Safe), upstream.clone(), 1);
+            upstream.attach(&exchange);
+            let (_, answer) = exchange.take(testing::command("7", None));
+            settle().await;
+            assert_eq!(exchange.counters().moot.get(), 0, "it waits for a connection");
+            exchange.listed(ListKind::Update, &[host(HOST, State::Draining)]);
+            assert!(matches!(answer.await, Ok(Answer::Nack(_))));
+            assert_eq!(exchange.counters().moot.get(), 1);
+        });
+    }
+
+    /// A host that refuses connections fails each execution once, as one that never ran.
+    #[test]
+    fn a_refused_connection_never_ran() {
+        testing::run(async {
+            let closed = std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
+            let mut down = host(HOST, State::Serving);
+            down.address = closed.local_addr().ok();
+            drop(closed);
+            let upstream = testing::upstream(4);
+            let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), upstream.clone(), 0);
+            upstream.attach(&exchange);
+            exchange.listed(ListKind::Restored, &[down]);
+            let (_, first) = exchange.take(testing::command("7", None));
+            let (_, second) = exchange.take(testing::command("8", None));
+            assert!(matches!((first.await, second.await), (Ok(Answer::Nack(_)), Ok(Answer::Nack(_)))));
+            assert_eq!(exchange.counters().connect_failed.get(), 2);
+            assert_eq!(upstream.connections.get(), 0);
+        });
+    }
+}
