Serve a command that is still open by an answer that comes after its execution's time-out

Cause: Exchange::ended threw away what came for an execution already timed out, while its command was being tried elsewhere. The module hears of it as a command that is gone.

--- a/node/src/counters.rs
+++ b/node/src/counters.rs
@@ -55,6 +55,8 @@
     moot,
     /// Answers that came after their execution had timed out.
     late_answers,
+    /// Commands served by such an answer.
+    served_late,
     /// Answers that could not be understood or were for another id.
     bad_answers,
     /// Connections opened to hosts.
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -165,6 +165,8 @@
     carrier: Rc<dyn Carrier>,
     commands: FxHashMap<CommandId, Open>,
     executions: FxHashMap<ExecutionId, Running>,
+    /// Executions that have timed out and whose answer may still come.
+    late: FxHashMap<ExecutionId, CommandId>,
     timers: BinaryHeap<Reverse<(Micros, Due)>>,
     actions: Vec<Action>,
     last: u64,
@@ -200,6 +202,7 @@
             carrier,
             commands: FxHashMap::default(),
             executions: FxHashMap::default(),
+            late: FxHashMap::default(),
             timers: BinaryHeap::new(),
             actions: Vec::new(),
             last: 0,
@@ -293,10 +296,7 @@
     /// An execution has ended.
     pub fn ended(&self, id: ExecutionId, end: End) {
         let mut inner = self.inner.borrow_mut();
-        let Some(running) = inner.executions.remove(&id) else {
-            count(&self.counters.late_answers);
-            return;
-        };
+        let Some(running) = inner.executions.remove(&id) else { return self.ended_late(&mut inner, id, end) };
         let fetching = matches!(end, End::Reply(Reply::Miss { fetching: true }));
         let (status, answer) = match end {
             End::Reply(Reply::Served(answer)) => (Status::Ok, Some(answer)),
@@ -310,6 +310,21 @@
         self.conclude(&mut inner, running, status, fetching, answer);
     }
 
+    /// An execution has ended that had timed out before. Its answer was made for the command all the same:
+    /// where that is open, while it is tried elsewhere, a client that waits is better served than not.
+    fn ended_late(&self, inner: &mut Inner, id: ExecutionId, end: End) {
+        let Some(command) = inner.late.remove(&id) else { return };
+        let End::Reply(Reply::Served(answer)) = end else { return };
+        count(&self.counters.late_answers);
+        let Some(open) = inner.commands.get(&command) else { return };
+        let left = open.left;
+        count(&self.counters.served_late);
+        self.finish(inner, command, answer);
+        if !left {
+            self.handle(inner, self.clock.now(), Event::Gone(command.request()));
+        }
+    }
+
     /// The name table has news.
     pub fn listed(&self, kind: ListKind, hosts: &[Host]) {
         let mut inner = self.inner.borrow_mut();
@@ -386,6 +401,9 @@
         // What was never written whole cannot have run.
         let written = inner.carrier.abandon(id, running.server);
         let status = if written { Status::Timeout } else { Status::ConnectFailed };
+        if written {
+            inner.late.insert(id, running.command);
+        }
         self.conclude(inner, running, status, false, None);
     }
 
@@ -561,6 +579,25 @@
         });
     }
 
+    /// What comes after its time-out, while the command is tried elsewhere, is an answer all the same.
+    #[test]
+    fn a_late_answer_serves_a_command_that_is_still_open() {
+        testing::run(async {
+            let (exchange, recorder) = with_timers(3, Effect::Safe, 3);
+            let (_, answer) = exchange.take(command("1", None));
+            while exchange.counters.timeouts.get() == 0 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            let [first, second] = &recorder.begun.take()[..] else { panic!("it is tried elsewhere") };
+            let value = Answer::Value(Bytes::from_static(b"v"));
+            exchange.ended(first.id, End::Reply(Reply::Served(value.clone())));
+            assert_eq!(answer.await, Ok(value.clone()));
+            exchange.ended(second.id, End::Reply(Reply::Served(value)));
+            assert_eq!((exchange.counters.served.get(), exchange.counters.served_late.get()), (1, 1));
+            assert!(exchange.inner.borrow().late.is_empty());
+        });
+    }
+
     /// An id that a client gives twice makes two commands.
     #[test]
     fn commands_with_one_id_are_two() {
