Bound the pools in use: idle connections make room, crowded pools read no late answers

Faulty or missing lines: Upstream::begin waited in vain where all connections stood idle at other hosts; Upstream::abandon read late answers off however few connections were left, and at sites that allow no second copy; Lane::rest closed a connection when readiness was left over from the last read; Lane::open let no one use the room of a connection that never came up; put_back left an execution in the running table; Shutdown::run waited for ever for a client that stops in the middle of a command. Tests: an idle connection makes room, the end comes though a connection stands still, and the program as a process (bad starts, SIGTERM with a command in hand).

--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -61,11 +61,13 @@
         connect_timeout: config.connect_timeout,
         idle: config.idle,
         late: LATE,
+        may_duplicate: config.settings.limits.may_duplicate,
         origin: match config.settings.mode {
             Mode::Aside(kind) => Some(kind),
             Mode::Through => None,
         },
     };
+    let longest = config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
     let upstream = upstream::Upstream::new(limits, clock, Rc::clone(&counters), log.clone());
     let exchange = exchange::Exchange::new(
         config.settings,
@@ -93,7 +95,8 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
     let mut report = signal(SignalKind::user_defined1()).map_err(|e| format!("no signals: {e}"))?;
-    info!(log, "listening"; "address" => config.listen.to_string(), "hosts" => hosts.len());
+    let address = listener.local_addr().unwrap_or(config.listen);
+    info!(log, "listening"; "address" => address.to_string(), "hosts" => hosts.len());
 
     let timers = Rc::clone(&exchange);
     spawn_local(async move { timers.run().await });
@@ -107,7 +110,7 @@
         }
     }
     info!(log, "stopping");
-    shutdown.run().await;
+    shutdown.run(clock::duration(longest)).await;
     exchange.idle().await;
     info!(log, "stopped"; "counters" => counters.to_string());
     Ok(())
--- a/node/src/name_table.rs
+++ b/node/src/name_table.rs
@@ -9,7 +9,7 @@
 use rustc_hash::FxHashMap;
 use serde::Deserialize;
 use slog::{info, warn, Logger};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -197,11 +197,22 @@
     exchange: &Exchange,
     log: &Logger,
 ) -> Result<(), String> {
-    let lost = |e: std::io::Error| e.to_string();
     let connect = timeout(CALL, TcpStream::connect(discovery)).await;
-    let mut stream = connect.map_err(|_| "no connection in time".to_owned())?.map_err(lost)?;
+    let stream = connect.map_err(|_| "no connection in time".to_owned())?.map_err(|e| e.to_string())?;
+    hear(table, stream, &discovery.to_string(), exchange, log).await
+}
+
+/// Asks for the changes on this connection and takes them in until it ends.
+async fn hear<S: AsyncRead + AsyncWrite + Unpin>(
+    table: &mut NameTable,
+    mut stream: S,
+    name: &str,
+    exchange: &Exchange,
+    log: &Logger,
+) -> Result<(), String> {
+    let lost = |e: std::io::Error| e.to_string();
     let mut call = BytesMut::new();
-    write_call(&mut call, &table.path(), &discovery.to_string());
+    write_call(&mut call, &table.path(), name);
     stream.write_all(&call).await.map_err(lost)?;
     let (mut response, mut input) = (Response::default(), BytesMut::new());
     loop {
@@ -238,9 +249,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::testing::{self, log, settle, Recorder};
+    use crate::testing::{self, log, Recorder};
     use juniperladder::Effect;
-    use tokio::net::TcpListener;
 
     fn names() -> Names {
         Names { zones: vec!["east".into(), "west".into()], kinds: vec!["m1".into(), "origin".into()] }
@@ -286,24 +296,17 @@
     }
 
     async fn told(text: &'static [u8]) -> (u64, u64) {
-        let discovery = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
-        let address = discovery.local_addr().unwrap();
+        let (near, mut far) = tokio::io::duplex(1 << 16);
         let exchange = testing::exchange(testing::settings(1, Effect::Safe), Rc::new(Recorder::default()), 1);
         let mut table = NameTable::new(names());
         let answer = async {
-            let (mut stream, _) = discovery.accept().await.unwrap();
-            let mut call = BytesMut::new();
-            while !call.ends_with(b"\r\n\r\n") {
-                stream.read_buf(&mut call).await.unwrap();
-            }
-            stream.write_all(text).await.unwrap();
-            settle().await;
+            far.write_all(text).await.unwrap();
             // The connection stays up: what is silent is found by the clock alone.
             std::future::pending::<()>().await;
         };
         let log = log();
         tokio::select! {
-            ended = watch(&mut table, address, &exchange, &log) => assert!(ended.is_err(), "{ended:?}"),
+            ended = hear(&mut table, near, "discovery", &exchange, &log) => assert!(ended.is_err(), "{ended:?}"),
             () = answer => {}
         }
         (exchange.counters().lists.get(), table.generation.unwrap_or_default())
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -352,7 +352,7 @@
             service.shutdown.connections(0);
             far.write_all(b"mg a v O1 Pc=read,d=480\r\n").await.unwrap();
             settle().await;
-            service.shutdown.run().await;
+            service.shutdown.run(Duration::from_secs(3)).await;
             settle().await;
             let execution = recorder.begun.borrow_mut().pop().unwrap();
             let value = Answer::Value(Bytes::from_static(b"v"));
--- a/node/src/shutdown.rs
+++ b/node/src/shutdown.rs
@@ -3,12 +3,15 @@
 use std::cell::Cell;
 
 use tokio::sync::Notify;
-use tokio::time::{sleep_until, Duration, Instant};
+use tokio::time::{sleep_until, timeout, Duration, Instant};
 
 /// After the signal the front goes on dealing out connections for a moment. Only when none has come for
 /// this long are the clients' connections closed, since those whose are closed open new ones.
 const QUIET: Duration = Duration::from_millis(450);
 
+/// The closing begins no later than this, whoever still connects.
+const MOST: Duration = Duration::from_millis(600);
+
 /// How far the end has come.
 #[derive(Debug, Default)]
 pub struct Shutdown {
@@ -37,11 +40,13 @@
         }
     }
 
-    /// Runs the end from the signal on, until every connection is closed.
-    pub async fn run(&self) {
+    /// Runs the end from the signal on: until every connection is closed, and not longer than the longest
+    /// deadline from when the closing began, as a connection may stand still in the middle of a command.
+    pub async fn run(&self, longest: Duration) {
         let signal = Instant::now();
         loop {
             let quiet = self.last.get().unwrap_or(signal).max(signal) + QUIET;
+            let quiet = quiet.min(signal + MOST);
             if Instant::now() >= quiet {
                 break;
             }
@@ -49,9 +54,13 @@
         }
         self.closing.set(true);
         self.changed.notify_waiters();
-        while self.open.get() > 0 {
-            self.changed.notified().await;
-        }
+        let closed = async {
+            while self.open.get() > 0 {
+                self.changed.notified().await;
+            }
+        };
+        // What is cut off then owes nothing: the exchange is waited for after this.
+        let _ = timeout(longest, closed).await;
     }
 }
 
@@ -69,14 +78,25 @@
             let start = Instant::now();
             let clients = async {
                 shutdown.connections(1);
-                sleep_until(start + Duration::from_millis(400)).await;
+                sleep_until(start + QUIET - Duration::from_millis(50)).await;
                 shutdown.accepted();
                 shutdown.connections(2);
                 shutdown.closing().await;
-                assert_eq!(start.elapsed(), Duration::from_millis(400) + QUIET);
+                assert_eq!(start.elapsed(), MOST);
                 shutdown.connections(0);
             };
-            tokio::join!(shutdown.run(), clients);
+            tokio::join!(shutdown.run(Duration::from_secs(3)), clients);
+        });
+    }
+    /// A client that stops in the middle of a command must not keep the program for ever.
+    #[test]
+    fn the_end_comes_though_a_connection_stands_still() {
+        testing::run(async {
+            let shutdown = Shutdown::default();
+            shutdown.connections(1);
+            let start = Instant::now();
+            shutdown.run(Duration::from_secs(3)).await;
+            assert_eq!(start.elapsed(), QUIET + Duration::from_secs(3));
         });
     }
 }
--- a/node/src/testing.rs
+++ b/node/src/testing.rs
@@ -91,6 +91,7 @@
         connect_timeout: second / 4,
         idle: second * 5,
         late: second * 3,
+        may_duplicate: true,
         origin: None,
     };
     Upstream::new(limits, Clock::start(), Rc::new(Counters::default()), log())
@@ -110,7 +111,16 @@
 
 /// Runs a test on a clock that stands still until everyone waits for it.
 pub fn run<T>(test: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    run_on(true, test)
+}
+
+/// Runs a test that has sockets of the kernel's and needs no clock.
+pub fn run_on_sockets<T>(test: impl Future<Output = T>) -> T {
+    run_on(false, test)
+}
+
+fn run_on<T>(paused: bool, test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(paused).build();
     LocalSet::new().block_on(&runtime.expect("a runtime"), test)
 }
 
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -12,7 +12,7 @@
 use slog::{warn, Logger};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, Notify};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
@@ -37,6 +37,8 @@
     pub idle: Duration,
     /// How long an answer is awaited whose execution has timed out.
     pub late: Duration,
+    /// Whether an execution may go on elsewhere while an earlier one is out on an open connection.
+    pub may_duplicate: bool,
     /// The kind of the origin, which speaks HTTP.
     pub origin: Option<u32>,
 }
@@ -47,6 +49,15 @@
     next: oneshot::Sender<Execution>,
 }
 
+/// An execution that a connection has.
+#[derive(Default)]
+struct Carried {
+    /// Whether its last byte is written.
+    written: bool,
+    /// Told when the connection is to close rather than to wait for a late answer.
+    stop: Rc<Notify>,
+}
+
 #[derive(Default)]
 struct Pool {
     address: Option<SocketAddr>,
@@ -55,8 +66,7 @@
     waiting: VecDeque<Execution>,
     idle: Vec<Idle>,
     connecting: usize,
-    /// Executions on connections, and whether the last byte is written.
-    running: FxHashMap<ExecutionId, bool>,
+    running: FxHashMap<ExecutionId, Carried>,
 }
 
 /// All pools.
@@ -121,9 +131,21 @@
         while pool.connecting < pool.waiting.len() && self.connections.get() < self.limits.connections {
             pool.connecting += 1;
             self.connections.set(self.connections.get() + 1);
+            let this = Rc::clone(&this);
             let counted = Counted(Rc::clone(&this));
             let lane = Lane { server, origin: pool.origin, address };
-            spawn_local(async move { lane.open(&counted.0).await });
+            spawn_local(async move {
+                lane.open(&counted.0).await;
+                drop(counted);
+                this.make_use_of_room();
+            });
+        }
+    }
+
+    /// A connection has ended: what waits for room may open one.
+    fn make_use_of_room(&self) {
+        for (server, pool) in self.pools.borrow_mut().iter_mut() {
+            self.connect(*server, pool);
         }
     }
 
@@ -132,22 +154,24 @@
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(&server)?;
         let execution = pool.waiting.pop_front()?;
-        pool.running.insert(execution.id, false);
+        pool.running.insert(execution.id, Carried::default());
         Some(execution)
     }
 
     /// Puts an execution back of which nothing was written.
     fn put_back(&self, server: ServerId, execution: Execution) {
         let mut pools = self.pools.borrow_mut();
-        match pools.get_mut(&server).filter(|pool| pool.open) {
-            Some(pool) => {
-                if pool.running.remove(&execution.id).is_some() {
-                    pool.waiting.push_front(execution);
-                    self.connect(server, pool);
-                }
-            }
-            None => self.end_later(execution.id, End::CalledOff),
+        let Some(pool) = pools.get_mut(&server) else { return self.end_later(execution.id, End::CalledOff) };
+        pool.running.remove(&execution.id);
+        if !pool.open {
+            return self.end_later(execution.id, End::CalledOff);
         }
+        pool.waiting.push_front(execution);
+        self.connect(server, pool);
+    }
+
+    fn is_open(&self, server: ServerId) -> bool {
+        self.pools.borrow().get(&server).is_some_and(|pool| pool.open)
     }
 
     /// A connection did not come up: one execution fails if fewer connections than executions are left.
@@ -167,9 +191,14 @@
         }
     }
 
-    fn set_written(&self, server: ServerId, id: ExecutionId) {
-        if let Some(written) = self.pools.borrow_mut().get_mut(&server).and_then(|p| p.running.get_mut(&id)) {
-            *written = true;
+    /// Notes that an execution's last byte is written, and returns what tells its connection to close.
+    fn written(&self, server: ServerId, id: ExecutionId) -> Rc<Notify> {
+        match self.pools.borrow_mut().get_mut(&server).and_then(|pool| pool.running.get_mut(&id)) {
+            Some(carried) => {
+                carried.written = true;
+                Rc::clone(&carried.stop)
+            }
+            None => Rc::default(),
         }
     }
 
@@ -235,7 +264,7 @@
             let id = execution.id;
             match idle.next.send(execution) {
                 Ok(()) => {
-                    pool.running.insert(id, false);
+                    pool.running.insert(id, Carried::default());
                     return;
                 }
                 Err(back) => execution = back,
@@ -243,13 +272,26 @@
         }
         pool.waiting.push_back(execution);
         self.connect(server, pool);
+        if pool.connecting < pool.waiting.len() {
+            // All connections that may be are: one that is idle elsewhere makes room.
+            if let Some(other) = pools.values_mut().find(|pool| !pool.idle.is_empty()) {
+                other.idle.remove(0);
+            }
+        }
     }
 
     fn abandon(&self, id: ExecutionId, server: ServerId) -> bool {
         let mut pools = self.pools.borrow_mut();
         let Some(pool) = pools.get_mut(&server) else { return false };
         pool.waiting.retain(|execution| execution.id != id);
-        pool.running.get(&id).copied().unwrap_or(false)
+        let Some(carried) = pool.running.get(&id) else { return false };
+        // A late answer is read off as long as there is room: it may still serve its command, and a new
+        // connection costs the host work.
+        let crowded = self.connections.get() * 4 > self.limits.connections * 3;
+        if crowded || !self.limits.may_duplicate {
+            carried.stop.notify_one();
+        }
+        carried.written
     }
 }
 
@@ -272,15 +314,12 @@
         let connect = timeout(upstream.limits.connect_timeout, TcpStream::connect(self.address)).await;
         let Ok(Ok(stream)) = connect else { return upstream.not_up(self.server) };
         count(&upstream.counters.opened);
+        // Without this the kernel would hold a short write back for the answer to the one before.
         let _ = stream.set_nodelay(true);
         if let Some(pool) = upstream.pools.borrow_mut().get_mut(&self.server) {
             pool.connecting -= 1;
         }
         self.carry(upstream, stream).await;
-        // What waits for room may open a connection now.
-        for (server, pool) in upstream.pools.borrow_mut().iter_mut() {
-            upstream.connect(*server, pool);
-        }
     }
 
     async fn carry(&self, upstream: &Upstream, mut stream: TcpStream) {
@@ -288,13 +327,13 @@
         loop {
             let execution = match upstream.next(self.server) {
                 Some(execution) => execution,
-                None => match self.rest(upstream, &mut stream).await {
+                None => match self.rest(upstream, &stream).await {
                     Some(execution) => execution,
                     None => return,
                 },
             };
             // A connection that ended meanwhile is no try: nothing of the execution was written.
-            if !input.is_empty() || !quiet(&stream) {
+            if !input.is_empty() || !quiet(&stream) || !upstream.is_open(self.server) {
                 return upstream.put_back(self.server, execution);
             }
             if self.execute(upstream, &mut stream, &mut input, execution).await == After::Close {
@@ -304,20 +343,24 @@
     }
 
     /// Waits idle for an execution; none when the connection has to close.
-    async fn rest(&self, upstream: &Upstream, stream: &mut TcpStream) -> Option<Execution> {
+    async fn rest(&self, upstream: &Upstream, stream: &TcpStream) -> Option<Execution> {
         let (id, mut next) = upstream.rest(self.server)?;
-        let idle = upstream.limits.idle.mul_f64(IDLE_PART);
-        let given = tokio::select! {
-            biased;
-            given = &mut next => return given.ok(),
-            _ = stream.readable() => None,
-            () = sleep(idle) => None,
-        };
+        let old = sleep(upstream.limits.idle.mul_f64(IDLE_PART));
+        tokio::pin!(old);
+        loop {
+            tokio::select! {
+                biased;
+                given = &mut next => return given.ok(),
+                // Readiness may be left over from the last read; only an end or stray bytes count.
+                _ = stream.readable() => if !quiet(stream) { break },
+                () = &mut old => break,
+            }
+        }
         upstream.unrest(self.server, id);
         if let Ok(execution) = next.try_recv() {
             upstream.put_back(self.server, execution);
         }
-        given
+        None
     }
 
     async fn execute<S: AsyncRead + AsyncWrite + Unpin>(
@@ -330,6 +373,11 @@
         let id = execution.id;
         let now = upstream.clock.now();
         let wait = execution.until.minus(now);
+        if wait.0 == 0 {
+            // It timed out on its way here; to write it now would be work for nobody.
+            upstream.stopped(self.server, id, End::NotSent);
+            return After::Keep;
+        }
         let mut output = BytesMut::new();
         if self.origin {
             http::write_command(&mut output, &execution.command, &self.address.to_string(), wait);
@@ -342,8 +390,12 @@
             upstream.stopped(self.server, id, End::NotSent);
             return After::Close;
         }
-        upstream.set_written(self.server, id);
-        let read = timeout(most + upstream.limits.late, self.reply(stream, input, &execution)).await;
+        let stop = upstream.written(self.server, id);
+        let read = tokio::select! {
+            biased;
+            read = timeout(most + upstream.limits.late, self.reply(stream, input, &execution)) => read,
+            () = stop.notified() => Ok(Err(None)),
+        };
         let (end, after) = match read {
             Ok(Ok((reply, after))) => (End::Reply(reply), after),
             Ok(Err(problem)) => {
@@ -506,10 +558,37 @@
         });
     }
 
+    /// Connections are bounded over all hosts: one that is idle gives way to an execution elsewhere.
+    #[test]
+    fn an_idle_connection_makes_room() {
+        testing::run_on_sockets(async {
+            let hosts = [
+                tokio::net::TcpListener::bind(("127.0.0.1", 0)).await.unwrap(),
+                tokio::net::TcpListener::bind(("127.0.0.1", 0)).await.unwrap(),
+            ];
+            let upstream = testing::upstream(1);
+            let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), upstream.clone(), 0);
+            upstream.attach(&exchange);
+            for listener in &hosts {
+                let mut up = host(HOST, State::Serving);
+                up.address = listener.local_addr().ok();
+                up.entry.server = ServerId(up.address.unwrap().port().into());
+                exchange.listed(ListKind::Replace, &[up]);
+                let (_, answer) = exchange.take(testing::command("7", None));
+                let (mut stream, _) = listener.accept().await.unwrap();
+                stream.read_buf(&mut BytesMut::new()).await.unwrap();
+                stream.write_all(b"HD O7 cr1\r\n").await.unwrap();
+                assert!(matches!(answer.await, Ok(Answer::Receipt(_))));
+                settle().await;
+            }
+            assert_eq!(upstream.connections.get(), 1);
+        });
+    }
+
     /// A host that refuses connections fails each execution once, as one that never ran.
     #[test]
     fn a_refused_connection_never_ran() {
-        testing::run(async {
+        testing::run_on_sockets(async {
             let closed = std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
             let mut down = host(HOST, State::Serving);
             down.address = closed.local_addr().ok();
--- /dev/null
+++ b/node/tests/process.rs
@@ -0,0 +1,87 @@
+//! The program as a process: a start that cannot be, and a planned end with a command in hand.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Command, Stdio};
+use std::sync::mpsc;
+use std::thread;
+
+fn config(listen: &str, discovery: &str, host: &str) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":512}},
+        "known":{{"generation":41,"reset":true,"instances":[{{"instanceId":"s-00000001","hostPort":"{host}",
+          "zone":"x","machineType":"a","cell":0,"lifecycle":"in_service","weight":1.0,"startedAtMs":0}}]}},
+        "settings":{{"az":0,"balancers":1,"categories":[{{"aim":60000000,"effect":"side_effect","give-up":60000000,
+          "name":"read","worth":1.0}}],"kinds":["a"],"zones":["x"],"tick":5000,
+        "limits":{{"conn-idle":5000000,"connect-timeout":60000000,"max-attempts":1,"retry-after":true}},
+        "rules":{{"ask-within":10000000,"cold-share":0.32,"warm-up":9000000}}}}}}"#
+    )
+}
+
+fn program(config: Option<&str>) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_juniperladder"));
+    command.env_remove("NODE_CONFIG").stdout(Stdio::piped()).stderr(Stdio::piped());
+    if let Some(text) = config {
+        let name = format!("juniperladder-test-{}-{:x}.json", std::process::id(), text.len());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, text).unwrap();
+        command.env("NODE_CONFIG", path);
+    }
+    command
+}
+
+#[test]
+fn a_start_that_cannot_be_ends_with_one_plain_line() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let taken = config(&taken.local_addr().unwrap().to_string(), "127.0.0.1:1", "127.0.0.1:1");
+    for text in [None, Some("{\"name\":"), Some(taken.as_str())] {
+        let output = program(text).output().unwrap();
+        let told = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success());
+        assert!(told.starts_with("juniperladder: ") && told.lines().count() == 1, "{told:?}");
+    }
+}
+
+/// A planned end answers what was taken, lets go of its clients and exits with its counters told.
+#[test]
+fn a_signal_ends_the_program_after_the_last_answer() {
+    let host = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = host.local_addr().unwrap().to_string();
+    let mut child = program(Some(&config("127.0.0.1:0", &address, &address))).spawn().unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let mut line = String::new();
+    log.read_line(&mut line).unwrap();
+    let listen = line.split("address: ").nth(1).and_then(|rest| rest.split(',').next()).expect("an address");
+    let mut client = TcpStream::connect(listen.trim()).unwrap();
+    let mut answers = BufReader::new(client.try_clone().unwrap());
+    client.write_all(b"mn\r\nmg 7f3a9c21e0b4d655 v O7 Pc=read,d=50000\r\n").unwrap();
+    let mut answer = String::new();
+    answers.read_line(&mut answer).unwrap();
+    assert_eq!(answer, "MN\r\n");
+    // The host sees the command before the signal is sent, and answers after it.
+    let (signalled, wait) = mpsc::channel::<()>();
+    let (seen, taken) = mpsc::channel::<String>();
+    let host = thread::spawn(move || loop {
+        let (mut stream, _) = host.accept().unwrap();
+        let mut command = String::new();
+        BufReader::new(stream.try_clone().unwrap()).read_line(&mut command).unwrap();
+        if command.starts_with("mg ") {
+            seen.send(command).unwrap();
+            wait.recv().unwrap();
+            return stream.write_all(b"VA 5 O7 h1\r\nhello\r\n").unwrap();
+        }
+    });
+    assert!(taken.recv().unwrap().starts_with("mg 7f3a9c21e0b4d655 v O7 Pc=read,d="));
+    let killed = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
+    assert!(killed.success());
+    signalled.send(()).unwrap();
+    let mut rest = String::new();
+    answers.read_to_string(&mut rest).unwrap();
+    assert_eq!(rest, "VA 5 O7\r\nhello\r\n");
+    host.join().unwrap();
+    assert!(child.wait().unwrap().success());
+    let mut told = String::new();
+    log.read_to_string(&mut told).unwrap();
+    assert!(told.contains("commands=1") && told.contains("served=1"), "{told}");
+}
