Read a connection once more before it closes on a planned end

Reading the code beside it: the closing branch of ServiceClient::serve won over bytes that stood in the kernel but that the runtime had not polled for. The new test shows it: without the last look the answer is empty. Also: a command's timer scanned all executions though the command was over.

--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -380,6 +380,8 @@
             match due {
                 Due::Module(token) => self.handle(&mut inner, now, Event::Timer(token)),
                 Due::Execution(id) => self.expire(&mut inner, id),
+                // Most are over by now.
+                Due::Command(id) if !inner.commands.contains_key(&id) => {}
                 Due::Command(id) => {
                     // The executions' time-outs come first and let the module end it; this guards against
                     // a command that it has forgotten.
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, Duration};
+use tokio::time::{sleep, timeout, Duration};
 
 use crate::counters::count;
 use crate::exchange::{Answer, CommandId, Exchange};
@@ -23,6 +23,9 @@
 /// Answer bytes that may stand unwritten before a connection's further commands have to wait.
 const MAX_OUTPUT: usize = 256 * 1024;
 
+/// How long a connection that is about to close is read once more.
+const LAST_LOOK: Duration = Duration::from_millis(2);
+
 /// What a connection owes its client, in order.
 #[derive(Debug)]
 enum Owed {
@@ -144,7 +147,16 @@
                         self.leave();
                     }
                 }
-                () = self.service.shutdown.closing(), if idle => return writer.shutdown().await,
+                () = self.service.shutdown.closing(), if idle => {
+                    // A command may have come that the runtime has not looked for yet: it is taken, and a
+                    // close over unread bytes would reset the connection.
+                    match timeout(LAST_LOOK, reader.read_buf(&mut self.input)).await {
+                        Err(_) => return writer.shutdown().await,
+                        Ok(read) => if read? == 0 {
+                            self.leave();
+                        }
+                    }
+                }
             }
         }
     }
@@ -362,4 +374,22 @@
             assert_eq!(got, "VA 1 O1\r\nv\r\n");
         });
     }
+    /// A command that stands unread in the kernel when the closing begins was taken, and is answered.
+    #[test]
+    fn a_closing_connection_is_read_once_more() {
+        testing::run_on_sockets(async {
+            let recorder = Rc::new(Recorder::default());
+            let service = service(&recorder);
+            let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+            let mut far = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+            let (near, _) = listener.accept().await.unwrap();
+            let serving = Rc::clone(&service);
+            let task = spawn_local(async move { ServiceClient::new(&serving).serve(near).await });
+            settle().await;
+            io::Write::write_all(&mut far, b"mn\r\n").unwrap();
+            service.shutdown.close();
+            task.await.unwrap().unwrap();
+            assert_eq!(io::read_to_string(far).unwrap(), "MN\r\n");
+        });
+    }
 }
--- a/node/src/shutdown.rs
+++ b/node/src/shutdown.rs
@@ -40,6 +40,12 @@
         }
     }
 
+    /// From now on connections close between commands.
+    pub fn close(&self) {
+        self.closing.set(true);
+        self.changed.notify_waiters();
+    }
+
     /// Runs the end from the signal on: until every connection is closed, and not longer than the longest
     /// deadline from when the closing began, as a connection may stand still in the middle of a command.
     pub async fn run(&self, longest: Duration) {
@@ -52,8 +58,7 @@
             }
             sleep_until(quiet).await;
         }
-        self.closing.set(true);
-        self.changed.notify_waiters();
+        self.close();
         let closed = async {
             while self.open.get() > 0 {
                 self.changed.notified().await;
