--- a/node/src/memcache.rs
+++ b/node/src/memcache.rs
@@ -242,12 +242,14 @@
     let Some((bare, whole)) = line_end(input) else {
         return if input.len() > MAX_LINE { Err("an answer's line has no end".into()) } else { Ok(None) };
     };
-    let strange = |text: &[u8]| format!("not an answer: {:?}", String::from_utf8_lossy(text));
+    // The log shows the beginning of what made no sense, not all of it.
+    let shown = |text: &[u8]| format!("{:?}", String::from_utf8_lossy(&text[..text.len().min(80)]));
+    let strange = |text: &[u8]| format!("not an answer: {}", shown(text));
     let text = &input[..bare];
     let (name, flags) = line.parse(text).map_err(|_| strange(text))?;
     let flag = |name: u8| flags.iter().find(|f| f[0] == name).map(|f| &f[1..]);
     if matches!(name, b"VA" | b"HD" | b"EN") && flag(b'O') != Some(&command.id[..]) {
-        return Err(format!("an answer for another id: {:?}", String::from_utf8_lossy(text)));
+        return Err(format!("an answer for another id: {}", shown(text)));
     }
     let mut value = None;
     let reply = match (name, flags.first().copied()) {
