--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use juniperladder::{Class, Effect, Group, Limits, Micros, Mode, Rules, Settings, Tenant};
+use juniperladder::{Micros, Settings};
+use juniperladder_settings::Env;
 use serde::Deserialize;
 
 use crate::clock::duration;
@@ -61,82 +62,6 @@
     }
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Env {
-    #[serde(default)]
-    az: u32,
-    balancers: u32,
-    categories: Vec<Category>,
-    #[serde(default)]
-    extra: Extra,
-    kinds: Vec<String>,
-    limits: EnvLimits,
-    #[serde(default)]
-    membership_mode: String,
-    #[serde(default)]
-    orgs: Vec<Org>,
-    rules: EnvRules,
-    tick: u64,
-    #[serde(default)]
-    weights: String,
-    zones: Vec<String>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Category {
-    name: String,
-    aim: u64,
-    #[serde(default)]
-    aim_stretch: f64,
-    #[serde(default)]
-    effect: String,
-    give_up: u64,
-    #[serde(default)]
-    group: String,
-    #[serde(default)]
-    late_worth: f64,
-    #[serde(default)]
-    window: u64,
-    worth: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-struct Extra {
-    mode: String,
-    origin_kind: Option<i64>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct EnvLimits {
-    conn_idle: u64,
-    connect_timeout: u64,
-    max_attempts: u32,
-    #[serde(default)]
-    max_retry_after: u64,
-    #[serde(default)]
-    may_duplicate: bool,
-    #[serde(default)]
-    retry_after: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Org {
-    allowance_per_s: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct EnvRules {
-    ask_within: u64,
-    cold_share: f64,
-    warm_up: u64,
-}
-
 impl Config {
     /// Reads the file that the environment names. A problem is told in one line.
     pub fn from_environment() -> Result<Config, String> {
@@ -155,10 +80,9 @@
         let address = |name: &str, text: &str| {
             text.parse::<SocketAddr>().map_err(|_| format!("{name}: {text:?} is no address and port"))
         };
-        let origin = env.extra.origin_kind.and_then(|kind| u32::try_from(kind).ok());
-        let origin = origin.filter(|_| env.extra.mode == "aside");
-        let classes = env.categories.iter().map(Category::class).collect();
+        env.check()?;
         Ok(Config {
+            settings: env.settings(),
             listen: address("listen", &file.listen)?,
             discovery: address("discovery", &file.discovery)?,
             name: file.name,
@@ -170,57 +94,14 @@
             connect_timeout: duration(Micros(env.limits.connect_timeout)),
             idle: duration(Micros(env.limits.conn_idle)),
             names: Names { zones: env.zones, kinds: env.kinds },
-            settings: Settings {
-                balancers: env.balancers,
-                zone: env.az,
-                classes,
-                tenants: env.orgs.iter().map(|o| Tenant { allowance_per_s: o.allowance_per_s }).collect(),
-                mode: origin.map_or(Mode::Through, Mode::Aside),
-                subscribe: env.membership_mode == "subscribe",
-                weighted: matches!(env.weights.as_str(), "nominal" | "rough"),
-                tick: Micros(env.tick),
-                limits: Limits {
-                    max_attempts: env.limits.max_attempts,
-                    max_retry_after: Micros(env.limits.max_retry_after),
-                    retry_after: env.limits.retry_after,
-                    may_duplicate: env.limits.may_duplicate,
-                },
-                rules: Rules {
-                    ask_within: Micros(env.rules.ask_within),
-                    cold_share: env.rules.cold_share,
-                    warm_up: Micros(env.rules.warm_up),
-                },
-            },
         })
     }
 }
 
-impl Category {
-    fn class(&self) -> Class {
-        Class {
-            aim: Micros(self.aim),
-            aim_stretch: self.aim_stretch,
-            deadline: Micros(self.give_up),
-            effect: match self.effect.as_str() {
-                "pure" => Effect::Safe,
-                "token" => Effect::Keyed,
-                _ => Effect::Unsafe,
-            },
-            group: match self.group.as_str() {
-                "zone" => Group::Zone,
-                "cell" => Group::Cell,
-                _ => Group::All,
-            },
-            window: Micros(self.window),
-            worth: self.worth,
-            late_worth: self.late_worth,
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
+    use juniperladder::Mode;
 
     const SOUND: &str = r#"{"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.2:2","seed":"8c1f30d27a5be964",
         "limits":{"cores":1.0,"memory_mb":192,"sockets":512},
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -4,6 +4,7 @@
 
 use base64::Engine;
 use juniperladder::*;
+use juniperladder_settings::Env;
 use rustc_hash::FxHashMap;
 use serde::Deserialize;
 
@@ -144,114 +145,6 @@
     1.0
 }
 
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-struct Env {
-    az: u32,
-    balancers: u32,
-    categories: Vec<Category>,
-    extra: Extra,
-    limits: WireLimits,
-    membership_mode: String,
-    orgs: Vec<Org>,
-    rules: WireRules,
-    tick: u64,
-    weights: String,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-struct Category {
-    aim: u64,
-    aim_stretch: f64,
-    effect: String,
-    give_up: u64,
-    group: String,
-    late_worth: f64,
-    window: u64,
-    worth: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-struct Extra {
-    mode: String,
-    origin_kind: Option<i64>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-struct WireLimits {
-    max_attempts: u32,
-    max_retry_after: u64,
-    may_duplicate: bool,
-    retry_after: bool,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-struct Org {
-    allowance_per_s: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-struct WireRules {
-    ask_within: u64,
-    cold_share: f64,
-    warm_up: u64,
-}
-
-impl From<Env> for Settings {
-    fn from(env: Env) -> Settings {
-        let origin = env.extra.origin_kind.and_then(|kind| u32::try_from(kind).ok());
-        let classes = env.categories.into_iter().map(|c| Class {
-            aim: Micros(c.aim),
-            aim_stretch: c.aim_stretch,
-            deadline: Micros(c.give_up),
-            effect: match c.effect.as_str() {
-                "pure" => Effect::Safe,
-                "token" => Effect::Keyed,
-                _ => Effect::Unsafe,
-            },
-            group: match c.group.as_str() {
-                "zone" => Group::Zone,
-                "cell" => Group::Cell,
-                _ => Group::All,
-            },
-            window: Micros(c.window),
-            worth: c.worth,
-            late_worth: c.late_worth,
-        });
-        let classes = classes.collect();
-        let tenants = env.orgs.into_iter().map(|org| Tenant { allowance_per_s: org.allowance_per_s });
-        Settings {
-            balancers: env.balancers,
-            zone: env.az,
-            classes,
-            tenants: tenants.collect(),
-            mode: match origin {
-                Some(kind) if env.extra.mode == "aside" => Mode::Aside(kind),
-                _ => Mode::Through,
-            },
-            subscribe: env.membership_mode == "subscribe",
-            weighted: matches!(env.weights.as_str(), "nominal" | "rough"),
-            tick: Micros(env.tick),
-            limits: Limits {
-                max_attempts: env.limits.max_attempts,
-                max_retry_after: Micros(env.limits.max_retry_after),
-                retry_after: env.limits.retry_after,
-                may_duplicate: env.limits.may_duplicate,
-            },
-            rules: Rules {
-                ask_within: Micros(env.rules.ask_within),
-                cold_share: env.rules.cold_share,
-                warm_up: Micros(env.rules.warm_up),
-            },
-        }
-    }
-}
-
 impl Line {
     fn entry(&self) -> Entry {
         Entry {
@@ -301,7 +194,7 @@
     fn take(&mut self, now: Micros, event: Wire) -> Result<(), String> {
         match event {
             Wire::Start { router, seed, env } => {
-                self.balancers.insert(router, Balancer::new((*env).into(), seed));
+                self.balancers.insert(router, Balancer::new(env.settings(), seed));
                 Ok(())
             }
             Wire::Retire { router } => {
