Answer a long pipeline in full though its client has half-closed

Found by reading: ServiceClient::leave set the same mark as a line that cannot be understood, so whole commands that MAX_OWED had kept in the buffer were dropped without an answer. Answers to a client that does not read are no longer written out beyond MAX_OUTPUT.

--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -107,8 +107,10 @@
     input: BytesMut,
     output: BytesMut,
     owed: VecDeque<Owed>,
-    /// The client sends no more, or nothing after this can be understood.
+    /// Nothing after this is read: the client has said so, or it could not be understood.
     ended: bool,
+    /// The client has closed its side; what it had sent before is answered all the same.
+    closed: bool,
 }
 
 impl<'a> ServiceClient<'a> {
@@ -120,6 +122,7 @@
             output: BytesMut::new(),
             owed: VecDeque::new(),
             ended: false,
+            closed: false,
         }
     }
 
@@ -131,18 +134,20 @@
         let (mut reader, mut writer) = tokio::io::split(stream);
         loop {
             self.take();
-            if self.ended && self.owed.is_empty() && self.output.is_empty() {
+            if (self.ended || self.closed) && self.owed.is_empty() && self.output.is_empty() {
                 return writer.shutdown().await;
             }
-            let room = !self.ended && self.owed.len() < MAX_OWED && self.output.len() < MAX_OUTPUT;
+            let room = !self.ended && !self.closed && self.owed.len() < MAX_OWED;
+            // Answers to a client that does not read them wait in their small form.
+            let drained = self.output.len() < MAX_OUTPUT;
             let idle = self.idle();
             tokio::select! {
                 biased;
-                answered = next_answer(&mut self.owed) => self.write(answered),
+                answered = next_answer(&mut self.owed), if drained => self.write(answered),
                 written = writer.write_buf(&mut self.output), if !self.output.is_empty() => {
                     written?;
                 }
-                read = reader.read_buf(&mut self.input), if room => {
+                read = reader.read_buf(&mut self.input), if room && drained => {
                     if read? == 0 {
                         self.leave();
                     }
@@ -176,6 +181,9 @@
                     command.class = place.map_or(u32::MAX, |place| place as u32);
                     let text = command.id.clone();
                     let (id, answer) = self.service.exchange.take(*command);
+                    if self.closed {
+                        self.service.exchange.left(id);
+                    }
                     self.owed.push_back(Owed::Command(id, text, answer));
                 }
                 Some(Incoming::Malformed(line)) => {
@@ -194,7 +202,7 @@
 
     /// The client has closed its side: it is gone, or waits for the answers that it is owed.
     fn leave(&mut self) {
-        self.ended = true;
+        self.closed = true;
         for owed in &self.owed {
             if let Owed::Command(id, ..) = owed {
                 self.service.exchange.left(*id);
@@ -352,6 +360,31 @@
         });
     }
 
+    /// Commands that a bound kept from being taken at once are answered too, though the client has closed
+    /// its side meanwhile.
+    #[test]
+    fn a_long_pipeline_is_answered_after_a_half_close() {
+        testing::run(async {
+            let recorder = Rc::new(Recorder::default());
+            let service = service(&recorder);
+            let (near, mut far) = duplex(1 << 20);
+            let commands = MAX_OWED * 2 + 7;
+            far.write_all("mg a v O1 Pc=read,d=480\r\n".repeat(commands).as_bytes()).await.unwrap();
+            far.shutdown().await.unwrap();
+            let serving = Rc::clone(&service);
+            let task = spawn_local(async move { ServiceClient::new(&serving).serve(near).await });
+            while !task.is_finished() {
+                settle().await;
+                for execution in recorder.begun.take() {
+                    service.exchange.ended(execution.id, End::Reply(Reply::Error));
+                }
+            }
+            let mut got = String::new();
+            far.read_to_string(&mut got).await.unwrap();
+            assert_eq!(got, "SERVER_ERROR failed\r\n".repeat(commands));
+        });
+    }
+
     /// On a planned end a connection closes between commands, never with one owed or half read.
     #[test]
     fn a_closing_service_answers_first() {
