--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -107,10 +107,8 @@
     input: BytesMut,
     output: BytesMut,
     owed: VecDeque<Owed>,
-    /// Nothing after this is read: the client has said so, or it could not be understood.
+    /// The client sends no more, or nothing after this can be understood.
     ended: bool,
-    /// The client has closed its side; what it had sent before is answered all the same.
-    closed: bool,
 }
 
 impl<'a> ServiceClient<'a> {
@@ -122,7 +120,6 @@
             output: BytesMut::new(),
             owed: VecDeque::new(),
             ended: false,
-            closed: false,
         }
     }
 
@@ -134,10 +131,12 @@
         let (mut reader, mut writer) = tokio::io::split(stream);
         loop {
             self.take();
-            if (self.ended || self.closed) && self.owed.is_empty() && self.output.is_empty() {
+            if self.ended && self.owed.is_empty() && self.output.is_empty() {
                 return writer.shutdown().await;
             }
-            let room = !self.ended && !self.closed && self.owed.len() < MAX_OWED;
+            // With room here every whole command has been taken, so that the end of the client's side, which
+            // is only read then, never comes before a command that it had sent.
+            let room = !self.ended && self.owed.len() < MAX_OWED;
             // Answers to a client that does not read them wait in their small form.
             let drained = self.output.len() < MAX_OUTPUT;
             let idle = self.idle();
@@ -181,9 +180,6 @@
                     command.class = place.map_or(u32::MAX, |place| place as u32);
                     let text = command.id.clone();
                     let (id, answer) = self.service.exchange.take(*command);
-                    if self.closed {
-                        self.service.exchange.left(id);
-                    }
                     self.owed.push_back(Owed::Command(id, text, answer));
                 }
                 Some(Incoming::Malformed(line)) => {
@@ -202,7 +198,7 @@
 
     /// The client has closed its side: it is gone, or waits for the answers that it is owed.
     fn leave(&mut self) {
-        self.closed = true;
+        self.ended = true;
         for owed in &self.owed {
             if let Owed::Command(id, ..) = owed {
                 self.service.exchange.left(*id);
