End quiet client connections, make silent ones give way, turn discovery on SIGHUP

Checked: memory stood at 1.1 MB, CPU at 0.04 s in a second, hosts had 120 connections; so neither of these. At fault: service.rs accept() waited once `limit` connections were open, and no connection ever ended by itself; lib.rs run() caught no SIGHUP, and name_table.rs follow() held one address for good. Now: 2.2 s without an open command ends a connection (0.75 s from the first byte of one half sent, if longer), a full house tells the longest silent one to leave, and SIGHUP reads the file and turns the watch at once.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration, read once into the few values that the program uses.
 
+use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,9 +11,11 @@
 use crate::clock::duration;
 use crate::name_table::{Catalog, Names};
 
-/// Everything that is settled at the start.
+/// Everything that the file says.
 #[derive(Debug)]
 pub struct Config {
+    /// The file that it came from, which a reload reads anew; none where it came from elsewhere.
+    pub file: Option<OsString>,
     /// This balancer's name.
     pub name: String,
     /// Where clients connect.
@@ -65,10 +68,15 @@
 impl Config {
     /// Reads the file that the environment names. A problem is told in one line.
     pub fn from_environment() -> Result<Config, String> {
-        let path = std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?;
+        Config::read(std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?)
+    }
+
+    /// Reads this file. A problem is told in one line.
+    pub fn read(path: OsString) -> Result<Config, String> {
         let shown = path.to_string_lossy().into_owned();
         let text = std::fs::read(&path).map_err(|e| format!("cannot read {shown}: {e}"))?;
-        Config::parse(text).map_err(|e| format!("{shown}: {e}"))
+        let config = Config::parse(text).map_err(|e| format!("{shown}: {e}"))?;
+        Ok(Config { file: Some(path), ..config })
     }
 
     /// Reads a configuration's text.
@@ -82,6 +90,7 @@
         };
         env.check()?;
         Ok(Config {
+            file: None,
             settings: env.settings(),
             listen: address("listen", &file.listen)?,
             discovery: address("discovery", &file.discovery)?,
--- a/node/src/counters.rs
+++ b/node/src/counters.rs
@@ -25,6 +25,10 @@
     commands,
     /// Lines from clients that were no command.
     malformed,
+    /// Clients' connections closed as they had no command open for too long.
+    quiet,
+    /// Clients' connections ended in the middle of a command.
+    cut,
     /// Commands whose client left before the answer.
     left,
     /// Commands answered with a value or a receipt.
@@ -63,6 +67,8 @@
     opened,
     /// Lists and changes that discovery has told.
     lists,
+    /// Configurations taken over on a signal.
+    reloads,
     /// Calls to discovery that failed, and watches that ended.
     discovery_failures,
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -16,13 +16,16 @@
 #[cfg(test)]
 mod testing;
 
+use std::ffi::OsString;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use juniperladder::{ListKind, Mode};
-use slog::{info, o, Drain, Logger};
+use slog::{error, info, o, Drain, Logger};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
 
 use config::Config;
@@ -52,6 +55,12 @@
 
 /// Runs a balancer until a signal ends it.
 pub async fn run(config: Config, log: Logger) -> Result<(), String> {
+    // The default of each of these signals would end the program, so that they are caught before the rest.
+    let caught = |kind: SignalKind| signal(kind).map_err(|e| format!("no signals: {e}"));
+    let mut terminate = caught(SignalKind::terminate())?;
+    let mut interrupt = caught(SignalKind::interrupt())?;
+    let mut report = caught(SignalKind::user_defined1())?;
+    let mut reload = caught(SignalKind::hangup())?;
     let clock = clock::Clock::start();
     let counters = Rc::new(counters::Counters::default());
     let sockets = config.sockets.saturating_sub(OWN_SOCKETS).max(16);
@@ -92,21 +101,27 @@
         sockets - upstream_sockets,
         log.clone(),
     );
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
-    let mut report = signal(SignalKind::user_defined1()).map_err(|e| format!("no signals: {e}"))?;
     let address = listener.local_addr().unwrap_or(config.listen);
     info!(log, "listening"; "address" => address.to_string(), "hosts" => hosts.len());
 
     let timers = Rc::clone(&exchange);
     spawn_local(async move { timers.run().await });
-    spawn_local(name_table::follow(table, config.discovery, Rc::clone(&exchange), log.clone()));
+    let (discovery, turns) = watch::channel(config.discovery);
+    spawn_local(name_table::follow(table, turns, Rc::clone(&exchange), log.clone()));
     spawn_local(service.accept(listener));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
             _ = report.recv() => info!(log, "counters"; "all" => counters.to_string()),
+            _ = reload.recv() => match reread(&config.file, &discovery) {
+                Ok(()) => {
+                    counters::count(&counters.reloads);
+                    info!(log, "configuration read"; "discovery" => discovery.borrow().to_string());
+                }
+                // What is in force stays so: a file half-written or mistyped must not stop the service.
+                Err(problem) => error!(log, "configuration not taken"; "problem" => problem),
+            },
         }
     }
     info!(log, "stopping");
@@ -115,3 +130,11 @@
     info!(log, "stopped"; "counters" => counters.to_string());
     Ok(())
 }
+
+/// Reads the configuration's file anew and turns to the discovery that it names. What else it says is taken
+/// up at the next start.
+fn reread(file: &Option<OsString>, discovery: &watch::Sender<SocketAddr>) -> Result<(), String> {
+    let config = Config::read(file.clone().ok_or("it came from no file")?)?;
+    discovery.send_if_modified(|address| std::mem::replace(address, config.discovery) != config.discovery);
+    Ok(())
+}
--- a/node/src/name_table.rs
+++ b/node/src/name_table.rs
@@ -11,6 +11,7 @@
 use slog::{info, warn, Logger};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 use crate::clock::from_ms;
@@ -176,14 +177,36 @@
     }
 }
 
-/// Watches discovery whenever the module asks for it, and tells the module what comes.
-pub async fn follow(mut table: NameTable, discovery: SocketAddr, exchange: Rc<Exchange>, log: Logger) {
+/// Watches discovery whenever the module asks for it, and tells the module what comes. When the address
+/// changes it turns to the new one at once, whatever the old one still says.
+pub async fn follow(
+    mut table: NameTable,
+    mut discovery: watch::Receiver<SocketAddr>,
+    exchange: Rc<Exchange>,
+    log: Logger,
+) {
+    let mut turned = false;
     loop {
-        exchange.watch_wanted().await;
-        let problem = match watch(&mut table, discovery, &exchange, &log).await {
-            Ok(()) => "the watch has ended".to_owned(),
-            Err(problem) => problem,
+        if !turned {
+            tokio::select! {
+                () = exchange.watch_wanted() => {}
+                turn = discovery.changed() => turned = turn.is_ok(),
+            }
+        }
+        if turned {
+            // Another service may count its versions otherwise: it is asked for the whole list.
+            table.generation = None;
+        }
+        let address = *discovery.borrow_and_update();
+        let heard = tokio::select! {
+            heard = watch(&mut table, address, &exchange, &log) => heard,
+            Ok(()) = discovery.changed() => {
+                turned = true;
+                continue;
+            }
         };
+        turned = false;
+        let problem = heard.err().unwrap_or_else(|| "the watch has ended".to_owned());
         // The module spaces the calls out: it asks again after a wait of its own.
         warn!(log, "discovery"; "problem" => problem);
         count(&exchange.counters().discovery_failures);
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -1,6 +1,6 @@
 //! The client side: service clients' connections, the commands on them, and the answers in their order.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
 use std::rc::Rc;
@@ -9,9 +9,9 @@
 use slog::{warn, Logger};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpListener;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, Notify};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout, Duration};
+use tokio::time::{sleep, sleep_until, timeout, Duration, Instant};
 
 use crate::counters::count;
 use crate::exchange::{Answer, CommandId, Exchange};
@@ -25,6 +25,19 @@
 
 /// How long a connection that is about to close is read once more.
 const LAST_LOOK: Duration = Duration::from_millis(2);
+/// How long a connection may go without an open command: one that is silent, kept for good or in the middle
+/// of a command holds a descriptor that others need. Unfinished commands do not set it back.
+const QUIET: Duration = Duration::from_millis(2200);
+/// How long a command may take from its first byte to its last, if that is longer.
+const HALF: Duration = Duration::from_millis(750);
+/// How long a full house waits for the one that was told to leave.
+const ROOM: Duration = Duration::from_millis(10);
+/// How long a client may take to read any part of the answers that wait for it.
+const UNREAD: Duration = Duration::from_secs(5);
+/// How long, and how far, what a client still sends is read off after its last answer, as a close over
+/// unread bytes would reset the connection and might take that answer with it.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_BYTES: u64 = 256 * 1024;
 
 /// What a connection owes its client, in order.
 #[derive(Debug)]
@@ -41,18 +54,36 @@
     classes: Vec<String>,
     shutdown: Rc<Shutdown>,
     limit: usize,
-    open: Cell<usize>,
+    seats: RefCell<Vec<Rc<Seat>>>,
+    left: Notify,
     log: Logger,
 }
 
+/// A connection's place among those that the limit allows.
+#[derive(Debug)]
+struct Seat {
+    /// Since when it has had no command open.
+    quiet: Cell<Instant>,
+    busy: Cell<bool>,
+    /// Whether a command has begun to come.
+    half: Cell<bool>,
+    /// Whether it has ever brought a command.
+    spoke: Cell<bool>,
+    leave: Notify,
+}
+
 /// Counts a connection for as long as it lives.
-struct Counted(Rc<Service>);
+struct Seated {
+    service: Rc<Service>,
+    seat: Rc<Seat>,
+}
 
-impl Drop for Counted {
+impl Drop for Seated {
     fn drop(&mut self) {
-        let open = self.0.open.get() - 1;
-        self.0.open.set(open);
-        self.0.shutdown.connections(open);
+        let mut seats = self.service.seats.borrow_mut();
+        seats.retain(|seat| !Rc::ptr_eq(seat, &self.seat));
+        self.service.shutdown.connections(seats.len());
+        self.service.left.notify_one();
     }
 }
 
@@ -65,27 +96,29 @@
         limit: usize,
         log: Logger,
     ) -> Rc<Service> {
-        Rc::new(Service { exchange, classes, shutdown, limit, open: Cell::new(0), log })
+        let (seats, left) = Default::default();
+        Rc::new(Service { exchange, classes, shutdown, limit, seats, left, log })
     }
 
     /// Accepts service clients for as long as it is polled.
     pub async fn accept(self: Rc<Service>, listener: TcpListener) {
         loop {
-            if self.open.get() >= self.limit {
-                // The backlog holds who comes now until another leaves.
-                sleep(Duration::from_millis(5)).await;
+            if self.seats.borrow().len() >= self.limit {
+                // Connections that say nothing must not shut out those that do. Where all are at work the
+                // backlog holds who comes now until one leaves.
+                self.make_room();
+                // The one that was told may have brought a command meanwhile: then another is.
+                let _ = timeout(ROOM, self.left.notified()).await;
                 continue;
             }
             match listener.accept().await {
                 Ok((stream, _)) => {
                     count(&self.exchange.counters().clients);
                     self.shutdown.accepted();
-                    self.open.set(self.open.get() + 1);
-                    self.shutdown.connections(self.open.get());
                     let _ = stream.set_nodelay(true);
-                    let counted = Counted(Rc::clone(&self));
+                    let seated = self.seat();
                     spawn_local(async move {
-                        let mut client = ServiceClient::new(&counted.0);
+                        let mut client = ServiceClient::new(&seated.service, &seated.seat);
                         // A connection that breaks has no one to be told.
                         let _ = client.serve(stream).await;
                     });
@@ -98,27 +131,62 @@
             }
         }
     }
+
+    fn seat(self: &Rc<Service>) -> Seated {
+        let (busy, half, spoke, leave) = Default::default();
+        let seat = Rc::new(Seat { quiet: Cell::new(Instant::now()), busy, half, spoke, leave });
+        self.seats.borrow_mut().push(Rc::clone(&seat));
+        self.shutdown.connections(self.seats.borrow().len());
+        Seated { service: Rc::clone(self), seat }
+    }
+
+    /// Waits until this connection, which owes nothing, should close.
+    async fn closing(&self, seat: &Seat, patience: Option<Instant>) {
+        tokio::select! {
+            () = self.shutdown.closing() => {}
+            () = seat.leave.notified() => {}
+            () = until(patience) => count(&self.exchange.counters().quiet),
+        }
+    }
+
+    /// Tells one connection to leave that has no command open: the longest quiet of those that never brought
+    /// one, or else of the others, and one in the middle of a command only when there is no other.
+    fn make_room(&self) {
+        let seats = self.seats.borrow();
+        let quiet = seats.iter().filter(|seat| !seat.busy.get());
+        if let Some(seat) = quiet.min_by_key(|seat| (seat.half.get(), seat.spoke.get(), seat.quiet.get())) {
+            seat.leave.notify_one();
+        }
+    }
 }
 
 /// One client's connection.
 struct ServiceClient<'a> {
     service: &'a Service,
+    seat: &'a Seat,
     commands: Commands,
     input: BytesMut,
     output: BytesMut,
     owed: VecDeque<Owed>,
+    /// Since when a command has been coming that is not whole.
+    half: Option<Instant>,
+    /// When the client last read a part of what waits for it.
+    read: Instant,
     /// The client sends no more, or nothing after this can be understood.
     ended: bool,
 }
 
 impl<'a> ServiceClient<'a> {
-    fn new(service: &'a Service) -> ServiceClient<'a> {
+    fn new(service: &'a Service, seat: &'a Seat) -> ServiceClient<'a> {
         ServiceClient {
             service,
+            seat,
             commands: Commands::default(),
             input: BytesMut::new(),
             output: BytesMut::new(),
             owed: VecDeque::new(),
+            half: None,
+            read: Instant::now(),
             ended: false,
         }
     }
@@ -127,12 +195,38 @@
         self.owed.is_empty() && self.output.is_empty() && self.input.is_empty() && !self.commands.unfinished()
     }
 
+    /// Until when this connection may go on as it is; none while its client waits for the exchange.
+    fn patience(&self) -> Option<Instant> {
+        if !self.output.is_empty() {
+            return Some(self.read + UNREAD);
+        }
+        let half = self.half.map(|since| since + HALF);
+        self.owed.is_empty().then(|| (self.seat.quiet.get() + QUIET).max(half.unwrap_or(self.read)))
+    }
+
+    /// Keeps the times by which the connection is judged.
+    fn keep_time(&mut self) {
+        let now = Instant::now();
+        let busy = !self.owed.is_empty() || !self.output.is_empty();
+        if self.seat.busy.replace(busy) && !busy {
+            self.seat.quiet.set(now);
+        }
+        let half = !self.input.is_empty() || self.commands.unfinished();
+        self.seat.half.set(half);
+        self.half = if half { self.half.or(Some(now)) } else { None };
+        if self.output.is_empty() {
+            self.read = now;
+        }
+    }
+
     async fn serve<S: AsyncRead + AsyncWrite>(&mut self, stream: S) -> io::Result<()> {
         let (mut reader, mut writer) = tokio::io::split(stream);
         loop {
             self.take();
+            self.keep_time();
             if self.ended && self.owed.is_empty() && self.output.is_empty() {
-                return writer.shutdown().await;
+                writer.shutdown().await?;
+                return linger(&mut reader).await;
             }
             // With room here every whole command has been taken, so that the end of the client's side, which
             // is only read then, never comes before a command that it had sent.
@@ -140,18 +234,21 @@
             // Answers to a client that does not read them wait in their small form.
             let drained = self.output.len() < MAX_OUTPUT;
             let idle = self.idle();
+            let patience = self.patience();
+            let service = self.service;
             tokio::select! {
                 biased;
                 answered = next_answer(&mut self.owed), if drained => self.write(answered),
                 written = writer.write_buf(&mut self.output), if !self.output.is_empty() => {
                     written?;
+                    self.read = Instant::now();
                 }
                 read = reader.read_buf(&mut self.input), if room && drained => {
                     if read? == 0 {
                         self.leave();
                     }
                 }
-                () = self.service.shutdown.closing(), if idle => {
+                () = service.closing(self.seat, patience), if idle => {
                     // A command may have come that the runtime has not looked for yet: it is taken, and a
                     // close over unread bytes would reset the connection.
                     match timeout(LAST_LOOK, reader.read_buf(&mut self.input)).await {
@@ -161,10 +258,25 @@
                         }
                     }
                 }
+                () = until(patience), if !idle => {
+                    if !self.output.is_empty() {
+                        return Err(io::ErrorKind::TimedOut.into());
+                    }
+                    self.cut();
+                }
+                // Half a command gives its seat up too, but only when nothing else can.
+                () = self.seat.leave.notified(), if !idle && !self.seat.busy.get() => self.cut(),
             }
         }
     }
 
+    /// Ends a connection whose client is owed nothing and has sent half a command.
+    fn cut(&mut self) {
+        count(&self.service.exchange.counters().cut);
+        self.owed.push_back(Owed::Line("CLIENT_ERROR command not finished in time"));
+        self.ended = true;
+    }
+
     /// Takes every whole command in hand.
     fn take(&mut self) {
         while !self.ended && self.owed.len() < MAX_OWED && self.output.len() < MAX_OUTPUT {
@@ -176,6 +288,7 @@
                 }
                 Some(Incoming::Ready) => self.owed.push_back(Owed::Line("SERVER_ERROR not ready")),
                 Some(Incoming::Command(mut command, class)) => {
+                    (self.half, _) = (None, self.seat.spoke.replace(true));
                     let place = self.service.classes.iter().position(|name| name.as_bytes() == class);
                     command.class = place.map_or(u32::MAX, |place| place as u32);
                     let text = command.id.clone();
@@ -228,6 +341,21 @@
     }
 }
 
+/// Waits until this time, or for ever.
+async fn until(time: Option<Instant>) {
+    match time {
+        Some(time) => sleep_until(time).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Reads off for a moment what a client still sends that has been told its last answer.
+async fn linger<R: AsyncRead + Unpin>(reader: &mut R) -> io::Result<()> {
+    let (mut rest, mut nowhere) = (reader.take(LINGER_BYTES), tokio::io::sink());
+    let _ = timeout(LINGER, tokio::io::copy(&mut rest, &mut nowhere)).await;
+    Ok(())
+}
+
 /// Waits for the first answer owed; the others wait behind it.
 async fn next_answer(owed: &mut VecDeque<Owed>) -> (Owed, Answer) {
     let answer = match owed.front_mut() {
@@ -276,6 +404,12 @@
         Service::new(exchange, vec!["read".into()], Rc::default(), 8, testing::log())
     }
 
+    async fn serve(service: Rc<Service>, stream: impl AsyncRead + AsyncWrite) -> io::Result<()> {
+        let seated = service.seat();
+        let mut client = ServiceClient::new(&seated.service, &seated.seat);
+        client.serve(stream).await
+    }
+
     proptest! {
         #![proptest_config(ProptestConfig { cases: 128, failure_persistence: None,
             rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..ProptestConfig::default() })]
@@ -288,8 +422,7 @@
                 let recorder = Rc::new(Recorder::default());
                 let service = service(&recorder);
                 let (near, mut far) = duplex(1 << 16);
-                let serving = Rc::clone(&service);
-                let task = spawn_local(async move { ServiceClient::new(&serving).serve(near).await });
+                let task = spawn_local(serve(Rc::clone(&service), near));
                 // The model: the answers owed, and which executions they wait for.
                 let mut owed: Vec<Option<&str>> = Vec::new();
                 let mut out: Vec<usize> = Vec::new();
@@ -335,6 +468,54 @@
         }
     }
 
+    /// Whoever says nothing, keeps a connection for good or stops half-way through a command gives it up, and
+    /// one that is half-way is told why.
+    #[test]
+    fn a_connection_without_a_command_closes_in_time() {
+        testing::run(async {
+            let recorder = Rc::new(Recorder::default());
+            for (sent, told) in [
+                ("", ""),
+                ("mn\r\n", "MN\r\n"),
+                ("mg a v O1 Pc=re", "CLIENT_ERROR command not finished in time\r\n"),
+                ("ms k 5 Oid Pc=read,d=480\r\nab", "CLIENT_ERROR command not finished in time\r\n"),
+            ] {
+                let (near, mut far) = duplex(1 << 16);
+                spawn_local(serve(service(&recorder), near));
+                let start = Instant::now();
+                for piece in sent.as_bytes().chunks(4) {
+                    far.write_all(piece).await.unwrap();
+                    sleep(Duration::from_millis(1)).await;
+                }
+                let mut got = String::new();
+                far.read_to_string(&mut got).await.unwrap();
+                assert_eq!(got, told);
+                assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
+            }
+        });
+    }
+
+    /// Silent connections by the hundred must not shut out a client that has something to say.
+    #[test]
+    fn a_silent_connection_gives_way() {
+        testing::run_on_sockets(async {
+            let recorder = Rc::new(Recorder::default());
+            let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+            let address = listener.local_addr().unwrap();
+            spawn_local(service(&recorder).accept(listener));
+            let mut silent = Vec::new();
+            for _ in 0..40 {
+                silent.push(tokio::net::TcpStream::connect(address).await.unwrap());
+            }
+            let mut far = tokio::net::TcpStream::connect(address).await.unwrap();
+            far.write_all(b"mn\r\n").await.unwrap();
+            let mut got = [0; 4];
+            far.read_exact(&mut got).await.unwrap();
+            assert_eq!(&got, b"MN\r\n");
+            assert_eq!(silent[0].read(&mut got).await.unwrap(), 0, "the first was told to leave");
+        });
+    }
+
     /// A client whose connection breaks has gone away: nothing is sent for it any more.
     #[test]
     fn a_broken_connection_ends_its_commands() {
@@ -343,7 +524,8 @@
             let service = service(&recorder);
             let (near, mut far) = duplex(1 << 16);
             far.write_all(b"mg a v O1 Pc=read,d=480\r\nmg b v O2 Pc=read,d=480\r\n").await.unwrap();
-            let mut client = ServiceClient::new(&service);
+            let seated = service.seat();
+            let mut client = ServiceClient::new(&seated.service, &seated.seat);
             tokio::select! {
                 biased;
                 _ = client.serve(near) => panic!("it still owes answers"),
@@ -367,8 +549,7 @@
             let commands = MAX_OWED * 2 + 7;
             far.write_all("mg a v O1 Pc=read,d=480\r\n".repeat(commands).as_bytes()).await.unwrap();
             far.shutdown().await.unwrap();
-            let serving = Rc::clone(&service);
-            let task = spawn_local(async move { ServiceClient::new(&serving).serve(near).await });
+            let task = spawn_local(serve(Rc::clone(&service), near));
             while !task.is_finished() {
                 settle().await;
                 for execution in recorder.begun.take() {
@@ -388,9 +569,7 @@
             let recorder = Rc::new(Recorder::default());
             let service = service(&recorder);
             let (near, mut far) = duplex(1 << 16);
-            let serving = Rc::clone(&service);
-            spawn_local(async move { ServiceClient::new(&serving).serve(near).await });
-            service.shutdown.connections(0);
+            spawn_local(serve(Rc::clone(&service), near));
             far.write_all(b"mg a v O1 Pc=read,d=480\r\n").await.unwrap();
             settle().await;
             service.shutdown.run(Duration::from_secs(3)).await;
@@ -412,8 +591,7 @@
             let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
             let mut far = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
             let (near, _) = listener.accept().await.unwrap();
-            let serving = Rc::clone(&service);
-            let task = spawn_local(async move { ServiceClient::new(&serving).serve(near).await });
+            let task = spawn_local(serve(Rc::clone(&service), near));
             settle().await;
             io::Write::write_all(&mut far, b"mn\r\n").unwrap();
             service.shutdown.close();
--- a/node/tests/process.rs
+++ b/node/tests/process.rs
@@ -2,7 +2,9 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::process::{Command, Stdio};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc;
 use std::thread;
 
@@ -19,18 +21,39 @@
     )
 }
 
+fn file(text: &str) -> PathBuf {
+    static LAST: AtomicU32 = AtomicU32::new(0);
+    let number = LAST.fetch_add(1, Ordering::Relaxed);
+    let name = format!("juniperladder-test-{}-{number}.json", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
 fn program(config: Option<&str>) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_juniperladder"));
     command.env_remove("NODE_CONFIG").stdout(Stdio::piped()).stderr(Stdio::piped());
     if let Some(text) = config {
-        let name = format!("juniperladder-test-{}-{:x}.json", std::process::id(), text.len());
-        let path = std::env::temp_dir().join(name);
-        std::fs::write(&path, text).unwrap();
-        command.env("NODE_CONFIG", path);
+        command.env("NODE_CONFIG", file(text));
     }
     command
 }
 
+fn tell(child: &Child, signal: &str) {
+    assert!(Command::new("kill").args([signal, &child.id().to_string()]).status().unwrap().success());
+}
+
+/// Reads the log up to the next line that holds this.
+fn logged(log: &mut impl BufRead, part: &str) -> String {
+    loop {
+        let mut line = String::new();
+        assert!(log.read_line(&mut line).unwrap() > 0, "the log ends without {part}");
+        if line.contains(part) {
+            return line;
+        }
+    }
+}
+
 #[test]
 fn a_start_that_cannot_be_ends_with_one_plain_line() {
     let taken = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -50,8 +73,7 @@
     let address = host.local_addr().unwrap().to_string();
     let mut child = program(Some(&config("127.0.0.1:0", &address, &address))).spawn().unwrap();
     let mut log = BufReader::new(child.stderr.take().unwrap());
-    let mut line = String::new();
-    log.read_line(&mut line).unwrap();
+    let line = logged(&mut log, "listening");
     let listen = line.split("address: ").nth(1).and_then(|rest| rest.split(',').next()).expect("an address");
     let mut client = TcpStream::connect(listen.trim()).unwrap();
     let mut answers = BufReader::new(client.try_clone().unwrap());
@@ -73,8 +95,7 @@
         }
     });
     assert!(taken.recv().unwrap().starts_with("mg 7f3a9c21e0b4d655 v O7 Pc=read,d="));
-    let killed = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
-    assert!(killed.success());
+    tell(&child, "-TERM");
     signalled.send(()).unwrap();
     let mut rest = String::new();
     answers.read_to_string(&mut rest).unwrap();
@@ -85,3 +106,29 @@
     log.read_to_string(&mut told).unwrap();
     assert!(told.contains("commands=1") && told.contains("served=1"), "{told}");
 }
+
+/// A new configuration turns the program to another discovery while it serves; a broken one changes nothing.
+#[test]
+fn a_signal_has_the_configuration_read_anew() {
+    let [old, new] = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    let [before, after] =
+        [&old, &new].map(|l| config("127.0.0.1:0", &l.local_addr().unwrap().to_string(), ""));
+    let path = file(&before);
+    let mut child = program(None).env("NODE_CONFIG", &path).spawn().unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    logged(&mut log, "listening");
+    std::fs::write(&path, &after[..after.len() / 2]).unwrap();
+    tell(&child, "-HUP");
+    logged(&mut log, "configuration not taken");
+    std::fs::write(&path, &after).unwrap();
+    tell(&child, "-HUP");
+    let (watch, _) = new.accept().unwrap();
+    let mut call = String::new();
+    BufReader::new(watch).read_line(&mut call).unwrap();
+    assert_eq!(call, "GET /catalog/members?follow=1 HTTP/1.1\r\n", "the whole list is asked for");
+    // Once more, with nothing changed, and it is still there to be ended.
+    tell(&child, "-HUP");
+    logged(&mut log, "configuration read");
+    tell(&child, "-TERM");
+    assert!(child.wait().unwrap().success());
+}
