Turn bad commands away; fail spoilt answers and let go of endless ones

Checked by a dump of both sides: bad clients name classes such as schedule-reads by the hundred on one connection and ids of other open commands; hosts close on those (288 CLIENT_ERROR at one node in 4 s, 26,997 connections opened); the origin sends bodies behind a Content-Length that is too short, and 3 GB bodies. Ruled out: clients' 60 MB values, which were refused at their line already, and the size of read buffers. Where bytes stand behind an origin's body that begin no response, the body is held to be cut short: a good response with noise behind it then fails too, as no one can tell the two apart.

--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -30,6 +30,8 @@
     pub never_ran: bool,
     /// Whether the connection ends with this response.
     pub close: bool,
+    /// The id that the response names, where it names one.
+    pub id: Option<Bytes>,
     framing: Framing,
 }
 
@@ -45,8 +47,9 @@
 
 fn header<'a>(input: &mut &'a [u8]) -> winnow::Result<(&'a [u8], &'a [u8])> {
     let name = take_while(1.., |b: u8| b.is_ascii_graphic() && b != b':');
-    let value = take_till(0.., (b'\r', b'\n'));
-    terminated(separated_pair(name, (b':', space0), value), end).parse_next(input)
+    // Whatever it holds: a load report that cannot be read spoils no response.
+    let value = take_till(0.., b'\n');
+    terminated(separated_pair(name, (b':', space0), value), b'\n').parse_next(input)
 }
 
 fn head<'a>(input: &mut &'a [u8]) -> winnow::Result<Head> {
@@ -71,6 +74,10 @@
     Ok(Head {
         status: code.iter().fold(0, |sum, digit| sum * 10 + u16::from(digit - b'0')),
         never_ran: has("x-never-ran", "1"),
+        id: headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(b"x-trace-id"))
+            .map(|(_, id)| Bytes::copy_from_slice(id.trim_ascii())),
         close: has("connection", "close") || minor == b"0" || framing == Framing::UntilClose,
         framing,
     })
@@ -97,7 +104,7 @@
 impl Response {
     /// Takes what belongs to this response off the input.
     pub fn read(&mut self, input: &mut BytesMut) -> Result<(), String> {
-        if self.head.is_none() {
+        while self.head.is_none() {
             let Some(length) = head_length(input) else {
                 return if input.len() > MAX_HEAD {
                     Err("a response's head has no end".into())
@@ -110,6 +117,10 @@
             let parsed = parsed.map_err(|_| {
                 format!("not a response: {:?}", String::from_utf8_lossy(&text[..length.min(80)]))
             })?;
+            if parsed.status < 200 {
+                // Only tells that the response is on its way.
+                continue;
+            }
             if let Framing::Length(length) = parsed.framing {
                 self.left = length;
             }
@@ -131,6 +142,12 @@
         self.done |= self.head.as_ref().is_some_and(|head| head.framing == Framing::UntilClose);
     }
 
+    /// Whether its body is, or is said to be, longer than any value: it must not be read to its end.
+    pub fn too_large(&self) -> bool {
+        let said = self.head.as_ref().map(|head| head.framing);
+        self.body.len() > MAX_VALUE || matches!(said, Some(Framing::Length(length)) if length > MAX_VALUE)
+    }
+
     fn take(&mut self, input: &mut BytesMut) {
         let part = input.split_to(self.left.min(input.len()));
         self.left -= part.len();
@@ -167,6 +184,12 @@
     }
 }
 
+/// Whether these bytes may be the beginning of a response, or none at all.
+pub fn may_begin(input: &[u8]) -> bool {
+    const BEGINNING: &[u8] = b"HTTP/1.";
+    input.iter().zip(BEGINNING).all(|(a, b)| a == b)
+}
+
 fn head_length(input: &[u8]) -> Option<usize> {
     let mut from = 0;
     loop {
@@ -206,7 +229,6 @@
 pub fn reply(response: &Response, write: bool) -> Reply {
     let Some(head) = &response.head else { return Reply::Error };
     match head.status {
-        200 if response.body.len() > MAX_VALUE => Reply::Error,
         200 => {
             let body = Bytes::copy_from_slice(&response.body);
             Reply::Served(if write { Answer::Receipt(body) } else { Answer::Value(body) })
--- a/node/src/memcache.rs
+++ b/node/src/memcache.rs
@@ -56,6 +56,13 @@
     (word, words).parse_next(input)
 }
 
+/// The words of a host's line, whatever their bytes: a load report that cannot be read spoils no answer.
+fn told<'a>(input: &mut &'a [u8]) -> winnow::Result<(&'a [u8], Flags<'a>)> {
+    let any = |input: &mut &'a [u8]| take_while(1.., |byte: u8| byte != b' ').parse_next(input);
+    (word, terminated(repeat(0.., preceded(take_while(1.., b' '), any)), take_while(0.., b' ')))
+        .parse_next(input)
+}
+
 fn property<'a>(input: &mut &'a [u8]) -> winnow::Result<(&'a [u8], &'a [u8])> {
     separated_pair(take_while(1.., |b| b != b'='), b'=', take_while(0.., |_| true)).parse_next(input)
 }
@@ -168,10 +175,8 @@
         properties.push((list.slice_ref(name), list.slice_ref(value)));
     }
     let value_of = |name: &[u8]| properties.iter().find(|(n, _)| n == name).map(|(_, v)| v.clone());
-    let wait = match value_of(b"d") {
-        Some(text) => Some(from_ms(number(&text).ok_or("CLIENT_ERROR bad properties")?)),
-        None => None,
-    };
+    let wait = value_of(b"d").ok_or("CLIENT_ERROR no deadline")?;
+    let wait = Some(from_ms(number(&wait).ok_or("CLIENT_ERROR bad properties")?));
     let class = value_of(b"c").unwrap_or_default();
     let command = Command { id, key: text.slice_ref(key), value: None, class: 0, wait, properties };
     Ok((Box::new(command), class))
@@ -246,15 +251,17 @@
     let shown = |text: &[u8]| format!("{:?}", String::from_utf8_lossy(&text[..text.len().min(80)]));
     let strange = |text: &[u8]| format!("not an answer: {}", shown(text));
     let text = &input[..bare];
-    let (name, flags) = line.parse(text).map_err(|_| strange(text))?;
+    let (name, flags) = told.parse(text).map_err(|_| strange(text))?;
     let flag = |name: u8| flags.iter().find(|f| f[0] == name).map(|f| &f[1..]);
     if matches!(name, b"VA" | b"HD" | b"EN") && flag(b'O') != Some(&command.id[..]) {
         return Err(format!("an answer for another id: {}", shown(text)));
     }
+    let write = command.value.is_some();
     let mut value = None;
     let reply = match (name, flags.first().copied()) {
-        (b"VA", Some(length)) => {
+        (b"VA", Some(length)) if !write => {
             let length = number(length).and_then(|n| usize::try_from(n).ok()).ok_or_else(|| strange(text))?;
+            // A value far too long is refused at its line: it would keep coming and fill the memory.
             if length > MAX_VALUE {
                 return Err(strange(text));
             }
@@ -267,7 +274,7 @@
             value = Some(length);
             None
         }
-        (b"HD", _) => {
+        (b"HD", _) if write => {
             let receipt = flag(b'c').ok_or_else(|| strange(text))?;
             Some(Reply::Served(Answer::Receipt(Bytes::copy_from_slice(receipt))))
         }
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -20,6 +20,10 @@
 
 /// Commands that one connection may have open: enough for any pipeline, a bound for one that runs away.
 const MAX_OWED: usize = 128;
+/// What is no command may come so often on one connection: more is noise, or someone who does not listen.
+const MAX_MALFORMED: usize = 64;
+/// Room made for each read.
+const READ: usize = 2048;
 /// Answer bytes that may stand unwritten before a connection's further commands have to wait.
 const MAX_OUTPUT: usize = 256 * 1024;
 
@@ -168,6 +172,8 @@
     input: BytesMut,
     output: BytesMut,
     owed: VecDeque<Owed>,
+    /// How much it has brought that was no command.
+    malformed: usize,
     /// Since when a command has been coming that is not whole.
     half: Option<Instant>,
     /// When the client last read a part of what waits for it.
@@ -185,6 +191,7 @@
             input: BytesMut::new(),
             output: BytesMut::new(),
             owed: VecDeque::new(),
+            malformed: 0,
             half: None,
             read: Instant::now(),
             ended: false,
@@ -236,6 +243,9 @@
             let idle = self.idle();
             let patience = self.patience();
             let service = self.service;
+            if room && drained {
+                self.input.reserve(READ);
+            }
             tokio::select! {
                 biased;
                 answered = next_answer(&mut self.owed), if drained => self.write(answered),
@@ -280,7 +290,6 @@
     /// Takes every whole command in hand.
     fn take(&mut self) {
         while !self.ended && self.owed.len() < MAX_OWED && self.output.len() < MAX_OUTPUT {
-            let counters = self.service.exchange.counters();
             match self.commands.next(&mut self.input) {
                 None => return,
                 Some(Incoming::Ready) if self.service.exchange.ready() => {
@@ -290,18 +299,21 @@
                 Some(Incoming::Command(mut command, class)) => {
                     (self.half, _) = (None, self.seat.spoke.replace(true));
                     let place = self.service.classes.iter().position(|name| name.as_bytes() == class);
-                    command.class = place.map_or(u32::MAX, |place| place as u32);
+                    // A class that the settings lack has no deadline and no effect: hosts turn it away too.
+                    let Some(place) = place else {
+                        self.turn_away("CLIENT_ERROR unknown class");
+                        continue;
+                    };
+                    command.class = place as u32;
                     let text = command.id.clone();
-                    let (id, answer) = self.service.exchange.take(*command);
-                    self.owed.push_back(Owed::Command(id, text, answer));
-                }
-                Some(Incoming::Malformed(line)) => {
-                    count(&counters.malformed);
-                    self.owed.push_back(Owed::Line(line));
+                    match self.service.exchange.take(*command) {
+                        Some((id, answer)) => self.owed.push_back(Owed::Command(id, text, answer)),
+                        None => self.turn_away("CLIENT_ERROR id in use"),
+                    }
                 }
+                Some(Incoming::Malformed(line)) => self.turn_away(line),
                 Some(Incoming::Lost(line)) => {
-                    count(&counters.malformed);
-                    self.owed.push_back(Owed::Line(line));
+                    self.turn_away(line);
                     self.ended = true;
                 }
                 Some(Incoming::Quit) => self.ended = true,
@@ -309,6 +321,14 @@
         }
     }
 
+    /// Owes this line for what was no command. Whoever goes on sending such things loses the connection.
+    fn turn_away(&mut self, line: &'static str) {
+        count(&self.service.exchange.counters().malformed);
+        self.owed.push_back(Owed::Line(line));
+        self.malformed += 1;
+        self.ended |= self.malformed >= MAX_MALFORMED;
+    }
+
     /// The client has closed its side: it is gone, or waits for the answers that it is owed.
     fn leave(&mut self) {
         self.ended = true;
@@ -424,11 +444,13 @@
                 let (near, mut far) = duplex(1 << 16);
                 let task = spawn_local(serve(Rc::clone(&service), near));
                 // The model: the answers owed, and which executions they wait for.
-                let mut owed: Vec<Option<&str>> = Vec::new();
+                let mut owed: Vec<Option<String>> = Vec::new();
                 let mut out: Vec<usize> = Vec::new();
                 for step in steps {
                     match step {
                         Step::Line(text, answer) => {
+                            // Ids in use are turned away: each command has its own, of one length.
+                            let text = text.replace("Oid", &format!("O{:02}", owed.len()));
                             for piece in text.as_bytes().chunks(cut) {
                                 far.write_all(piece).await.unwrap();
                                 settle().await;
@@ -436,19 +458,21 @@
                             if answer.is_none() {
                                 out.push(owed.len());
                             }
-                            owed.push(answer);
+                            owed.push(answer.map(str::to_owned));
                         }
                         Step::End { newest, served } if !out.is_empty() => {
                             let at = if newest { out.len() - 1 } else { 0 };
                             let execution = recorder.begun.borrow_mut().remove(at);
                             let value = Bytes::from_static(b"x\r\ny");
+                            let place = out.remove(at);
                             let (reply, answer) = if served {
-                                (Reply::Served(Answer::Value(value)), "VA 4 Oid\r\nx\r\ny\r\n")
+                                let answer = format!("VA 4 O{place:02}\r\nx\r\ny\r\n");
+                                (Reply::Served(Answer::Value(value)), answer)
                             } else {
-                                (Reply::Error, "SERVER_ERROR failed\r\n")
+                                (Reply::Error, "SERVER_ERROR failed\r\n".into())
                             };
                             service.exchange.ended(execution.id, End::Reply(reply));
-                            owed[out.remove(at)] = Some(answer);
+                            owed[place] = Some(answer);
                         }
                         Step::End { .. } => {}
                     }
@@ -462,7 +486,7 @@
                 let mut got = String::new();
                 far.read_to_string(&mut got).await.unwrap();
                 task.await.unwrap().unwrap();
-                (got, owed.into_iter().map(|a| a.unwrap_or("SERVER_ERROR failed\r\n")).collect::<String>())
+                (got, owed.into_iter().map(|a| a.unwrap_or("SERVER_ERROR failed\r\n".into())).collect::<String>())
             });
             prop_assert_eq!(got, want);
         }
@@ -516,6 +540,44 @@
         });
     }
 
+    /// What is no command is told so and never taken: an unknown class, an id that another command has, no
+    /// deadline, and noise without end, whose connection ends.
+    #[test]
+    fn what_is_no_command_is_turned_away() {
+        testing::run(async {
+            let recorder = Rc::new(Recorder::default());
+            let service = service(&recorder);
+            let (near, mut far) = duplex(1 << 16);
+            spawn_local(serve(Rc::clone(&service), near));
+            let (other, mut honest) = duplex(1 << 16);
+            spawn_local(serve(Rc::clone(&service), other));
+            honest.write_all(b"mg k v O1 Pc=read,d=480\r\n").await.unwrap();
+            settle().await;
+            for (line, told) in [
+                ("mg k v O2 Pc=reads,d=480", "CLIENT_ERROR unknown class\r\n"),
+                ("mg k v O2 Pd=480", "CLIENT_ERROR unknown class\r\n"),
+                ("mg k v O1 Pc=read,d=480", "CLIENT_ERROR id in use\r\n"),
+                ("mg k v O2 Pc=read", "CLIENT_ERROR no deadline\r\n"),
+                ("mg k v O2 Pc=read,d=-1", "CLIENT_ERROR bad properties\r\n"),
+            ] {
+                far.write_all(format!("{line}\r\n").as_bytes()).await.unwrap();
+                let mut got = vec![0; told.len()];
+                far.read_exact(&mut got).await.unwrap();
+                assert_eq!(String::from_utf8(got).unwrap(), told);
+            }
+            assert_eq!(recorder.begun.borrow().len(), 1, "only the honest client's has begun");
+            far.write_all(&b"\n".repeat(MAX_MALFORMED * 2)).await.unwrap();
+            let mut got = String::new();
+            far.read_to_string(&mut got).await.unwrap();
+            assert_eq!(got, "ERROR\r\n".repeat(MAX_MALFORMED - 5));
+            let execution = recorder.begun.borrow_mut().pop().unwrap();
+            service.exchange.ended(execution.id, End::Reply(Reply::Served(Answer::Value("v".into()))));
+            let mut got = [0; 12];
+            honest.read_exact(&mut got).await.unwrap();
+            assert_eq!(&got, b"VA 1 O1\r\nv\r\n");
+        });
+    }
+
     /// A client whose connection breaks has gone away: nothing is sent for it any more.
     #[test]
     fn a_broken_connection_ends_its_commands() {
@@ -547,7 +609,8 @@
             let service = service(&recorder);
             let (near, mut far) = duplex(1 << 20);
             let commands = MAX_OWED * 2 + 7;
-            far.write_all("mg a v O1 Pc=read,d=480\r\n".repeat(commands).as_bytes()).await.unwrap();
+            let text: String = (0..commands).map(|id| format!("mg a v O{id} Pc=read,d=480\r\n")).collect();
+            far.write_all(text.as_bytes()).await.unwrap();
             far.shutdown().await.unwrap();
             let task = spawn_local(serve(Rc::clone(&service), near));
             while !task.is_finished() {
