Size every bound from the configured limits; close what times out at the origin

At fault: lib.rs constants; service.rs without an account of bytes; upstream.rs abandon() read late answers off at the origin too, which goes on with work whose connection is open although it serves nobody. Now: bounds.rs derives all from the limits.

--- /dev/null
+++ b/node/src/bounds.rs
@@ -0,0 +1,62 @@
+//! The bounds that follow from the configured limits, all in one place.
+
+/// What the configuration allows the program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of memory.
+    pub memory: usize,
+    /// Descriptors.
+    pub sockets: usize,
+}
+
+/// Descriptors that are neither clients' nor hosts': the standard three, the listener, discovery's connection
+/// and the one it turns to, the runtime's and the signals' own, a file that is read; and some to spare.
+const OWN_SOCKETS: usize = 16;
+/// The part of the other descriptors that connections to hosts may take. Clients hold a third of all for their
+/// commands; those that say nothing are told to leave, and need not be made room for.
+const HOSTS_PART: f64 = 0.55;
+/// The part of the memory that clients' unfinished and open commands and unread answers may take.
+const HELD_PART: f64 = 0.25;
+
+/// How far the program goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Connections from clients.
+    pub clients: usize,
+    /// Connections to hosts.
+    pub hosts: usize,
+    /// Bytes that stand in hand for clients, all of them together.
+    pub held: usize,
+    /// Answer bytes that may stand unread on one client's connection before no more are added.
+    pub unread: usize,
+}
+
+impl Bounds {
+    /// What these limits allow.
+    pub fn of(limits: Limits) -> Bounds {
+        let sockets = limits.sockets.saturating_sub(OWN_SOCKETS).max(16);
+        let hosts = (sockets as f64 * HOSTS_PART) as usize;
+        let clients = sockets - hosts;
+        let held = (limits.memory as f64 * HELD_PART) as usize;
+        Bounds { clients, hosts, held, unread: (held / clients).clamp(4 << 10, 256 << 10) }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Whatever the limits: the descriptors are not overdrawn, clients have more than the third that they
+    /// hold for commands, and what stands in hand for them leaves most of the memory.
+    #[test]
+    fn bounds_keep_within_the_limits() {
+        for (mb, sockets) in [(32, 256), (48, 384), (192, 1024), (32, 1024)] {
+            let bounds = Bounds::of(Limits { memory: mb << 20, sockets });
+            assert!(bounds.clients + bounds.hosts + OWN_SOCKETS <= sockets);
+            assert!(bounds.clients > sockets / 3 && bounds.hosts > sockets / 2);
+            assert!(
+                bounds.held <= (mb << 20) / 4 && bounds.unread * bounds.clients <= bounds.held.max(4 << 20)
+            );
+        }
+    }
+}
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -8,6 +8,7 @@
 use juniperladder_settings::Env;
 use serde::Deserialize;
 
+use crate::bounds::Limits;
 use crate::clock::duration;
 use crate::name_table::{Catalog, Names};
 
@@ -24,8 +25,8 @@
     pub discovery: SocketAddr,
     /// For random numbers, new with each start.
     pub seed: u64,
-    /// File descriptors that the process may hold.
-    pub sockets: usize,
+    /// What the process may take of its machine.
+    pub limits: Limits,
     /// The list as this balancer last had it.
     pub known: Catalog,
     /// What the module is told.
@@ -55,13 +56,15 @@
 }
 
 #[derive(Deserialize)]
+#[serde(default)]
 struct FileLimits {
+    memory_mb: f64,
     sockets: usize,
 }
 
 impl Default for FileLimits {
     fn default() -> FileLimits {
-        FileLimits { sockets: 1024 }
+        FileLimits { memory_mb: 192.0, sockets: 1024 }
     }
 }
 
@@ -97,7 +100,10 @@
             name: file.name,
             seed: u64::from_str_radix(&file.seed, 16)
                 .unwrap_or_else(|_| crate::name_table::hash(file.seed.as_bytes())),
-            sockets: file.limits.sockets,
+            limits: Limits {
+                memory: (file.limits.memory_mb * f64::from(1 << 20)) as usize,
+                sockets: file.limits.sockets,
+            },
             known: file.known,
             classes: env.categories.into_iter().map(|c| c.name).collect(),
             connect_timeout: duration(Micros(env.limits.connect_timeout)),
@@ -125,7 +131,8 @@
     #[test]
     fn a_sound_configuration_is_read() {
         let config = Config::parse(SOUND.into()).unwrap();
-        assert_eq!((config.seed, config.sockets), (0x8c1f_30d2_7a5b_e964, 512));
+        assert_eq!(config.seed, 0x8c1f_30d2_7a5b_e964);
+        assert_eq!(config.limits, Limits { memory: 192 << 20, sockets: 512 });
         assert_eq!((config.settings.mode, config.settings.zone), (Mode::Aside(2), 1));
         assert_eq!(
             (config.idle, config.connect_timeout),
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The client side ([`service`]) and the server side ([`upstream`]) meet only in the [`exchange`].
 
+pub mod bounds;
 pub mod clock;
 pub mod config;
 pub mod counters;
@@ -19,7 +20,6 @@
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use juniperladder::{ListKind, Mode};
 use slog::{error, info, o, Drain, Logger};
@@ -30,13 +30,6 @@
 
 use config::Config;
 
-/// Descriptors that are neither clients' nor hosts': the listener, discovery, the runtime and the log.
-const OWN_SOCKETS: usize = 64;
-/// The part of the other descriptors that connections to hosts may take.
-const UPSTREAM_PART: f64 = 0.4;
-/// How long an answer is awaited whose execution has timed out.
-const LATE: Duration = Duration::from_secs(3);
-
 /// Runs a balancer as the environment describes it, until it is told to stop.
 pub fn run_from_environment() -> Result<(), String> {
     let config = Config::from_environment()?;
@@ -63,20 +56,20 @@
     let mut reload = caught(SignalKind::hangup())?;
     let clock = clock::Clock::start();
     let counters = Rc::new(counters::Counters::default());
-    let sockets = config.sockets.saturating_sub(OWN_SOCKETS).max(16);
-    let upstream_sockets = (sockets as f64 * UPSTREAM_PART) as usize;
+    let bounds = bounds::Bounds::of(config.limits);
+    let longest = config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+    let longest = clock::duration(longest);
     let limits = upstream::Limits {
-        connections: upstream_sockets,
+        connections: bounds.hosts,
         connect_timeout: config.connect_timeout,
         idle: config.idle,
-        late: LATE,
+        late: longest,
         may_duplicate: config.settings.limits.may_duplicate,
         origin: match config.settings.mode {
             Mode::Aside(kind) => Some(kind),
             Mode::Through => None,
         },
     };
-    let longest = config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
     let upstream = upstream::Upstream::new(limits, clock, Rc::clone(&counters), log.clone());
     let exchange = exchange::Exchange::new(
         config.settings,
@@ -98,7 +91,7 @@
         Rc::clone(&exchange),
         config.classes,
         Rc::clone(&shutdown),
-        sockets - upstream_sockets,
+        bounds,
         log.clone(),
     );
     let address = listener.local_addr().unwrap_or(config.listen);
@@ -125,7 +118,7 @@
         }
     }
     info!(log, "stopping");
-    shutdown.run(clock::duration(longest)).await;
+    shutdown.run(longest).await;
     exchange.idle().await;
     info!(log, "stopped"; "counters" => counters.to_string());
     Ok(())
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -13,6 +13,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, timeout, Duration, Instant};
 
+use crate::bounds::Bounds;
 use crate::counters::count;
 use crate::exchange::{Answer, CommandId, Exchange};
 use crate::memcache::{write_answer, Commands, Incoming};
@@ -24,8 +25,8 @@
 const MAX_MALFORMED: usize = 64;
 /// Room made for each read.
 const READ: usize = 2048;
-/// Answer bytes that may stand unwritten before a connection's further commands have to wait.
-const MAX_OUTPUT: usize = 256 * 1024;
+/// What a connection may hold whatever the others do: a command as clients send it.
+const SMALL: usize = 8 * 1024;
 
 /// How long a connection that is about to close is read once more.
 const LAST_LOOK: Duration = Duration::from_millis(2);
@@ -48,8 +49,8 @@
 enum Owed {
     /// Words that need nobody else.
     Line(&'static str),
-    /// A command's answer.
-    Command(CommandId, Bytes, oneshot::Receiver<Answer>),
+    /// A command's answer, and the bytes that the command holds until then.
+    Command(CommandId, Bytes, oneshot::Receiver<Answer>, usize),
 }
 
 /// What all service clients share.
@@ -57,7 +58,8 @@
     exchange: Rc<Exchange>,
     classes: Vec<String>,
     shutdown: Rc<Shutdown>,
-    limit: usize,
+    bounds: Bounds,
+    held: Cell<usize>,
     seats: RefCell<Vec<Rc<Seat>>>,
     left: Notify,
     log: Logger,
@@ -92,22 +94,22 @@
 }
 
 impl Service {
-    /// A service that holds at most so many connections.
+    /// A service that keeps within these bounds.
     pub fn new(
         exchange: Rc<Exchange>,
         classes: Vec<String>,
         shutdown: Rc<Shutdown>,
-        limit: usize,
+        bounds: Bounds,
         log: Logger,
     ) -> Rc<Service> {
-        let (seats, left) = Default::default();
-        Rc::new(Service { exchange, classes, shutdown, limit, seats, left, log })
+        let (held, seats, left) = Default::default();
+        Rc::new(Service { exchange, classes, shutdown, bounds, held, seats, left, log })
     }
 
     /// Accepts service clients for as long as it is polled.
     pub async fn accept(self: Rc<Service>, listener: TcpListener) {
         loop {
-            if self.seats.borrow().len() >= self.limit {
+            if self.seats.borrow().len() >= self.bounds.clients {
                 // Connections that say nothing must not shut out those that do. Where all are at work the
                 // backlog holds who comes now until one leaves.
                 self.make_room();
@@ -172,6 +174,9 @@
     input: BytesMut,
     output: BytesMut,
     owed: VecDeque<Owed>,
+    /// Bytes that its open commands hold, and all that it was last found to hold.
+    open: usize,
+    held: usize,
     /// How much it has brought that was no command.
     malformed: usize,
     /// Since when a command has been coming that is not whole.
@@ -191,6 +196,8 @@
             input: BytesMut::new(),
             output: BytesMut::new(),
             owed: VecDeque::new(),
+            open: 0,
+            held: 0,
             malformed: 0,
             half: None,
             read: Instant::now(),
@@ -211,6 +218,19 @@
         self.owed.is_empty().then(|| (self.seat.quiet.get() + QUIET).max(half.unwrap_or(self.read)))
     }
 
+    /// Keeps account of what this connection holds of the memory.
+    fn keep_account(&mut self) {
+        let held = self.input.len() + self.output.len() + self.open;
+        self.service.held.set(self.service.held.get() + held - self.held);
+        self.held = held;
+    }
+
+    /// Whether more may be read. Where clients hold too much together, those that hold much themselves wait
+    /// until the others are done or run out of time.
+    fn may_hold_more(&self) -> bool {
+        self.held <= SMALL || self.service.held.get() < self.service.bounds.held
+    }
+
     /// Keeps the times by which the connection is judged.
     fn keep_time(&mut self) {
         let now = Instant::now();
@@ -231,15 +251,16 @@
         loop {
             self.take();
             self.keep_time();
+            self.keep_account();
             if self.ended && self.owed.is_empty() && self.output.is_empty() {
                 writer.shutdown().await?;
                 return linger(&mut reader).await;
             }
             // With room here every whole command has been taken, so that the end of the client's side, which
             // is only read then, never comes before a command that it had sent.
-            let room = !self.ended && self.owed.len() < MAX_OWED;
+            let room = !self.ended && self.owed.len() < MAX_OWED && self.may_hold_more();
             // Answers to a client that does not read them wait in their small form.
-            let drained = self.output.len() < MAX_OUTPUT;
+            let drained = self.output.len() < self.service.bounds.unread;
             let idle = self.idle();
             let patience = self.patience();
             let service = self.service;
@@ -289,7 +310,7 @@
 
     /// Takes every whole command in hand.
     fn take(&mut self) {
-        while !self.ended && self.owed.len() < MAX_OWED && self.output.len() < MAX_OUTPUT {
+        while !self.ended && self.owed.len() < MAX_OWED && self.output.len() < self.service.bounds.unread {
             match self.commands.next(&mut self.input) {
                 None => return,
                 Some(Incoming::Ready) if self.service.exchange.ready() => {
@@ -306,8 +327,12 @@
                     };
                     command.class = place as u32;
                     let text = command.id.clone();
+                    let size = command.value.as_ref().map_or(0, Bytes::len);
                     match self.service.exchange.take(*command) {
-                        Some((id, answer)) => self.owed.push_back(Owed::Command(id, text, answer)),
+                        Some((id, answer)) => {
+                            self.open += size;
+                            self.owed.push_back(Owed::Command(id, text, answer, size));
+                        }
                         None => self.turn_away("CLIENT_ERROR id in use"),
                     }
                 }
@@ -345,7 +370,10 @@
                 self.output.put_slice(line.as_bytes());
                 self.output.put_slice(b"\r\n");
             }
-            Owed::Command(_, id, _) => write_answer(&mut self.output, &id, &answer),
+            Owed::Command(_, id, _, size) => {
+                self.open -= size;
+                write_answer(&mut self.output, &id, &answer);
+            }
         }
     }
 }
@@ -353,6 +381,7 @@
 impl Drop for ServiceClient<'_> {
     /// The connection has ended: whoever is still owed an answer is gone.
     fn drop(&mut self) {
+        self.service.held.set(self.service.held.get() - self.held);
         for owed in &self.owed {
             if let Owed::Command(id, ..) = owed {
                 self.service.exchange.gone(*id);
@@ -382,7 +411,7 @@
         None => std::future::pending().await,
         Some(Owed::Line(_)) => Answer::Failed,
         // The exchange answers everything it took; should it ever drop one, that command has failed.
-        Some(Owed::Command(_, _, answer)) => answer.await.unwrap_or(Answer::Failed),
+        Some(Owed::Command(_, _, answer, _)) => answer.await.unwrap_or(Answer::Failed),
     };
     match owed.pop_front() {
         Some(first) => (first, answer),
@@ -421,7 +450,8 @@
 
     fn service(recorder: &Rc<Recorder>) -> Rc<Service> {
         let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), recorder.clone(), 1);
-        Service::new(exchange, vec!["read".into()], Rc::default(), 8, testing::log())
+        let bounds = Bounds { clients: 8, hosts: 8, held: 1 << 17, unread: 1 << 16 };
+        Service::new(exchange, vec!["read".into()], Rc::default(), bounds, testing::log())
     }
 
     async fn serve(service: Rc<Service>, stream: impl AsyncRead + AsyncWrite) -> io::Result<()> {
@@ -519,6 +549,39 @@
         });
     }
 
+    /// Values that never come to their end hold a bounded part of the memory, and small commands go on.
+    #[test]
+    fn values_half_sent_do_not_fill_the_memory() {
+        testing::run(async {
+            let recorder = Rc::new(Recorder::default());
+            let service = service(&recorder);
+            let mut clients = Vec::new();
+            for _ in 0..8 {
+                let (near, mut far) = duplex(1 << 20);
+                spawn_local(serve(Rc::clone(&service), near));
+                far.write_all(b"ms k 65536 Oid Pc=read,d=480\r\n").await.unwrap();
+                far.write_all(&[b'x'; 60_000]).await.unwrap();
+                clients.push(far);
+            }
+            settle().await;
+            let held = service.held.get();
+            assert!(held <= service.bounds.held + 8 * (SMALL + 2 * READ) + 60_000, "{held}");
+            let (near, mut far) = duplex(1 << 10);
+            spawn_local(serve(Rc::clone(&service), near));
+            far.write_all(b"mn\r\n").await.unwrap();
+            let mut got = [0; 4];
+            far.read_exact(&mut got).await.unwrap();
+            drop(far);
+            for mut far in clients {
+                let mut got = String::new();
+                far.read_to_string(&mut got).await.unwrap();
+                assert_eq!(got, "CLIENT_ERROR command not finished in time\r\n");
+            }
+            settle().await;
+            assert_eq!(service.held.get(), 0);
+        });
+    }
+
     /// Silent connections by the hundred must not shut out a client that has something to say.
     #[test]
     fn a_silent_connection_gives_way() {
--- a/node/src/testing.rs
+++ b/node/src/testing.rs
@@ -37,6 +37,9 @@
     }
 }
 
+/// The origin's kind of machine.
+pub const ORIGIN: u32 = 1;
+
 /// A site with one class and so many attempts.
 pub fn settings(max_attempts: u32, effect: Effect) -> Settings {
     let class = Class {
@@ -92,7 +95,7 @@
         idle: second * 5,
         late: second * 3,
         may_duplicate: true,
-        origin: None,
+        origin: Some(ORIGIN),
     };
     Upstream::new(limits, Clock::start(), Rc::new(Counters::default()), log())
 }
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -303,8 +303,9 @@
         let Some(carried) = pool.running.get(&id) else { return false };
         // A late answer is read off as long as there is room: it may still serve its command, and a new
         // connection costs the host work.
+        // The origin does no work that nobody waits for, which only a close tells it.
         let crowded = self.connections.get() * 4 > self.limits.connections * 3;
-        if crowded || !self.limits.may_duplicate {
+        if crowded || pool.origin || !self.limits.may_duplicate {
             carried.stop.notify_one();
         }
         carried.written
@@ -690,6 +691,26 @@
         });
     }
 
+    /// The origin does no work that nobody waits for, and only a close tells it. At a cache host the answer is
+    /// read off, as nothing stops there.
+    #[test]
+    fn a_time_out_closes_the_connection_to_the_origin() {
+        testing::run(async {
+            for kind in [0, testing::ORIGIN] {
+                let upstream = testing::upstream(4);
+                let mut listed = host(HOST, State::Serving);
+                listed.entry.kind = kind;
+                upstream.listed(ListKind::Replace, &[listed]);
+                let id = ExecutionId(1);
+                upstream.pools.borrow_mut().entry(HOST).or_default().running.insert(id, Carried::default());
+                let stop = upstream.written(HOST, id);
+                assert!(upstream.abandon(id, HOST));
+                let told = timeout(Duration::from_secs(1), stop.notified()).await.is_ok();
+                assert_eq!(told, kind == testing::ORIGIN);
+            }
+        });
+    }
+
     /// A host that has moved has nothing to do with whoever listens at its old address.
     #[test]
     fn a_connection_to_an_old_address_is_not_used() {
