--- a/src/interface.rs
+++ b/src/interface.rs
@@ -24,7 +24,7 @@
 
 /// A cache server or the origin, as the server list names it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ServerId(pub u32);
+pub struct ServerId(pub u64);
 
 /// What a request is about; equal keys ask for the same object.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -387,7 +387,7 @@
             }
             let ok = settings.weighted && entry.weight.is_finite() && entry.weight > 0.0;
             let weight = if ok { entry.weight } else { 1.0 } * warm;
-            let spot = mix(mix(key.0).wrapping_add(u64::from(entry.server.0)));
+            let spot = mix(mix(key.0).wrapping_add(entry.server.0));
             let uniform = ((spot >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
             self.order.push((-uniform.ln() / weight, at));
         }
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -35,9 +35,9 @@
     }
 }
 
-fn entry(server: u32) -> Entry {
+fn entry(server: u64) -> Entry {
     let kind = if server == 900 { 7 } else { 0 };
-    let (zone, cell) = (server % 2, server % 4);
+    let (zone, cell) = ((server % 2) as u32, (server % 4) as u32);
     Entry {
         server: ServerId(server),
         zone,
@@ -49,7 +49,7 @@
     }
 }
 
-fn fleet(n: u32) -> Vec<Entry> {
+fn fleet(n: u64) -> Vec<Entry> {
     (0..n).chain([900]).map(entry).collect()
 }
 
@@ -351,7 +351,7 @@
             let first = sent(&step(&mut b, 10, Event::Request(request(1, 10, 5)))).expect("sent");
             let mut pending = b.requests.remove(&id(1)).expect("in hand");
             let (class, limits) = (&settings.classes[0], &settings.limits);
-            let to = |server: u32| entry(server);
+            let to = |server: u64| entry(server);
             assert!(!pending.may_send(Micros(20), &to(first.0), class, limits), "one is still out");
             let never_ran = never.contains(status);
             pending.attempts[0].fate = if never_ran { Fate::NeverRan } else { Fate::MayHaveRun };
@@ -510,7 +510,7 @@
                 let at = rng.u32(0..6);
                 let next = [State::Serving, State::Draining, State::Deleted][rng.usize(..3)];
                 state[at as usize] = next;
-                change = [Entry { state: next, started: Micros(now / 2), ..entry(at) }];
+                change = [Entry { state: next, started: Micros(now / 2), ..entry(at.into()) }];
                 // The model knows of the change at once, so the balancer must hear of it first.
                 events.insert(0, (now, Event::Endpoints(ListKind::Update, &change)));
             }
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -148,7 +148,7 @@
 impl Line {
     fn entry(&self) -> Entry {
         Entry {
-            server: ServerId(self.server),
+            server: ServerId(self.server.into()),
             zone: self.locality,
             kind: self.sku,
             cell: self.bay,
@@ -242,7 +242,7 @@
             Wire::Done { router, op_id, remark, closed, round_no, server, elapsed, result } => {
                 let outcome = Outcome {
                     id: id(op_id)?,
-                    server: ServerId(server),
+                    server: ServerId(server.into()),
                     attempt: round_no,
                     latency: Micros(elapsed),
                     status: match result {
