--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -10,7 +10,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, Notify};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, sleep_until, timeout, Duration, Instant};
 
 use crate::bounds::Bounds;
@@ -65,6 +65,23 @@
     log: Logger,
 }
 
+/// How a connection that is about to close is read once more.
+enum Look {
+    /// For a moment.
+    Long,
+    /// For what has come already: others wait for its seat, by the hundred where connections come in a flood.
+    Short,
+}
+
+impl Look {
+    async fn wait(self) {
+        match self {
+            Look::Long => sleep(LAST_LOOK).await,
+            Look::Short => yield_now().await,
+        }
+    }
+}
+
 /// A connection's place among those that the limit allows.
 #[derive(Debug)]
 struct Seat {
@@ -147,11 +164,14 @@
     }
 
     /// Waits until this connection, which owes nothing, should close.
-    async fn closing(&self, seat: &Seat, patience: Option<Instant>) {
+    async fn closing(&self, seat: &Seat, patience: Option<Instant>) -> Look {
         tokio::select! {
-            () = self.shutdown.closing() => {}
-            () = seat.leave.notified() => {}
-            () = until(patience) => count(&self.exchange.counters().quiet),
+            () = self.shutdown.closing() => Look::Long,
+            () = seat.leave.notified() => Look::Short,
+            () = until(patience) => {
+                count(&self.exchange.counters().quiet);
+                Look::Long
+            }
         }
     }
 
@@ -279,14 +299,15 @@
                         self.leave();
                     }
                 }
-                () = service.closing(self.seat, patience), if idle => {
+                look = service.closing(self.seat, patience), if idle => {
                     // A command may have come that the runtime has not looked for yet: it is taken, and a
                     // close over unread bytes would reset the connection.
-                    match timeout(LAST_LOOK, reader.read_buf(&mut self.input)).await {
-                        Err(_) => return writer.shutdown().await,
-                        Ok(read) => if read? == 0 {
+                    tokio::select! {
+                        biased;
+                        read = reader.read_buf(&mut self.input) => if read? == 0 {
                             self.leave();
-                        }
+                        },
+                        () = look.wait() => return writer.shutdown().await,
                     }
                 }
                 () = until(patience), if !idle => {
@@ -549,6 +570,22 @@
         });
     }
 
+    /// Giving up a seat takes no time: in a flood of connections a command must not wait behind each of them.
+    #[test]
+    fn a_seat_is_given_up_at_once() {
+        testing::run(async {
+            let service = service(&Rc::new(Recorder::default()));
+            let (near, mut far) = duplex(1 << 10);
+            spawn_local(serve(Rc::clone(&service), near));
+            settle().await;
+            let start = Instant::now();
+            service.make_room();
+            assert_eq!(far.read(&mut [0; 8]).await.unwrap(), 0);
+            service.left.notified().await;
+            assert_eq!(start.elapsed(), Duration::ZERO);
+        });
+    }
+
     /// Values that never come to their end hold a bounded part of the memory, and small commands go on.
     #[test]
     fn values_half_sent_do_not_fill_the_memory() {
