Close connections kept for nothing before clients run out of them

Ruled out: the accept rate (mended before), gaps, CPU. At fault: service.rs let each such connection stand for 2.2 s whatever the clients' share was.

--- a/node/src/bounds.rs
+++ b/node/src/bounds.rs
@@ -15,6 +15,10 @@
 /// The part of the other descriptors that connections to hosts may take. Clients hold a third of all for their
 /// commands; those that say nothing are told to leave, and need not be made room for.
 const HOSTS_PART: f64 = 0.55;
+/// The part of all descriptors that clients hold for commands at most, and the part of those connections that
+/// may stay open for nothing: the rest is room for whoever has something to say.
+const CLIENTS_PART: f64 = 1.0 / 3.0;
+const KEPT_PART: f64 = 0.75;
 /// The part of the memory that clients' unfinished and open commands and unread answers may take.
 const HELD_PART: f64 = 0.25;
 
@@ -23,6 +27,8 @@
 pub struct Bounds {
     /// Connections from clients.
     pub clients: usize,
+    /// Those of them that may stay though they have nothing to ask.
+    pub kept: usize,
     /// Connections to hosts.
     pub hosts: usize,
     /// Bytes that stand in hand for clients, all of them together.
@@ -38,7 +44,8 @@
         let hosts = (sockets as f64 * HOSTS_PART) as usize;
         let clients = sockets - hosts;
         let held = (limits.memory as f64 * HELD_PART) as usize;
-        Bounds { clients, hosts, held, unread: (held / clients).clamp(4 << 10, 256 << 10) }
+        let kept = (limits.sockets as f64 * CLIENTS_PART * KEPT_PART) as usize;
+        Bounds { clients, kept, hosts, held, unread: (held / clients).clamp(4 << 10, 256 << 10) }
     }
 }
 
@@ -54,6 +61,7 @@
             let bounds = Bounds::of(Limits { memory: mb << 20, sockets });
             assert!(bounds.clients + bounds.hosts + OWN_SOCKETS <= sockets);
             assert!(bounds.clients > sockets / 3 && bounds.hosts > sockets / 2);
+            assert!(bounds.kept > 0 && bounds.kept < sockets / 3);
             assert!(
                 bounds.held <= (mb << 20) / 4 && bounds.unread * bounds.clients <= bounds.held.max(4 << 20)
             );
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -175,6 +175,19 @@
         }
     }
 
+    /// Closes the connections that are quiet longest when more than may be kept have brought commands. Clients
+    /// hold only so many, and some keep theirs for good: a client with something to say would find none left.
+    fn thin_out(&self) {
+        let seats = self.seats.borrow();
+        let spoken = seats.iter().filter(|seat| seat.spoke.get());
+        let more = spoken.clone().count().saturating_sub(self.bounds.kept);
+        if more > 0 {
+            let mut quiet: Vec<_> = spoken.filter(|seat| !seat.busy.get() && !seat.half.get()).collect();
+            quiet.sort_by_key(|seat| seat.quiet.get());
+            quiet.iter().take(more).for_each(|seat| seat.leave.notify_one());
+        }
+    }
+
     /// Tells one connection to leave that has no command open: the longest quiet of those that never brought
     /// one, or else of the others, and one in the middle of a command only when there is no other.
     fn make_room(&self) {
@@ -339,7 +352,11 @@
                 }
                 Some(Incoming::Ready) => self.owed.push_back(Owed::Line("SERVER_ERROR not ready")),
                 Some(Incoming::Command(mut command, class)) => {
-                    (self.half, _) = (None, self.seat.spoke.replace(true));
+                    self.half = None;
+                    if !self.seat.spoke.replace(true) {
+                        self.seat.busy.set(true);
+                        self.service.thin_out();
+                    }
                     let place = self.service.classes.iter().position(|name| name.as_bytes() == class);
                     // A class that the settings lack has no deadline and no effect: hosts turn it away too.
                     let Some(place) = place else {
@@ -471,7 +488,7 @@
 
     fn service(recorder: &Rc<Recorder>) -> Rc<Service> {
         let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), recorder.clone(), 1);
-        let bounds = Bounds { clients: 8, hosts: 8, held: 1 << 17, unread: 1 << 16 };
+        let bounds = Bounds { clients: 8, kept: 4, hosts: 8, held: 1 << 17, unread: 1 << 16 };
         Service::new(exchange, vec!["read".into()], Rc::default(), bounds, testing::log())
     }
 
@@ -570,6 +587,35 @@
         });
     }
 
+    /// Connections that asked once and stay close, the longest quiet first, before clients run out of them.
+    #[test]
+    fn connections_kept_for_nothing_are_thinned_out() {
+        testing::run(async {
+            let recorder = Rc::new(Recorder::default());
+            let service = service(&recorder);
+            let mut clients = Vec::new();
+            for id in 0..6 {
+                let (near, mut far) = duplex(1 << 10);
+                spawn_local(serve(Rc::clone(&service), near));
+                far.write_all(format!("mg k v O{id} Pc=read,d=480\r\n").as_bytes()).await.unwrap();
+                settle().await;
+                let execution = recorder.begun.borrow_mut().pop().unwrap();
+                service.exchange.ended(execution.id, End::Reply(Reply::Error));
+                clients.push(far);
+                sleep(Duration::from_millis(5)).await;
+            }
+            let open = service.seats.borrow().len();
+            assert_eq!(open, service.bounds.kept);
+            let start = Instant::now();
+            for mut far in clients.drain(..2) {
+                let mut got = String::new();
+                far.read_to_string(&mut got).await.unwrap();
+                assert_eq!(got, "SERVER_ERROR failed\r\n");
+            }
+            assert_eq!(start.elapsed(), Duration::ZERO);
+        });
+    }
+
     /// Giving up a seat takes no time: in a flood of connections a command must not wait behind each of them.
     #[test]
     fn a_seat_is_given_up_at_once() {
