Let a command that crosses the close of its connection finish; bound the accept log

Seen on rereading: a connection told to close while idle that began a command at that moment was cut with an error, as one notice stood for both; an unknown class made its sender's seat as good as a client's; accept() logged 100 lines a second while descriptors lacked.

--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -14,7 +14,7 @@
 use tokio::time::{sleep, sleep_until, timeout, Duration, Instant};
 
 use crate::bounds::Bounds;
-use crate::counters::count;
+use crate::counters::{count, worth_telling};
 use crate::exchange::{Answer, CommandId, Exchange};
 use crate::memcache::{write_answer, Commands, Incoming};
 use crate::shutdown::Shutdown;
@@ -92,7 +92,9 @@
     half: Cell<bool>,
     /// Whether it has ever brought a command.
     spoke: Cell<bool>,
+    /// Told to close once it owes nothing, and to end in the middle of a command.
     leave: Notify,
+    cut: Notify,
 }
 
 /// Counts a connection for as long as it lives.
@@ -148,7 +150,11 @@
                 }
                 Err(problem) => {
                     // Out of descriptors, or a client that left at once: neither may end the program.
-                    warn!(self.log, "accept"; "problem" => problem.to_string());
+                    let failed = &self.exchange.counters().accepts_failed;
+                    count(failed);
+                    if worth_telling(failed) {
+                        warn!(self.log, "accept"; "problem" => problem.to_string(), "so far" => failed.get());
+                    }
                     sleep(Duration::from_millis(10)).await;
                 }
             }
@@ -156,8 +162,8 @@
     }
 
     fn seat(self: &Rc<Service>) -> Seated {
-        let (busy, half, spoke, leave) = Default::default();
-        let seat = Rc::new(Seat { quiet: Cell::new(Instant::now()), busy, half, spoke, leave });
+        let (busy, half, spoke, leave, cut) = Default::default();
+        let seat = Rc::new(Seat { quiet: Cell::new(Instant::now()), busy, half, spoke, leave, cut });
         self.seats.borrow_mut().push(Rc::clone(&seat));
         self.shutdown.connections(self.seats.borrow().len());
         Seated { service: Rc::clone(self), seat }
@@ -194,7 +200,8 @@
         let seats = self.seats.borrow();
         let quiet = seats.iter().filter(|seat| !seat.busy.get());
         if let Some(seat) = quiet.min_by_key(|seat| (seat.half.get(), seat.spoke.get(), seat.quiet.get())) {
-            seat.leave.notify_one();
+            // Who is told to close while idle and then begins a command may finish it.
+            if seat.half.get() { &seat.cut } else { &seat.leave }.notify_one();
         }
     }
 }
@@ -247,8 +254,9 @@
         if !self.output.is_empty() {
             return Some(self.read + UNREAD);
         }
-        let half = self.half.map(|since| since + HALF);
-        self.owed.is_empty().then(|| (self.seat.quiet.get() + QUIET).max(half.unwrap_or(self.read)))
+        let quiet = self.seat.quiet.get() + QUIET;
+        let end = self.half.map_or(quiet, |since| quiet.max(since + HALF));
+        self.owed.is_empty().then_some(end)
     }
 
     /// Keeps account of what this connection holds of the memory.
@@ -330,7 +338,7 @@
                     self.cut();
                 }
                 // Half a command gives its seat up too, but only when nothing else can.
-                () = self.seat.leave.notified(), if !idle && !self.seat.busy.get() => self.cut(),
+                () = self.seat.cut.notified(), if !idle && !self.seat.busy.get() => self.cut(),
             }
         }
     }
@@ -353,10 +361,6 @@
                 Some(Incoming::Ready) => self.owed.push_back(Owed::Line("SERVER_ERROR not ready")),
                 Some(Incoming::Command(mut command, class)) => {
                     self.half = None;
-                    if !self.seat.spoke.replace(true) {
-                        self.seat.busy.set(true);
-                        self.service.thin_out();
-                    }
                     let place = self.service.classes.iter().position(|name| name.as_bytes() == class);
                     // A class that the settings lack has no deadline and no effect: hosts turn it away too.
                     let Some(place) = place else {
@@ -370,6 +374,10 @@
                         Some((id, answer)) => {
                             self.open += size;
                             self.owed.push_back(Owed::Command(id, text, answer, size));
+                            self.seat.busy.set(true);
+                            if !self.seat.spoke.replace(true) {
+                                self.service.thin_out();
+                            }
                         }
                         None => self.turn_away("CLIENT_ERROR id in use"),
                     }
@@ -616,6 +624,24 @@
         });
     }
 
+    /// One told to close while idle that begins a command at that moment may finish it.
+    #[test]
+    fn a_command_that_crosses_the_close_is_finished() {
+        testing::run(async {
+            let service = service(&Rc::new(Recorder::default()));
+            let (near, mut far) = duplex(1 << 10);
+            spawn_local(serve(Rc::clone(&service), near));
+            settle().await;
+            service.make_room();
+            far.write_all(b"m").await.unwrap();
+            settle().await;
+            far.write_all(b"n\r\n").await.unwrap();
+            let mut got = String::new();
+            far.read_to_string(&mut got).await.unwrap();
+            assert_eq!(got, "MN\r\n");
+        });
+    }
+
     /// Giving up a seat takes no time: in a flood of connections a command must not wait behind each of them.
     #[test]
     fn a_seat_is_given_up_at_once() {
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -17,7 +17,7 @@
 use tokio::time::{sleep, timeout, Instant};
 
 use crate::clock::Clock;
-use crate::counters::{count, Counters};
+use crate::counters::{count, worth_telling, Counters};
 use crate::exchange::{Carrier, End, Exchange, Execution, ExecutionId, Host, Reply};
 use crate::http::{self, Response};
 use crate::memcache;
@@ -34,8 +34,6 @@
 
 /// Room made for each read.
 const READ: usize = 4096;
-/// So many bad answers are logged one by one, and after them one in so many.
-const TOLD_BAD: u64 = 32;
 
 /// What the pools are told at the start.
 #[derive(Clone, Debug)]
@@ -227,12 +225,12 @@
         }
     }
 
-    /// Counts an answer that made no sense, and logs the first of every so many.
+    /// Counts an answer that made no sense, and logs it if there are not many.
     fn tell_bad(&self, host: &SocketAddr, problem: &str) {
-        count(&self.counters.bad_answers);
-        let told = self.counters.bad_answers.get();
-        if told <= TOLD_BAD || told.is_multiple_of(TOLD_BAD) {
-            warn!(self.log, "bad answer"; "host" => host.to_string(), "problem" => problem, "so far" => told);
+        let bad = &self.counters.bad_answers;
+        count(bad);
+        if worth_telling(bad) {
+            warn!(self.log, "bad answer"; "host" => host.to_string(), "problem" => problem, "so far" => bad.get());
         }
     }
 
