Gap a busy host only on a window that is sure; time attempts out on 24 samples

At fault: rules.rs Gap::outcome() took two or three rejections in a row for a whole window though a busy host brings seven or more in one, and Latency::bound() cut attempts short on its very first samples.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,6 +29,8 @@
 const MAX_GAP_DEADLINES: f64 = 4.0;
 /// Weight of a new sample in running means: about the last eight samples count.
 const BLEND: f64 = 0.125;
+/// Samples under which nothing is known of a latency: the first quick ones would cut all others short.
+const FEW_SAMPLES: u32 = 24;
 /// Deviations above the mean latency at which an attempt is given up, as TCP has it.
 const TIMEOUT_DEVIATIONS: f64 = 4.0;
 /// Sends to a cold server over what its warmth allows: above one, as chance bunches few sends.
@@ -156,7 +158,11 @@
         let high = 1.0 - 1.0 / RATIO;
         let least = if self.rung > 0 { MIN_GAPPED } else { MIN_OUTCOMES };
         let plain = self.outcomes >= least && now.minus(self.opened) >= ladder.window;
-        let sure = self.rejected > high * self.outcomes.max(MIN_OUTCOMES);
+        // Sure before its end is a first window only if it is over high whatever the rest of it brings: a
+        // busy server that stands still for a moment rejects a handful in a row.
+        let first = self.rung == 0 && self.pace > 0.0;
+        let whole = if first { ladder.window.0 as f64 / self.pace } else { 0.0 };
+        let sure = self.rejected > high * self.outcomes.max(MIN_OUTCOMES).max(whole);
         if !(plain || sure) || now < self.settled {
             return;
         }
@@ -193,10 +199,12 @@
 struct Latency {
     mean: f64,
     deviation: f64,
+    samples: u32,
 }
 
 impl Latency {
     fn add(&mut self, sample: Micros) {
+        self.samples = self.samples.saturating_add(1);
         let sample = sample.0 as f64;
         if self.mean == 0.0 {
             (self.mean, self.deviation) = (sample, sample / 2.0);
@@ -206,7 +214,7 @@
     }
 
     fn bound(&self, unknown: Micros) -> Micros {
-        if self.mean == 0.0 {
+        if self.samples < FEW_SAMPLES {
             return unknown;
         }
         Micros((self.mean + TIMEOUT_DEVIATIONS * self.deviation) as u64)
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -145,6 +145,16 @@
     assert_eq!(gap.rung, 0, "a single rejection must not gap a server");
 }
 
+#[test]
+fn a_moments_pause_of_a_busy_server_is_no_overload() {
+    // Twenty-five outcomes fill a window: eight rejected ones in a row may still be under high.
+    let mut gap = Gap { opened: Micros(190_000), last: Micros(190_000), ..paced(10_000) };
+    let now = feed(&mut gap, 190_000, 10_000, &[true; 8]);
+    assert_eq!(gap.rung, 0);
+    feed(&mut gap, now, 10_000, &[true; 2]);
+    assert!(gap.rung > 0, "but ten are not");
+}
+
 #[test]
 fn the_first_rung_binds_a_slow_sender_at_once() {
     // A router that sends once in three seconds would climb millisecond rungs for minutes.
@@ -404,6 +414,17 @@
     assert!(b.cache.bound(Micros(1)).0 > 2 * before.0);
 }
 
+#[test]
+fn the_first_quick_answers_cut_no_attempt_short() {
+    let mut latency = Latency::default();
+    for _ in 1..FEW_SAMPLES {
+        latency.add(Micros(10_000));
+        assert_eq!(latency.bound(Micros(150_000)), Micros(150_000));
+    }
+    latency.add(Micros(10_000));
+    assert!(latency.bound(Micros(150_000)) < Micros(150_000));
+}
+
 #[test]
 fn a_full_home_is_asked_again_and_keeps_its_keys() {
     let mut b = balancer(settings(Effect::Safe, Group::All), &fleet(20));
