--- /dev/null
+++ b/src/rules/members.rs
@@ -0,0 +1,91 @@
+//! The server list in hand, and what a server that has started lately may be sent (rule 4).
+
+use super::gap::Gap;
+use crate::interface::*;
+
+/// Sends to a cold server over what its warmth allows: above one, as chance bunches few sends.
+pub(super) const COLD_SHARE: f64 = 1.25;
+
+#[derive(Debug)]
+pub(super) struct Server {
+    pub(super) entry: Entry,
+    pub(super) gap: Gap,
+    /// Once it was cold: sends that it may still get from here, and when that was counted.
+    pub(super) budget: Option<(f64, Micros)>,
+}
+
+impl Server {
+    pub(super) fn new(entry: Entry) -> Server {
+        Server { entry, gap: Gap::default(), budget: None }
+    }
+
+    /// Whether a cold server can take one more send. What gapped servers shed must not all land on
+    /// it: it gets no more than this balancer's warm servers answer, cut by its warmth (rule 4).
+    pub(super) fn spare(&mut self, now: Micros, per_s: f64, rules: &Rules, rng: &mut fastrand::Rng) -> bool {
+        let warm = warmth(&self.entry, now, rules);
+        if warm >= 1.0 {
+            return true;
+        }
+        // It begins with a part of a send, by chance: hundreds of routers then don't all spend one at once.
+        let (left, counted) = self.budget.unwrap_or_else(|| (rng.f64(), now));
+        let passed = now.minus(counted).0 as f64 / 1e6;
+        let left = (left + passed * per_s * warm * COLD_SHARE).min(1.0);
+        self.budget = Some((left, now));
+        left >= 1.0
+    }
+}
+
+/// The server list in hand, sorted by id, with what this balancer saw of each server.
+#[derive(Debug, Default)]
+pub(super) struct Members {
+    pub(super) servers: Vec<Server>,
+    pub(super) subscribed: bool,
+    pub(super) failures: u32,
+}
+
+impl Members {
+    pub(super) fn find(&mut self, id: ServerId) -> Option<&mut Server> {
+        let at = self.servers.binary_search_by_key(&id, |s| s.entry.server).ok()?;
+        Some(&mut self.servers[at])
+    }
+
+    pub(super) fn follow(&mut self, kind: ListKind, list: &[Entry]) {
+        if matches!(kind, ListKind::Replace | ListKind::Restored) {
+            let mut named: Vec<ServerId> = list.iter().map(|e| e.server).collect();
+            named.sort_unstable();
+            self.servers.retain(|s| named.binary_search(&s.entry.server).is_ok());
+        }
+        for entry in list {
+            let place = self.servers.binary_search_by_key(&entry.server, |s| s.entry.server);
+            match (place, entry.state) {
+                (Ok(at), State::Deleted) => drop(self.servers.remove(at)),
+                (Err(_), State::Deleted) => {}
+                (Ok(at), _) => {
+                    let server = &mut self.servers[at];
+                    if entry.started > server.entry.started {
+                        // A new start is another process: nothing known of the old one holds.
+                        *server = Server::new(entry.clone());
+                    } else {
+                        server.entry = entry.clone();
+                    }
+                }
+                (Err(at), _) => self.servers.insert(at, Server::new(entry.clone())),
+            }
+        }
+    }
+}
+
+/// The part of its capacity that a server may be taken to have, by its age alone, so that every
+/// router ramps it alike and rule 4 holds without talk.
+pub(super) fn warmth(entry: &Entry, now: Micros, rules: &Rules) -> f64 {
+    let (age, whole) = (now.minus(entry.started).0 as f64, rules.warm_up.0 as f64);
+    if entry.started.0 == 0 || age >= whole {
+        return 1.0;
+    }
+    let cold = if rules.cold_share > 0.0 { rules.cold_share.min(1.0) } else { 0.05 };
+    cold + (1.0 - cold) * age / whole
+}
+
+pub(super) fn is_origin(entry: &Entry, settings: &Settings) -> bool {
+    settings.mode == Mode::Aside(entry.kind)
+}
--- /dev/null
+++ b/src/rules/placement.rs
@@ -0,0 +1,101 @@
+//! Which server a key belongs to: weighted rendezvous hashing with popularity.
+
+use rustc_hash::FxHashMap;
+
+use super::members::{is_origin, warmth, Server};
+use crate::interface::*;
+
+/// Requests counted before all popularity counts are halved: bounds the table, ages old favourites.
+pub(super) const POPULARITY_SPAN: f64 = 2048.0;
+/// Share of one average server's requests that one key may bring before it gets one more home.
+pub(super) const HOT_SHARE: f64 = 0.25;
+/// Weight of one look-up in a key's share of hits: three misses running are told from one.
+pub(super) const HIT_BLEND: f64 = 0.3;
+/// Share of hits under which a key is read from the origin at once, if its gap lets it pass.
+pub(super) const FEW_HITS: f64 = 0.65;
+/// Homes tried in the order that all routers share before the origin is asked outright.
+pub(super) const MAX_HOMES: usize = 3;
+
+/// How often this balancer asked for a key, and which part of its cache attempts lately hit.
+#[derive(Debug)]
+pub(super) struct Heat {
+    pub(super) asked: f64,
+    pub(super) hits: f64,
+}
+
+/// Weighted rendezvous hashing with popularity: every router finds the same order for a key.
+#[derive(Debug, Default)]
+pub(super) struct Placement {
+    pub(super) counts: FxHashMap<Key, Heat>,
+    pub(super) total: f64,
+    pub(super) order: Vec<(f64, usize)>,
+}
+
+pub(super) fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+impl Placement {
+    pub(super) fn count(&mut self, key: Key) {
+        self.counts.entry(key).or_insert(Heat { asked: 0.0, hits: 1.0 }).asked += 1.0;
+        self.total += 1.0;
+        if self.total >= POPULARITY_SPAN {
+            self.counts.retain(|_, heat| {
+                heat.asked /= 2.0;
+                heat.asked >= 1.0
+            });
+            self.total /= 2.0;
+        }
+    }
+
+    /// The key's share of this balancer's requests, less what chance alone would show.
+    pub(super) fn share(&self, key: Key) -> f64 {
+        let n = self.counts.get(&key).map_or(0.0, |heat| heat.asked);
+        (n - 1.0).max(0.0) / (self.total + 8.0)
+    }
+
+    pub(super) fn looked_up(&mut self, key: Key, hit: bool) {
+        if let Some(heat) = self.counts.get_mut(&key) {
+            heat.hits += (f64::from(hit) - heat.hits) * HIT_BLEND;
+        }
+    }
+
+    /// Whether caches do not keep the key: one that is written faster than it is fetched misses at
+    /// every home, and each look-up there is work for nothing.
+    pub(super) fn uncacheable(&self, key: Key) -> bool {
+        self.counts.get(&key).is_some_and(|heat| heat.hits < FEW_HITS)
+    }
+
+    /// Fills `order` with the key's servers, best first, and returns how many of the first are its
+    /// homes: a key that alone would fill a good part of a server gets several.
+    pub(super) fn rank(&mut self, key: Key, now: Micros, servers: &[Server], settings: &Settings) -> usize {
+        self.order.clear();
+        let share = self.share(key) * servers.len() as f64;
+        for (at, server) in servers.iter().enumerate() {
+            let entry = &server.entry;
+            if entry.state != State::Serving || is_origin(entry, settings) {
+                continue;
+            }
+            let warm = warmth(entry, now, &settings.rules);
+            if warm < 1.0 && share > warm {
+                // A hot key would push a cold server over by itself (rule 4).
+                continue;
+            }
+            let ok = settings.weighted && entry.weight.is_finite() && entry.weight > 0.0;
+            let weight = if ok { entry.weight } else { 1.0 } * warm;
+            let spot = mix(mix(key.0).wrapping_add(entry.server.0));
+            let uniform = ((spot >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+            self.order.push((-uniform.ln() / weight, at));
+        }
+        let homes = ((share / HOT_SHARE) as usize + 1).min(self.order.len());
+        let keep = (homes + MAX_HOMES).min(self.order.len());
+        if keep < self.order.len() {
+            self.order.select_nth_unstable_by(keep, |a, b| a.0.total_cmp(&b.0));
+            self.order.truncate(keep);
+        }
+        self.order.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        homes
+    }
+}
