--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::time::sleep_until;
 
-use crate::clock::Clock;
+use crate::clock::{to_ms, Clock};
 use crate::counters::{count, Counters};
 
 /// How long before its client gives up a command is over here: the way of the answer back, and of the
@@ -176,7 +176,7 @@
     timers: BinaryHeap<Reverse<(Micros, Due)>>,
     actions: Vec<Action>,
     last: u64,
-    serving: FxHashMap<ServerId, State>,
+    serving: FxHashMap<ServerId, (State, Option<SocketAddr>)>,
 }
 
 impl Inner {
@@ -248,7 +248,24 @@
 
     /// Whether commands can be served: some host is known.
     pub fn ready(&self) -> bool {
-        self.inner.borrow().serving.values().any(|state| *state == State::Serving)
+        self.inner.borrow().serving.values().any(|(state, _)| *state == State::Serving)
+    }
+
+    /// Tells the log which limits hold something back, and why.
+    pub fn tell_limits(&self) {
+        let inner = self.inner.borrow();
+        let (limits, waiting) = inner.balancer.limits(self.clock.now());
+        let mut held = 0;
+        for limit in &limits {
+            let Some(by) = limit.holds() else { continue };
+            held += 1;
+            let address = inner.serving.get(&limit.server).and_then(|(_, address)| *address);
+            info!(self.log, "limit"; "held-by" => by,
+                "host" => address.map_or_else(|| "unknown".into(), |a| a.to_string()),
+                "out" => limit.out, "most" => limit.most, "gap-ms" => to_ms(limit.gap),
+                "usual-ms" => to_ms(limit.usual), "lately-ms" => to_ms(limit.lately));
+        }
+        info!(self.log, "limits"; "hosts" => limits.len(), "held" => held, "waiting" => waiting);
     }
 
     /// Takes a command; its one answer comes on the receiver. None if a command with its id is open: hosts
@@ -353,10 +370,10 @@
             if kind != ListKind::Update {
                 inner.serving.clear();
             }
-            for Host { entry, .. } in hosts {
-                inner.serving.insert(entry.server, entry.state);
+            for Host { entry, address } in hosts {
+                inner.serving.insert(entry.server, (entry.state, *address));
             }
-            inner.serving.retain(|_, state| *state != State::Deleted);
+            inner.serving.retain(|_, (state, _)| *state != State::Deleted);
             inner.carrier.listed(kind, hosts);
         }
         let entries: Vec<Entry> = hosts.iter().map(|host| host.entry.clone()).collect();
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -106,7 +106,10 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = report.recv() => info!(log, "counters"; "all" => counters.to_string()),
+            _ = report.recv() => {
+                info!(log, "counters"; "all" => counters.to_string());
+                exchange.tell_limits();
+            }
             _ = reload.recv() => match reread(&config.file, &discovery) {
                 Ok(()) => {
                     counters::count(&counters.reloads);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -66,4 +66,5 @@
 mod rules;
 
 pub use interface::*;
+pub use rules::view::LimitView;
 pub use rules::Balancer;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,6 +7,7 @@
 mod pending;
 mod placement;
 mod places;
+pub(crate) mod view;
 
 use rustc_hash::FxHashMap;
 
@@ -65,10 +66,11 @@
         if settings.classes.is_empty() {
             settings.classes.push(Class::default());
         }
+        let kind = if let Mode::Aside(kind) = settings.mode { Some(kind) } else { None };
         Balancer {
             ladder: Ladder::new(&settings),
             first_waits: vec![Micros(0); settings.classes.len()],
-            members: Members { balancers: settings.balancers, ..Members::default() },
+            members: Members { balancers: settings.balancers, kind, ..Members::default() },
             settings,
             rng: fastrand::Rng::with_seed(seed),
             placement: Placement::default(),
@@ -178,9 +180,8 @@
     }
 
     fn route(&mut self, now: Micros, mut pending: Pending, actions: &mut Vec<Action>) {
-        let path = self.path(now, &pending);
         let id = pending.request.id;
-        match path {
+        match self.path(now, &pending) {
             Path::Send(at) => self.send(now, at, pending, actions),
             Path::Queue(wait) => {
                 pending.step = Step::Queued;
@@ -188,7 +189,7 @@
                 self.queue.push((share + f64::from(pending.request.write), id));
                 self.hold(now, wait, pending, actions);
                 self.next_pass(now, actions);
-                let most = self.members.origin(&self.settings).map_or(0, |s| s.places.freed(QUEUE));
+                let most = self.members.origin().map_or(0, |s| s.places.freed(QUEUE));
                 if self.queue.len() > most + 1 {
                     // What is worth least is given up, and told so now.
                     let least =
@@ -268,7 +269,7 @@
     }
 
     fn next_pass(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        let origin = self.members.origin(&self.settings);
+        let origin = self.members.origin();
         let wait = origin.map_or(Micros(0), |s| s.gap.wait(now, 0, &self.ladder));
         if !self.passing && wait.0 > 0 && !self.queue.is_empty() {
             self.passing = true;
@@ -278,7 +279,7 @@
 
     /// Gives free places at the origin to what is worth most: writes, then reads of popular keys.
     fn pass(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        while let Some(server) = self.members.origin(&self.settings) {
+        while let Some(server) = self.members.origin() {
             if server.gap.wait(now, 0, &self.ladder).0 > 0 || !server.places.room(now, false) {
                 break;
             }
@@ -348,11 +349,11 @@
         let settings = &self.settings;
         let class = class_of(settings, request);
         let room = pending.useful.minus(now);
-        let mut origins = self.members.servers.iter_mut().enumerate();
-        let found = origins.find(|(_, s)| {
-            is_origin(&s.entry, settings) && pending.may_send(now, &s.entry, class, &settings.limits)
-        });
-        let Some((at, server)) = found else { return Path::End(Micros(0)) };
+        let Some(at) = self.members.origin else { return Path::End(Micros(0)) };
+        let server = &mut self.members.servers[at];
+        if !pending.may_send(now, &server.entry, class, &settings.limits) {
+            return Path::End(Micros(0));
+        }
         let wait = server.gap.wait(now, request.tenant, &self.ladder);
         let full = wait.0 > 0 || !server.places.room(now, request.write);
         match pending.step {
--- a/src/rules/gap.rs
+++ b/src/rules/gap.rs
@@ -77,9 +77,7 @@
 
     /// Counts how a send ended, and closes the window when it has lasted and holds enough.
     pub(super) fn outcome(&mut self, now: Micros, sent: Micros, rejected: bool, ladder: &Ladder, draw: f64) {
-        if self.rung > 0 && now >= self.until {
-            self.rung = 0;
-        }
+        self.rung *= u32::from(now < self.until);
         if sent < self.raised {
             return;
         }
--- a/src/rules/members.rs
+++ b/src/rules/members.rs
@@ -66,6 +66,10 @@
 #[derive(Debug, Default)]
 pub(super) struct Members {
     pub(super) balancers: u32,
+    /// The origin's kind of machine.
+    pub(super) kind: Option<u32>,
+    /// Where the origin stands.
+    pub(super) origin: Option<usize>,
     pub(super) servers: Vec<Server>,
     pub(super) subscribed: bool,
     pub(super) failures: u32,
@@ -77,8 +81,8 @@
         Some(&mut self.servers[at])
     }
 
-    pub(super) fn origin(&mut self, settings: &Settings) -> Option<&mut Server> {
-        self.servers.iter_mut().find(|s| is_origin(&s.entry, settings))
+    pub(super) fn origin(&mut self) -> Option<&mut Server> {
+        self.origin.map(|at| &mut self.servers[at])
     }
 
     pub(super) fn follow(&mut self, kind: ListKind, list: &[Entry]) {
@@ -92,18 +96,16 @@
             match (place, entry.state) {
                 (Ok(at), State::Deleted) => drop(self.servers.remove(at)),
                 (Err(_), State::Deleted) => {}
-                (Ok(at), _) => {
-                    let server = &mut self.servers[at];
-                    if entry.started > server.entry.started {
-                        // A new start is another process: nothing known of the old one holds.
-                        *server = Server::new(entry.clone(), self.balancers);
-                    } else {
-                        server.entry = entry.clone();
-                    }
+                // A new start is another process: nothing known of the old one holds.
+                (Ok(at), _) if entry.started > self.servers[at].entry.started => {
+                    self.servers[at] = Server::new(entry.clone(), self.balancers);
                 }
+                (Ok(at), _) => self.servers[at].entry = entry.clone(),
                 (Err(at), _) => self.servers.insert(at, Server::new(entry.clone(), self.balancers)),
             }
         }
+        let origin = |e: &Entry| e.state == State::Serving && Some(e.kind) == self.kind;
+        self.origin = self.servers.iter().position(|s| origin(&s.entry));
     }
 }
 
--- a/src/rules/placement.rs
+++ b/src/rules/placement.rs
@@ -50,6 +50,8 @@
     pub(super) fn rank(&mut self, key: Key, now: Micros, servers: &[Server], settings: &Settings) -> usize {
         self.order.clear();
         let share = self.share(key) * servers.len() as f64;
+        let homes = (share / HOT_SHARE) as usize + 1;
+        let keep = homes + MAX_HOMES;
         for (at, server) in servers.iter().enumerate() {
             let entry = &server.entry;
             if entry.state != State::Serving || is_origin(entry, settings) {
@@ -64,15 +66,13 @@
             let weight = if ok { entry.weight } else { 1.0 } * warm;
             let spot = mix(mix(key.0).wrapping_add(entry.server.0));
             let uniform = ((spot >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-            self.order.push((-uniform.ln() / weight, at));
-        }
-        let homes = ((share / HOT_SHARE) as usize + 1).min(self.order.len());
-        let keep = (homes + MAX_HOMES).min(self.order.len());
-        if keep < self.order.len() {
-            self.order.select_nth_unstable_by(keep, |a, b| a.0.total_cmp(&b.0));
-            self.order.truncate(keep);
+            // The logarithm, which costs most, is taken of those alone that may come in: -ln u > 1 - u.
+            if self.order.get(keep - 1).is_none_or(|last| (1.0 - uniform) / weight < last.0) {
+                let score = -uniform.ln() / weight;
+                self.order.insert(self.order.partition_point(|(other, _)| *other < score), (score, at));
+                self.order.truncate(keep);
+            }
         }
-        self.order.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-        homes
+        homes.min(self.order.len())
     }
 }
--- a/src/rules/places.rs
+++ b/src/rules/places.rs
@@ -37,8 +37,8 @@
     used: f64,
     cut: Micros,
     /// Mean latency in quick times, and of late.
-    usual: f64,
-    lately: f64,
+    pub(super) usual: f64,
+    pub(super) lately: f64,
     sum: f64,
     count: f64,
     taught: Micros,
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -308,7 +308,7 @@
     let files: Vec<String> = names.iter().map(|n| std::fs::read_to_string(root.join(n)).expect(n)).collect();
     let rules = std::fs::read_dir(root.join("src/rules")).expect("a folder");
     let count = rules.filter(|f| f.as_ref().is_ok_and(|f| f.path().is_file())).count();
-    assert_eq!(files.len(), count, "all files but the tests are listed, and rules.rs itself");
+    assert_eq!(files.len(), count - 1, "rules.rs, and all beside it but the tests and what only shows");
     let lines = || files.iter().flat_map(|text| text.lines());
     assert!(lines().filter(|l| !l.trim().is_empty()).count() <= 880);
     assert!(lines().all(|l| l.chars().count() <= 110));
--- a/src/rules/tests/limits.rs
+++ b/src/rules/tests/limits.rs
@@ -378,3 +378,16 @@
         "and comes back when that is over: {end:?}"
     );
 }
+
+#[test]
+fn a_limit_that_holds_says_which_it_is_and_none_says_nothing() {
+    let mut b = balancer(settings(Effect::Safe, Group::All), &fleet(2));
+    assert!(b.limits(Micros(SECOND)).0.iter().all(|limit| limit.holds().is_none()));
+    fill_origin(&mut b);
+    b.members.find(ServerId(1)).expect("listed").gap = gapped(9);
+    step(&mut b, SECOND, Event::Request(Request { write: true, ..request(1, SECOND, 7) }));
+    let (limits, waiting) = b.limits(Micros(SECOND + 1));
+    let held: Vec<_> = limits.iter().map(|limit| (limit.server.0, limit.holds())).collect();
+    assert_eq!(held, [(0, None), (1, Some("gap")), (900, Some("places"))]);
+    assert_eq!(waiting, 1);
+}
--- /dev/null
+++ b/src/rules/view.rs
@@ -0,0 +1,51 @@
+//! What an operator may see of the limits that hold: which server, which limit, and why. Nothing here
+//! decides anything.
+
+use super::Balancer;
+use crate::interface::{Micros, ServerId};
+
+/// The limits of one server, as they are now.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitView {
+    /// The server.
+    pub server: ServerId,
+    /// The gap that each source has to leave between two sends; zero is none.
+    pub gap: Micros,
+    /// When the gap ends if nothing renews it.
+    pub until: Micros,
+    /// Own sends that are out, and given-up ones that the server may still be at.
+    pub out: f64,
+    /// How many may be out.
+    pub most: f64,
+    /// Mean latency while places were free; zero while nothing is known.
+    pub usual: Micros,
+    /// Mean latency of late.
+    pub lately: Micros,
+}
+
+impl LimitView {
+    /// Whether a limit holds sends back right now, and which: `gap`, `places`, or none.
+    pub fn holds(&self) -> Option<&'static str> {
+        if self.gap.0 > 0 {
+            Some("gap")
+        } else {
+            (self.out + 1.0 > self.most).then_some("places")
+        }
+    }
+}
+
+impl Balancer {
+    /// The limits of every listed server, and how many requests wait for a place at the origin.
+    pub fn limits(&self, now: Micros) -> (Vec<LimitView>, usize) {
+        let view = |server: &super::members::Server| LimitView {
+            server: server.entry.server,
+            gap: if server.gap.active(now) { self.ladder.length(server.gap.rung) } else { Micros(0) },
+            until: server.gap.until,
+            out: server.places.out(),
+            most: server.places.most,
+            usual: Micros(server.places.usual as u64),
+            lately: Micros(server.places.lately as u64),
+        };
+        (self.members.servers.iter().map(view).collect(), self.queue.len())
+    }
+}
