Split the balancer by layer: exchange, protocols, node, and the program in cli

Need: the stand-in platform has to speak the daemon's own codecs, and a second front needs commands that know no protocol.

Change: exchange/ holds the values, the exchange, clock, counters and the numbers of hosts and keys; protocols/ the codecs without I/O; node/ the sockets; cli/ the program. The circle between exchange, memcache, http and name_table is gone. No behaviour changes. memcache gains the two ends that a host and a client need.

--- a/node/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -19,59 +19,12 @@
 
 use crate::clock::{to_ms, Clock};
 use crate::counters::{count, Counters};
+pub use crate::values::{Answer, Command, Host, Reply};
 
 /// How long before its client gives up a command is over here: the way of the answer back, and of the
 /// command here, which nothing tells.
 const MARGIN: Micros = Micros(10_000);
 
-/// What a client asks for.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Command {
-    /// The client's id for it.
-    pub id: Bytes,
-    /// What it is about.
-    pub key: Bytes,
-    /// The value that it writes; none for a read.
-    pub value: Option<Bytes>,
-    /// Its class, by its place in the settings.
-    pub class: u32,
-    /// Whether the client marked it as a retry of its own.
-    pub retry: bool,
-    /// How long the client waits; none if it does not say.
-    pub wait: Option<Micros>,
-    /// All names and values that came with it.
-    pub properties: Vec<(Bytes, Bytes)>,
-}
-
-/// A command's final answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// Served: the value read.
-    Value(Bytes),
-    /// Served: the receipt of a write.
-    Receipt(Bytes),
-    /// A nack: trying again is harmless, after this time if it is not zero.
-    Nack(Micros),
-    /// Failed.
-    Failed,
-}
-
-/// What a host replied to an execution.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Reply {
-    /// A final answer.
-    Served(Answer),
-    /// The host lacks the key.
-    Miss {
-        /// Whether another fetch of the key is out.
-        fetching: bool,
-    },
-    /// It failed; it may have run.
-    Error,
-    /// Turned away; it never ran.
-    Full,
-}
-
 /// How an execution ended on the network.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum End {
@@ -87,15 +40,6 @@
     CalledOff,
 }
 
-/// A host of the name table.
-#[derive(Clone, Debug)]
-pub struct Host {
-    /// What the module is told of it.
-    pub entry: Entry,
-    /// Where it listens.
-    pub address: Option<SocketAddr>,
-}
-
 /// Names one execution for as long as the program runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ExecutionId(pub u64);
@@ -289,7 +233,7 @@
             id: id.request(),
             deadline,
             hint: None,
-            key: Some(crate::name_table::key(&command.key)),
+            key: Some(crate::numbers::key(&command.key)),
             write: command.value.is_some(),
             class: command.class,
             tenant: 0,
--- /dev/null
+++ b/exchange/src/lib.rs
@@ -0,0 +1,12 @@
+//! Where the client side and the server side of a balancer meet. It knows no protocol and no socket.
+//!
+//! [`exchange::Exchange`] owns the decision module, the open commands, the executions and the timers;
+//! [`values`] are what every front and every protocol shares.
+
+pub mod clock;
+pub mod counters;
+pub mod exchange;
+pub mod numbers;
+#[cfg(any(test, feature = "testing"))]
+pub mod testing;
+pub mod values;
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -3,12 +3,7 @@
 //! The client side ([`service`]) and the server side ([`upstream`]) meet only in the [`exchange`].
 
 pub mod bounds;
-pub mod clock;
 pub mod config;
-pub mod counters;
-pub mod exchange;
-pub mod http;
-pub mod memcache;
 pub mod name_table;
 pub mod service;
 pub mod shutdown;
@@ -17,6 +12,9 @@
 #[cfg(test)]
 mod testing;
 
+pub use juniperladder_exchange::{clock, counters, exchange};
+pub use juniperladder_protocols::{http, memcache};
+
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -32,7 +30,11 @@
 
 /// Runs a balancer as the environment describes it, until it is told to stop.
 pub fn run_from_environment() -> Result<(), String> {
-    let config = Config::from_environment()?;
+    serve(Config::from_environment()?)
+}
+
+/// Runs a balancer as this configuration describes it, until it is told to stop.
+pub fn serve(config: Config) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
     let drain = slog_term::FullFormat::new(slog_term::PlainDecorator::new(std::io::stderr())).build().fuse();
--- a/node/src/testing.rs
+++ b/node/src/testing.rs
@@ -1,92 +1,13 @@
-//! The one helper of the network tests: an exchange over one host whose executions are only written down.
+//! What the tests of the network share, beside what those of the exchange do.
 
-use std::cell::RefCell;
-use std::future::Future;
 use std::rc::Rc;
 
-use bytes::Bytes;
-use juniperladder::*;
-use slog::{o, Discard, Logger};
-use tokio::task::LocalSet;
+pub use juniperladder_exchange::testing::*;
 
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::exchange::{self, Carrier, Exchange, Execution, ExecutionId, Host};
 use crate::upstream::Upstream;
 
-/// The only host.
-pub const HOST: ServerId = ServerId(9);
-
-/// A carrier that carries nothing.
-#[derive(Default)]
-pub struct Recorder {
-    /// What has begun, oldest first.
-    pub begun: RefCell<Vec<Execution>>,
-    /// What was abandoned.
-    pub abandoned: RefCell<Vec<ExecutionId>>,
-}
-
-impl Carrier for Recorder {
-    fn listed(&self, _: ListKind, _: &[Host]) {}
-    fn begin(&self, execution: Execution) {
-        self.begun.borrow_mut().push(execution);
-    }
-    fn abandon(&self, id: ExecutionId, _: ServerId) -> bool {
-        self.abandoned.borrow_mut().push(id);
-        true
-    }
-}
-
-/// The origin's kind of machine.
-pub const ORIGIN: u32 = 1;
-
-/// A site with one class and so many attempts.
-pub fn settings(max_attempts: u32, effect: Effect) -> Settings {
-    let class = Class {
-        aim: Micros(750_000),
-        aim_stretch: 0.0,
-        deadline: Micros(1_500_000),
-        effect,
-        group: Group::All,
-        window: Micros(6_000_000),
-        worth: 1.0,
-        late_worth: 0.0,
-    };
-    Settings {
-        balancers: 1,
-        zone: 0,
-        classes: vec![class],
-        tenants: vec![],
-        mode: Mode::Through,
-        subscribe: true,
-        weighted: false,
-        tick: Micros(5_000),
-        limits: Limits {
-            max_attempts,
-            max_retry_after: Micros(2_000_000),
-            retry_after: true,
-            may_duplicate: true,
-        },
-        rules: Rules { ask_within: Micros(10_000_000), cold_share: 0.32, warm_up: Micros(9_000_000) },
-    }
-}
-
-/// A host in this state.
-pub fn host(server: ServerId, state: State) -> Host {
-    let entry = Entry { server, zone: 0, kind: 0, cell: 0, state, weight: 1.0, started: Micros(0) };
-    Host { entry, address: Some(([127, 0, 0, 1], 1).into()) }
-}
-
-/// An exchange by this carrier that knows so many hosts, the first of which is `HOST`.
-pub fn exchange(settings: Settings, carrier: Rc<dyn Carrier>, hosts: u32) -> Rc<Exchange> {
-    let counters = Rc::new(Counters::default());
-    let exchange = Exchange::new(settings, 7, carrier, Clock::start(), counters, log());
-    let hosts: Vec<Host> =
-        (0..hosts).map(|n| host(ServerId(HOST.0 + u64::from(n)), State::Serving)).collect();
-    exchange.listed(ListKind::Restored, &hosts);
-    exchange
-}
-
 /// Pools with room for so many connections.
 pub fn upstream(connections: usize) -> Rc<Upstream> {
     let second = std::time::Duration::from_secs(1);
@@ -100,43 +21,3 @@
     };
     Upstream::new(limits, Clock::start(), Rc::new(Counters::default()), log())
 }
-
-/// A command with this id.
-pub fn command(id: &str, value: Option<Vec<u8>>) -> exchange::Command {
-    exchange::Command {
-        id: Bytes::copy_from_slice(id.as_bytes()),
-        key: Bytes::from_static(b"7f3a9c21e0b4d655"),
-        value: value.map(Bytes::from),
-        class: 0,
-        retry: false,
-        wait: Some(Micros(480_000)),
-        properties: vec![("c".into(), "read".into()), ("d".into(), "480".into())],
-    }
-}
-
-/// Runs a test on a clock that stands still until everyone waits for it.
-pub fn run<T>(test: impl Future<Output = T>) -> T {
-    run_on(true, test)
-}
-
-/// Runs a test that has sockets of the kernel's and needs no clock.
-pub fn run_on_sockets<T>(test: impl Future<Output = T>) -> T {
-    run_on(false, test)
-}
-
-fn run_on<T>(paused: bool, test: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(paused).build();
-    LocalSet::new().block_on(&runtime.expect("a runtime"), test)
-}
-
-/// Lets every other task go as far as it can.
-pub async fn settle() {
-    for _ in 0..64 {
-        tokio::task::yield_now().await;
-    }
-}
-
-/// A log that nobody reads.
-pub fn log() -> Logger {
-    Logger::root(Discard, o!())
-}
--- a/node/src/http.rs
+++ b/protocols/src/http.rs
@@ -7,8 +7,8 @@
 use winnow::prelude::*;
 use winnow::token::{take_till, take_while};
 
-use crate::exchange::{Answer, Command, Reply};
 use crate::memcache::{number, write_properties, MAX_VALUE};
+use juniperladder_exchange::values::{Answer, Command, Reply};
 
 /// The longest head of a response.
 const MAX_HEAD: usize = 16 * 1024;
@@ -248,7 +248,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::testing::command;
+    use juniperladder_exchange::testing::command;
 
     fn read(text: &[u8], cut: usize) -> Result<Response, String> {
         let (mut response, mut input) = (Response::default(), BytesMut::new());
--- /dev/null
+++ b/protocols/src/lib.rs
@@ -0,0 +1,4 @@
+//! Codecs: bytes to values and back, without I/O.
+
+pub mod http;
+pub mod memcache;
--- a/node/src/memcache.rs
+++ b/protocols/src/memcache.rs
@@ -6,8 +6,8 @@
 use winnow::prelude::*;
 use winnow::token::take_while;
 
-use crate::clock::{from_ms, to_ms};
-use crate::exchange::{Answer, Command, Reply};
+use juniperladder_exchange::clock::{from_ms, to_ms};
+use juniperladder_exchange::values::{Answer, Command, Reply};
 
 /// The longest line; a key, an id and a few properties are far shorter.
 const MAX_LINE: usize = 4096;
@@ -293,6 +293,70 @@
     Ok(reply)
 }
 
+/// Writes a cache host's answer, which [`answer`] reads. `hit` tells how a read went where hosts tell that,
+/// and `load` is the report that may end the line.
+pub fn write_reply(out: &mut BytesMut, id: &[u8], reply: &Reply, hit: Option<bool>, load: Option<&str>) {
+    let named = |out: &mut BytesMut| {
+        out.put_slice(b" O");
+        out.put_slice(id);
+    };
+    match reply {
+        Reply::Served(Answer::Value(value)) => {
+            out.put_slice(format!("VA {}", value.len()).as_bytes());
+            named(out);
+        }
+        Reply::Served(Answer::Receipt(receipt)) => {
+            out.put_slice(b"HD");
+            named(out);
+            out.put_slice(b" c");
+            out.put_slice(receipt);
+        }
+        Reply::Miss { .. } => {
+            out.put_slice(b"EN");
+            named(out);
+        }
+        Reply::Full => out.put_slice(b"SERVER_ERROR busy"),
+        Reply::Error | Reply::Served(_) => out.put_slice(b"SERVER_ERROR failed"),
+    }
+    if let Some(hit) = hit {
+        out.put_slice(if hit { b" h1" } else { b" h0" });
+    }
+    if matches!(reply, Reply::Miss { fetching: true }) {
+        out.put_slice(b" Z");
+    }
+    if let Some(load) = load {
+        out.put_slice(b" L");
+        out.put_slice(load.as_bytes());
+    }
+    out.put_slice(b"\r\n");
+    if let Reply::Served(Answer::Value(value)) = reply {
+        out.put_slice(value);
+        out.put_slice(b"\r\n");
+    }
+}
+
+/// Takes a balancer's answer to this command off the input, as its client reads it: none until it is whole, an
+/// error when it cannot be one.
+pub fn client_answer(input: &mut BytesMut, command: &Command) -> Result<Option<Answer>, String> {
+    let Some((bare, whole)) = line_end(input) else {
+        return if input.len() > MAX_LINE { Err("an answer's line has no end".into()) } else { Ok(None) };
+    };
+    let told: Vec<&[u8]> = input[..bare].split(|b| *b == b' ').filter(|word| !word.is_empty()).collect();
+    let plain = match told[..] {
+        [b"SERVER_ERROR", b"busy"] => Answer::Nack(Micros(0)),
+        [b"SERVER_ERROR", b"busy", ms] => Answer::Nack(number(ms).map_or(Micros(0), from_ms)),
+        [b"VA" | b"HD", ..] => {
+            return Ok(answer(input, command)?.map(|reply| match reply {
+                Reply::Served(answer) => answer,
+                _ => Answer::Failed,
+            }));
+        }
+        _ => Answer::Failed,
+    };
+    input.advance(whole);
+    Ok(Some(plain))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
