Gap a silent host at one send where a balancer is one of a hundred

The counters by reason, new in this commit, show that every nack is of a client's retry past its aim (nack_late): the first tries were not answered in time. A probe printed each execution's host, time and report over the fleet: 10 of 60 hosts answer nothing for 10 to 15 s, and go on getting 35 to 50 sends a second, their whole share, until the list drops them.

Ruled out by the same counters: no nack for the origin's queue, its places or a gap (all zero); discovery lists arrive within 10 ms of each other; CPU is 0.1 s a balancer in 25 s; connects are not refused.

The lines at fault: Gap::outcome asked for 4 ends within 8 windows (3 s), and one of a hundred balancers sends to a host once in 2 to 4 s, so its evidence was always thrown away; the reset put a window's start at the end of a send, so that one end never filled a window; Ladder::new let every balancer probe a dead host once in 3 s, 33 a second in sum.

The change: a first window needs 12 ends of all balancers together, one each from 12 balancers on; the longest gap grows with the root of their number; at that size a send counts as silent as soon as its second copy is due, if it has waited 3 times the (geometric) mean of all caches, so that nothing stands out where all are slow. Settings::sound guards against settings without classes or balancers in one place. Nacks are counted by reason, and counters go to the log each 5 s, as a balancer that is killed tells nothing at its end.

--- a/exchange/src/counters.rs
+++ b/exchange/src/counters.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 use std::fmt;
 
+use juniperladder::Why;
+
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
         /// One number for each kind of thing that happens.
@@ -37,6 +39,20 @@
     served,
     /// Commands answered with a nack.
     nacked,
+    /// Nacks: an answer would have come too late to be worth anything.
+    nack_late,
+    /// Nacks: all attempts were used up.
+    nack_spent,
+    /// Nacks: no host was left that the command might be sent to.
+    nack_nowhere,
+    /// Nacks: too little time was left for the origin's usual pace.
+    nack_hopeless,
+    /// Nacks: the command had waited for a place at the origin for as long as it may.
+    nack_waited,
+    /// Nacks: too many commands that are worth more waited for a place at the origin.
+    nack_outranked,
+    /// Nacks: all hosts of the command were gapped.
+    nack_gapped,
     /// Commands answered as failed.
     failed,
     /// Commands that the module had not ended at their deadline.
@@ -75,6 +91,21 @@
     discovery_failures,
 }
 
+impl Counters {
+    /// The counter of nacks for this reason.
+    pub fn refusals(&self, why: Why) -> &Cell<u64> {
+        match why {
+            Why::Late => &self.nack_late,
+            Why::Spent => &self.nack_spent,
+            Why::Nowhere => &self.nack_nowhere,
+            Why::Hopeless => &self.nack_hopeless,
+            Why::Waited => &self.nack_waited,
+            Why::Outranked => &self.nack_outranked,
+            Why::Gapped => &self.nack_gapped,
+        }
+    }
+}
+
 /// Adds one.
 pub fn count(counter: &Cell<u64>) {
     counter.set(counter.get() + 1);
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -484,7 +484,8 @@
                 inner.timers.push(Reverse((until, Due::Execution(id))));
                 inner.carrier.begin(Execution { id, command, server, until });
             }
-            Action::Refuse { id, retry_after } => {
+            Action::Refuse { id, retry_after, why } => {
+                count(self.counters.refusals(why));
                 self.finish(inner, CommandId::of(&id), Answer::Nack(retry_after));
             }
             Action::Fail { id } => self.finish(inner, CommandId::of(&id), Answer::Failed),
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -18,6 +18,7 @@
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use juniperladder::{ListKind, Mode};
 use slog::{error, info, o, Drain, Logger};
@@ -28,6 +29,9 @@
 
 use config::Config;
 
+/// How often the counters go to the log: a balancer that is killed tells nothing at its end.
+const TELL: Duration = Duration::from_secs(5);
+
 /// Runs a balancer as the environment describes it, until it is told to stop.
 pub fn run_from_environment() -> Result<(), String> {
     serve(Config::from_environment()?)
@@ -104,8 +108,11 @@
     let (discovery, turns) = watch::channel(config.discovery);
     spawn_local(name_table::follow(table, turns, Rc::clone(&exchange), log.clone()));
     spawn_local(service.accept(listener));
+    let mut regular = tokio::time::interval(TELL);
+    regular.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
+            _ = regular.tick() => info!(log, "counters"; "all" => counters.to_string()),
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
             _ = report.recv() => {
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -608,7 +608,7 @@
                 };
                 let (after, ()) = tokio::join!(carry, host);
                 let counted: Vec<_> = exchange.counters().all().into_iter()
-                    .filter(|(name, n)| *n > 0 && !["commands", "executions", "served", "nacked", "failed", "bad_answers"].contains(name))
+                    .filter(|(name, n)| *n > 0 && !name.starts_with("nack_") && !["commands", "executions", "served", "nacked", "failed", "bad_answers"].contains(name))
                     .collect();
                 assert_eq!(counted, [(want, 1)]);
                 assert_eq!(after == After::Broke, leaves && want == "resets");
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -158,6 +158,21 @@
     pub rules: Rules,
 }
 
+impl Settings {
+    /// These settings with what makes no sense replaced by what does least harm: at least one class and one
+    /// balancer, and shares that are numbers.
+    pub fn sound(mut self) -> Settings {
+        if self.classes.is_empty() {
+            self.classes.push(Class::default());
+        }
+        self.balancers = self.balancers.max(1);
+        if !self.rules.cold_share.is_finite() {
+            self.rules.cold_share = 0.0;
+        }
+        self
+    }
+}
+
 /// A server's state in the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
@@ -281,6 +296,25 @@
     Gone(RequestId),
 }
 
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// An answer would be worth nothing any more.
+    Late,
+    /// It has had all its attempts.
+    Spent,
+    /// No server is left that it may be sent to.
+    Nowhere,
+    /// Too little time is left for the origin's usual pace.
+    Hopeless,
+    /// It has waited for a place at the origin for as long as it may.
+    Waited,
+    /// Too many that are worth more wait for a place at the origin.
+    Outranked,
+    /// All its servers are gapped.
+    Gapped,
+}
+
 /// What a balancer asks of its router.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -299,6 +333,8 @@
         id: RequestId,
         /// Advice to the client; zero is none.
         retry_after: Micros,
+        /// For whoever counts; nothing else hangs on it.
+        why: Why,
     },
     /// Final answer: failed, promising nothing.
     Fail {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,6 +1,5 @@
 //! Every decision of the balancer; the types of its interface stand in src/interface.rs.
-//! The mechanism is the flow control of "Overload Control Strategies for Database Nodes in a
-//! Transaction Network": see docs/design.md. What this file asks stands in a file for each concern.
+//! The mechanism is that of docs/design.md; what this file asks stands in a file for each concern.
 
 mod gap;
 mod members;
@@ -19,14 +18,17 @@
 
 /// Part of the time left after which a read without an answer is sent elsewhere as well.
 const HEDGE_AFTER: f64 = 0.65;
+/// Means of all caches after which a silent one stands out, and what one end weighs in that mean.
+const STANDS_OUT: f64 = 3.0;
+const PACE: f64 = 0.05;
 /// Such second copies for each first try, and how many may be saved up.
 const HEDGES: f64 = 0.1;
 const HEDGES_SAVED: f64 = 10.0;
-/// Parts of their time that reads and writes wait for the origin, and the time at its pace for all.
+/// Parts of their time that reads and writes wait for the origin, the time at its pace for all, and that
+/// over which those come back who were refused together.
 const READ_WAITS: f64 = 0.3;
 const WRITE_WAITS: f64 = 0.8;
 const QUEUE: Micros = Micros(400_000);
-/// Over this time those come back who were refused together.
 const SPREAD: Micros = Micros(250_000);
 /// The timer tokens of discovery and of the origin's gap; requests use higher ones.
 const DISCOVERY: u64 = 0;
@@ -36,7 +38,7 @@
 enum Path {
     Send(usize),
     Queue(Micros),
-    End(Micros),
+    End(Micros, Why),
 }
 
 /// One router's decisions; see the crate's documentation for its use.
@@ -48,9 +50,10 @@
     members: Members,
     placement: Placement,
     answers: Rate,
-    /// What waits for a place at the origin, with its worth.
+    /// The logarithm of the time in which caches answer of late, or do not.
+    pace: f64,
+    /// What waits for a place at the origin, with its worth; the longest wait of first tries, by class.
     queue: Vec<(f64, RequestId)>,
-    /// The longest wait of first tries, by class.
     first_waits: Vec<Micros>,
     requests: FxHashMap<RequestId, Pending>,
     held: FxHashMap<u64, RequestId>,
@@ -62,10 +65,8 @@
 
 impl Balancer {
     /// A balancer that knows nothing yet but its settings.
-    pub fn new(mut settings: Settings, seed: u64) -> Balancer {
-        if settings.classes.is_empty() {
-            settings.classes.push(Class::default());
-        }
+    pub fn new(settings: Settings, seed: u64) -> Balancer {
+        let settings = settings.sound();
         let kind = if let Mode::Aside(kind) = settings.mode { Some(kind) } else { None };
         Balancer {
             ladder: Ladder::new(&settings),
@@ -75,6 +76,7 @@
             rng: fastrand::Rng::with_seed(seed),
             placement: Placement::default(),
             answers: Rate::default(),
+            pace: 0.0,
             queue: vec![],
             requests: FxHashMap::default(),
             held: FxHashMap::default(),
@@ -91,9 +93,7 @@
             Event::Endpoints(kind, list) => self.listed(now, kind, list, actions),
             Event::Request(request) => self.arrived(now, request, actions),
             Event::Started(id) => {
-                if let Some(pending) = self.requests.get_mut(&id) {
-                    pending.streaming = true;
-                }
+                self.requests.get_mut(&id).into_iter().for_each(|pending| pending.begun = true);
             }
             Event::Outcome(outcome) => self.ended(now, outcome, actions),
             Event::Timer(DISCOVERY) if !self.settings.subscribe || self.members.subscribed => {}
@@ -116,7 +116,7 @@
                 if let Some(pending) = self.requests.remove(&id) {
                     self.held.remove(&pending.token);
                     self.queue.retain(|(_, queued)| *queued != id);
-                    if let Some(server) = pending.out().and_then(|a| self.members.find(a.server)) {
+                    if let Some(server) = pending.out().and_then(|a| self.members.find(a.to.server)) {
                         // Its end will not tell that it was a write.
                         server.places.free(now, pending.request.write, None);
                         server.places.take(false);
@@ -158,9 +158,7 @@
         let aim = class.aim.plus(work.times(class.aim_stretch)).min(class.deadline.max(class.aim));
         let aim = now.plus(aim.minus(spent)).min(request.deadline);
         let useful = if class.late_worth > 0.0 { request.deadline } else { aim };
-        if let Some(key) = request.key.filter(|_| !request.write) {
-            self.placement.count(key);
-        }
+        request.key.filter(|_| !request.write).into_iter().for_each(|key| self.placement.count(key));
         self.route(now, Pending::new(request, useful), actions);
     }
 
@@ -192,17 +190,17 @@
                 let most = self.members.origin().map_or(0, |s| s.places.freed(QUEUE));
                 if self.queue.len() > most + 1 {
                     // What is worth least is given up, and told so now.
-                    let least =
-                        (0..self.queue.len()).min_by(|a, b| self.queue[*a].0.total_cmp(&self.queue[*b].0));
-                    least.into_iter().for_each(|at| self.take_on(now, at, Step::Queued, actions));
+                    let worth = |at: &usize| self.queue[*at].0;
+                    let least = (0..self.queue.len()).min_by(|a, b| worth(a).total_cmp(&worth(b)));
+                    self.take_on(now, least.unwrap_or(0), Step::Outranked, actions);
                 }
             }
-            Path::End(wait) => {
+            Path::End(wait, why) => {
                 if pending.may_refuse(class_of(&self.settings, &pending.request)) {
                     let limits = &self.settings.limits;
                     let most = if limits.retry_after { limits.max_retry_after } else { Micros(0) };
                     let spread = SPREAD.times(self.rng.f64());
-                    actions.push(Action::Refuse { id, retry_after: wait.plus(spread).min(most) });
+                    actions.push(Action::Refuse { id, retry_after: wait.plus(spread).min(most), why });
                 } else {
                     actions.push(Action::Fail { id });
                 }
@@ -212,6 +210,12 @@
 
     /// Sends a read that waits for a cache elsewhere as well, if there is a place to spare.
     fn hedge(&mut self, now: Micros, pending: Pending, actions: &mut Vec<Action>) {
+        let waited = pending.out().map_or(Micros(0), |a| now.minus(a.sent));
+        let slow = self.ladder.least <= 1.0 && waited.0 as f64 > STANDS_OUT * self.pace.exp();
+        let server = pending.out().filter(|_| slow).and_then(|a| self.members.find(a.to.server));
+        if let Some(server) = server.filter(|s| s.places.fair(waited)) {
+            server.gap.outcome(now, now.minus(waited), true, &self.ladder, self.rng.f64());
+        }
         match self.path(now, &pending) {
             Path::Send(at) if self.hedges >= 1.0 && self.queue.is_empty() => {
                 self.hedges -= 1.0;
@@ -224,20 +228,12 @@
     fn send(&mut self, now: Micros, at: usize, mut pending: Pending, actions: &mut Vec<Action>) {
         let id = pending.request.id;
         let server = &mut self.members.servers[at];
-        if let Some((left, _)) = &mut server.budget {
-            *left -= 1.0;
-        }
+        server.budget.iter_mut().for_each(|(left, _)| *left -= 1.0);
         server.gap.pass(now, pending.request.tenant);
         server.places.take(pending.request.write);
         let entry = &server.entry;
         pending.step = Step::Usual;
-        pending.attempts.push(Attempt {
-            server: entry.server,
-            zone: entry.zone,
-            cell: entry.cell,
-            sent: now,
-            fate: Fate::Out,
-        });
+        pending.attempts.push(Attempt { to: entry.clone(), sent: now, fate: Fate::Out });
         let class = class_of(&self.settings, &pending.request);
         let again = class.effect == Effect::Safe && !is_origin(entry, &self.settings);
         let wait = pending.useful.minus(now).times(HEDGE_AFTER).max(Micros(1));
@@ -298,7 +294,7 @@
         let used = pending.attempts.len() as u32;
         let left = self.settings.limits.max_attempts.max(1).saturating_sub(used);
         if now >= pending.useful || left == 0 {
-            return Path::End(Micros(0));
+            return Path::End(Micros(0), if left == 0 { Why::Spent } else { Why::Late });
         }
         let tried = pending.missed || pending.out().is_some() || used as usize >= MAX_HOMES;
         if !aside || !(request.write || tried || left == 1) {
@@ -318,7 +314,7 @@
         for place in 0..self.placement.order.len() {
             let at = self.placement.order[place].1;
             let server = &mut self.members.servers[at];
-            if pending.attempts.iter().any(|a| a.server == server.entry.server) {
+            if pending.attempts.iter().any(|a| a.to.server == server.entry.server) {
                 continue;
             }
             let wait = server.gap.wait(now, pending.request.tenant, &self.ladder);
@@ -341,7 +337,7 @@
             }
         }
         // Behind the caches the origin has limits of its own to refuse by.
-        least.filter(|_| self.settings.mode == Mode::Through).map(Path::End)
+        least.filter(|_| self.settings.mode == Mode::Through).map(|wait| Path::End(wait, Why::Gapped))
     }
 
     fn at_origin(&mut self, now: Micros, pending: &Pending) -> Path {
@@ -349,16 +345,18 @@
         let settings = &self.settings;
         let class = class_of(settings, request);
         let room = pending.useful.minus(now);
-        let Some(at) = self.members.origin else { return Path::End(Micros(0)) };
+        let Some(at) = self.members.origin else { return Path::End(Micros(0), Why::Nowhere) };
         let server = &mut self.members.servers[at];
         if !pending.may_send(now, &server.entry, class, &settings.limits) {
-            return Path::End(Micros(0));
+            return Path::End(Micros(0), Why::Nowhere);
         }
         let wait = server.gap.wait(now, request.tenant, &self.ladder);
         let full = wait.0 > 0 || !server.places.room(now, request.write);
         match pending.step {
             Step::Booked => Path::Send(at),
-            _ if pending.step == Step::Queued || !server.places.hopeful(room) => Path::End(wait),
+            Step::Outranked => Path::End(wait, Why::Outranked),
+            Step::Queued => Path::End(wait, Why::Waited),
+            _ if !server.places.hopeful(room) => Path::End(wait, Why::Hopeless),
             _ if full || !(request.write || self.queue.is_empty()) => {
                 Path::Queue(room.times(if request.write { WRITE_WAITS } else { READ_WAITS }))
             }
@@ -382,20 +380,22 @@
                     // A slow origin still refills caches, and its places bound what waits there.
                     (!origin).then_some(true)
                 }
-                Status::Ok => {
-                    places.answered(now, latency);
-                    Some(false)
-                }
                 // A connection that breaks tells of itself; a server that is gone, by the next one.
-                Status::Miss | Status::Error | Status::Reset => Some(false),
+                Status::Ok | Status::Miss | Status::Error | Status::Reset => Some(false),
                 Status::Timeout | Status::Cancelled | Status::Moot => None,
             };
+            if outcome.status == Status::Ok {
+                places.answered(now, latency);
+            }
             if let Some(rejected) = rejected {
                 server.gap.outcome(now, now.minus(latency), rejected, &self.ladder, self.rng.f64());
             }
             if !origin && matches!(outcome.status, Status::Ok | Status::Miss) {
                 self.answers.add(now);
             }
+            if !origin && latency.0 > 0 {
+                self.pace += ((latency.0 as f64).ln() - self.pace) * PACE;
+            }
         }
         if let Some(pending) = known {
             self.go_on(now, pending, &outcome, actions);
@@ -414,7 +414,7 @@
         }
         pending.missed |= outcome.status == Status::Miss;
         pending.step = Step::Usual;
-        if pending.out().is_some() || pending.streaming {
+        if pending.out().is_some() || pending.begun {
             self.requests.insert(outcome.id, pending);
         } else {
             self.route(now, pending, actions);
--- a/src/rules/gap.rs
+++ b/src/rules/gap.rs
@@ -1,5 +1,4 @@
-//! The gap of one server: which share r of the sends there is rejected, and how long a source waits
-//! between two of them (section 3.2 of the paper).
+//! The gap of one server: the share r of rejected sends there, and the wait between two (paper, 3.2).
 
 use rustc_hash::FxHashMap;
 
@@ -10,11 +9,12 @@
 /// Share r over which the gap rises, as the paper has it, and under which it falls.
 pub(super) const HIGH: f64 = 1.0 - 1.0 / RATIO;
 pub(super) const LOW: f64 = 0.05;
-/// Outcomes that a first window needs; under a gap they come one a gap, and each is a window.
-const LEAST: f64 = 4.0;
+/// Outcomes that a first window needs, of all balancers together; under a gap each is a window.
+const LEAST: f64 = 12.0;
+/// So many balancers probe a dead server once in the longest deadline each.
+const PROBERS: f64 = 3.0;
 /// Served outcomes taken to be hidden behind a window of rejections only.
 const UNSEEN: f64 = 0.25;
-/// Rungs down after a window without rejections: about a third of the gap is left.
 const RELEASE_RUNGS: u32 = 3;
 /// Duration d in gaps: long enough that the trickle's own outcomes renew it.
 const HOLD_GAPS: f64 = 4.0;
@@ -24,16 +24,27 @@
     base: f64,
     pub(super) window: Micros,
     pub(super) top: u32,
+    /// Outcomes that a first window needs.
+    pub(super) least: f64,
 }
 
 impl Ladder {
-    /// The longest gap is the longest deadline: a dead server costs each source one send in it.
+    /// The longest gap is the longest deadline, and grows with the root of the number of balancers: what
+    /// they lose together at a dead server grows with that number, and what they lose by being late to
+    /// find it well with the gap.
     pub(super) fn new(settings: &Settings) -> Ladder {
         let base = settings.tick.0.max(1_000) as f64;
         let aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or(Micros(500_000));
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(Micros(1_000_000));
+        let balancers = f64::from(settings.balancers.max(1));
+        let longest = longest.times((balancers / PROBERS).max(1.0).sqrt());
         let top = ((longest.0 as f64 / base).max(1.0).ln() / RATIO.ln()).clamp(1.0, 64.0) as u32;
-        Ladder { base, window: aim.times(0.5).max(Micros(1)), top }
+        Ladder {
+            base,
+            window: aim.times(0.5).max(Micros(1)),
+            top,
+            least: (LEAST / balancers).clamp(1.0, 4.0),
+        }
     }
 
     pub(super) fn length(&self, rung: u32) -> Micros {
@@ -50,7 +61,7 @@
 pub(super) struct Gap {
     pub(super) rung: u32,
     pub(super) until: Micros,
-    /// What was sent before this time tells nothing of the present rung.
+    /// What was sent before tells nothing of the present rung.
     raised: Micros,
     opened: Micros,
     outcomes: f64,
@@ -82,20 +93,17 @@
             return;
         }
         if now.minus(self.opened) > ladder.window.times(8.0) && self.rung == 0 {
-            // Evidence that nobody added to for so long tells of another time.
-            (self.outcomes, self.rejected, self.opened) = (0.0, 0.0, now);
+            (self.outcomes, self.rejected, self.opened) = (0.0, 0.0, sent);
         }
         self.outcomes += 1.0;
         self.rejected += f64::from(rejected);
         let span = now.minus(self.opened);
-        if self.rung == 0 && (self.outcomes < LEAST || span < ladder.window) {
+        if self.rung == 0 && (self.outcomes < ladder.least || span < ladder.window) {
             return;
         }
-        // Less than one served outcome more than seen keeps r below one.
         let r = self.rejected / (self.outcomes + UNSEEN * f64::from(self.rejected == self.outcomes));
         let before = self.rung;
         if r > HIGH && before == 0 {
-            // The pace that was served, shared out to the sources.
             let sources = self.passes.len().max(1) as f64;
             self.rung = ladder.rung(span.0 as f64 * sources / (self.outcomes * (1.0 - r)));
         } else if r > HIGH {
@@ -106,7 +114,6 @@
         }
         let gap = ladder.length(self.rung).max(ladder.window);
         if self.rung > before {
-            // The wait differs by balancer, so that hundreds neither climb nor release together.
             self.raised = now.plus(gap.times(0.5 * draw));
         }
         if r > LOW || self.rung != before {
--- a/src/rules/members.rs
+++ b/src/rules/members.rs
@@ -46,8 +46,7 @@
         Server { entry, gap: Gap::default(), places: Places::new(balancers), budget: None }
     }
 
-    /// Whether a cold server can take one more send. What gapped servers shed must not all land on
-    /// it: it gets no more than this balancer's warm servers answer, cut by its warmth (rule 4).
+    /// Whether a cold server can take one more send: as warm ones answer, cut by its warmth (rule 4).
     pub(super) fn spare(&mut self, now: Micros, per_s: f64, rules: &Rules, rng: &mut fastrand::Rng) -> bool {
         let warm = warmth(&self.entry, now, rules);
         if warm >= 1.0 {
@@ -62,13 +61,12 @@
     }
 }
 
-/// The server list in hand, sorted by id, with what this balancer saw of each server.
+/// The server list in hand, sorted by id, with what this balancer saw of each server; the origin's kind of
+/// machine, and where it stands.
 #[derive(Debug, Default)]
 pub(super) struct Members {
     pub(super) balancers: u32,
-    /// The origin's kind of machine.
     pub(super) kind: Option<u32>,
-    /// Where the origin stands.
     pub(super) origin: Option<usize>,
     pub(super) servers: Vec<Server>,
     pub(super) subscribed: bool,
--- a/src/rules/pending.rs
+++ b/src/rules/pending.rs
@@ -11,9 +11,7 @@
 
 #[derive(Debug)]
 pub(super) struct Attempt {
-    pub(super) server: ServerId,
-    pub(super) zone: u32,
-    pub(super) cell: u32,
+    pub(super) to: Entry,
     pub(super) sent: Micros,
     pub(super) fate: Fate,
 }
@@ -23,6 +21,7 @@
 pub(super) enum Step {
     Usual,
     Queued,
+    Outranked,
     Booked,
 }
 
@@ -32,7 +31,7 @@
     pub(super) useful: Micros,
     pub(super) attempts: Vec<Attempt>,
     pub(super) missed: bool,
-    pub(super) streaming: bool,
+    pub(super) begun: bool,
     pub(super) token: u64,
     pub(super) step: Step,
 }
@@ -48,7 +47,7 @@
             useful,
             attempts: vec![],
             missed: false,
-            streaming: false,
+            begun: false,
             token: 0,
             step: Step::Usual,
         }
@@ -61,7 +60,7 @@
     pub(super) fn may_send(&self, now: Micros, to: &Entry, class: &Class, limits: &Limits) -> bool {
         let out = self.out().is_some();
         let left = (self.attempts.len() as u32) < limits.max_attempts.max(1);
-        let open = !self.streaming && now < self.request.deadline && to.state == State::Serving;
+        let open = !self.begun && now < self.request.deadline && to.state == State::Serving;
         let twice = class.effect == Effect::Safe && limits.may_duplicate;
         if out && !twice || !left || !open {
             return false;
@@ -72,8 +71,8 @@
             Effect::Keyed => self.may_have_run().all(|a| {
                 let near = match class.group {
                     Group::All => true,
-                    Group::Zone => a.zone == to.zone,
-                    Group::Cell => a.cell == to.cell,
+                    Group::Zone => a.to.zone == to.zone,
+                    Group::Cell => a.to.cell == to.cell,
                 };
                 near && now.minus(a.sent) < class.window
             }),
@@ -86,7 +85,6 @@
     }
 }
 
-/// A class index that the settings lack names the last class.
 pub(super) fn class_of<'a>(settings: &'a Settings, request: &Request) -> &'a Class {
     let last = settings.classes.len() - 1;
     &settings.classes[(request.class as usize).min(last)]
--- a/src/rules/placement.rs
+++ b/src/rules/placement.rs
@@ -14,7 +14,6 @@
 
 #[derive(Debug, Default)]
 pub(super) struct Placement {
-    /// How often this balancer was asked for a key, lately.
     pub(super) counts: FxHashMap<Key, f64>,
     pub(super) total: f64,
     pub(super) order: Vec<(f64, usize)>,
--- a/src/rules/places.rs
+++ b/src/rules/places.rs
@@ -30,19 +30,16 @@
 pub(super) struct Places {
     reads: f64,
     writes: f64,
-    /// When the server may be done with what was given up there.
+    /// When the server may be done with what was given up.
     ghosts: Vec<Micros>,
     pub(super) most: f64,
-    /// The largest bound that was lately in use.
     used: f64,
     cut: Micros,
-    /// Mean latency in quick times, and of late.
     pub(super) usual: f64,
     pub(super) lately: f64,
     sum: f64,
     count: f64,
     taught: Micros,
-    /// Whether more than half of the places were in use since the last mean.
     pressed: bool,
 }
 
--- a/src/rules/tests/limits.rs
+++ b/src/rules/tests/limits.rs
@@ -3,7 +3,58 @@
 use super::*;
 
 fn ladder() -> Ladder {
-    Ladder::new(&settings(Effect::Safe, Group::All))
+    ladder_of(3)
+}
+
+fn ladder_of(balancers: u32) -> Ladder {
+    Ladder::new(&Settings { balancers, ..settings(Effect::Safe, Group::All) })
+}
+
+/// One of a hundred balancers sends to a host every few seconds: that sees no window of four ends before it
+/// is another time, and once sent on to hosts that had been silent for half a minute.
+#[test]
+fn one_of_many_balancers_gaps_a_silent_host_at_once_and_probes_it_seldom() {
+    for (balancers, gapped) in [(3, false), (100, true)] {
+        let (ladder, mut gap, mut now) = (ladder_of(balancers), Gap::default(), 20 * SECOND);
+        gap.outcome(Micros(now), Micros(now - SECOND), true, &ladder, 0.5);
+        assert_eq!(gap.active(Micros(now)), gapped, "{balancers} balancers");
+        for _ in 0..5 {
+            now += 4 * SECOND;
+            gap.outcome(Micros(now), Micros(now - SECOND), true, &ladder, 0.5);
+        }
+        assert_eq!(gap.active(Micros(now)), gapped, "{balancers} balancers");
+    }
+    let sum = |n: u32| f64::from(n) / ladder_of(n).length(ladder_of(n).top).0 as f64;
+    assert!(sum(100) < 9.0 * sum(3), "probes of a dead server by all together");
+}
+
+/// A host whose answer is overdue is gapped when the second copy is due, unless all hosts are as slow.
+#[test]
+fn a_silent_host_stands_out_only_among_quick_ones() {
+    for (others, gapped) in [(20_000, true), (150_000, false)] {
+        let mut one = settings(Effect::Safe, Group::All);
+        one.limits.may_duplicate = true;
+        let mut b = balancer(one, &fleet(12));
+        let mut now = 2 * SECOND;
+        for n in 0..100 {
+            now += 200_000;
+            let sends = step(&mut b, now, Event::Request(request(n, now, n)));
+            let [Action::Send { server, .. }, ..] = sends[..] else { panic!("{sends:?}") };
+            let latency = Micros(others);
+            let (id, status) = (id(n), Status::Ok);
+            let told = Outcome { id, server, attempt: 0, latency, status, closed: true, fetching: false };
+            step(&mut b, now + others, Event::Outcome(told));
+        }
+        now += 200_000;
+        let sends = step(&mut b, now, Event::Request(request(500, now, 500)));
+        let [Action::Send { server, .. }, Action::Timer { at, token }] = sends[..] else {
+            panic!("{sends:?}")
+        };
+        step(&mut b, at.0, Event::Timer(token));
+        let (limits, _) = b.limits(at);
+        let limit = limits.iter().find(|l| l.server == server).expect("listed");
+        assert_eq!(limit.gap > Micros(0), gapped, "others take {others} µs");
+    }
 }
 
 fn feed(gap: &mut Gap, from: u64, step: u64, outcomes: &[bool]) -> u64 {
--- a/src/rules/tests/miniature.rs
+++ b/src/rules/tests/miniature.rs
@@ -138,7 +138,7 @@
         for action in actions {
             match action {
                 Action::Send { id, server, timeout } => self.send(name(&id), server.0, timeout.0),
-                Action::Refuse { id, retry_after } => self.gone(name(&id), retry_after.0),
+                Action::Refuse { id, retry_after, .. } => self.gone(name(&id), retry_after.0),
                 Action::Fail { id } => self.gone(name(&id), 0),
                 Action::Timer { at: when, token } => self.plan(when.0, Due::Timer(at, token)),
                 Action::Watch | Action::Log(_) => {}
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -312,7 +312,7 @@
         Action::Send { id, server, timeout } => serde_json::json!({
             "event_type": "submit-to", "router": router, "op-id": text(id),
             "server": server.0, "max-wait": timeout.0}),
-        Action::Refuse { id, retry_after } => serde_json::json!({
+        Action::Refuse { id, retry_after, .. } => serde_json::json!({
             "event_type": "push-back", "router": router, "op-id": text(id), "backoff": retry_after.0}),
         Action::Fail { id } => serde_json::json!({
             "event_type": "finish-error", "router": router, "op-id": text(id)}),
