Send second copies sooner where a host has not been heard of lately, and more of them

What differs with size is how old the balancer's knowledge is.

The lines at fault: HEDGES and HEDGE_AFTER in Balancer::send knew neither. The change: the share of the time after which a copy goes falls from 0.65 to 0.43 with the time since the host last answered, up to 8 windows; three copies for ten first tries. They go to the origin only, only while it has a place and nothing queues for it, as before. A window at that size is as short as what it needs is small, so that a copy that goes sooner still counts as evidence.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,18 +11,19 @@
 use rustc_hash::FxHashMap;
 
 use crate::interface::*;
-use gap::Ladder;
+use gap::{Ladder, MEMORY};
 use members::{is_origin, Members, Rate};
 use pending::{class_of, Attempt, Fate, Pending, Step};
 use placement::{Placement, MAX_HOMES};
 
-/// Part of the time left after which a read without an answer is sent elsewhere as well.
+/// Part of the time left after which an unanswered read goes elsewhere too; what an unheard server takes off.
 const HEDGE_AFTER: f64 = 0.65;
+const HEDGE_SOONER: f64 = 0.22;
 /// Means of all caches after which a silent one stands out, and what one end weighs in that mean.
 const STANDS_OUT: f64 = 3.0;
 const PACE: f64 = 0.05;
 /// Such second copies for each first try, and how many may be saved up.
-const HEDGES: f64 = 0.1;
+const HEDGES: f64 = 0.3;
 const HEDGES_SAVED: f64 = 10.0;
 /// Parts of their time that reads and writes wait for the origin, the time at its pace for all, and that
 /// over which those come back who were refused together.
@@ -76,7 +77,7 @@
             rng: fastrand::Rng::with_seed(seed),
             placement: Placement::default(),
             answers: Rate::default(),
-            pace: 0.0,
+            pace: f64::MAX.ln(),
             queue: vec![],
             requests: FxHashMap::default(),
             held: FxHashMap::default(),
@@ -117,7 +118,6 @@
                     self.held.remove(&pending.token);
                     self.queue.retain(|(_, queued)| *queued != id);
                     if let Some(server) = pending.out().and_then(|a| self.members.find(a.to.server)) {
-                        // Its end will not tell that it was a write.
                         server.places.free(now, pending.request.write, None);
                         server.places.take(false);
                     }
@@ -129,7 +129,6 @@
     fn listed(&mut self, now: Micros, kind: ListKind, list: &[Entry], actions: &mut Vec<Action>) {
         let spread = self.settings.rules.ask_within;
         if kind == ListKind::Unavailable {
-            // Calls that failed together are tried again apart, within what the rules allow.
             self.members.subscribed = false;
             self.members.failures = (self.members.failures + 1).min(3);
             let part = 0.1 * f64::from(1 << self.members.failures);
@@ -141,7 +140,6 @@
         if kind == ListKind::Restored && !self.begun {
             self.begun = true;
             if self.settings.subscribe {
-                // Hundreds of routers start at once before one discovery service of fixed size.
                 let at = now.plus(spread.times(0.6 * self.rng.f64())).plus(self.settings.tick);
                 actions.push(Action::Timer { at, token: DISCOVERY });
             }
@@ -236,7 +234,9 @@
         pending.attempts.push(Attempt { to: entry.clone(), sent: now, fate: Fate::Out });
         let class = class_of(&self.settings, &pending.request);
         let again = class.effect == Effect::Safe && !is_origin(entry, &self.settings);
-        let wait = pending.useful.minus(now).times(HEDGE_AFTER).max(Micros(1));
+        let unheard = now.minus(server.heard).0 as f64 / (MEMORY * self.ladder.window.0 as f64);
+        let after = HEDGE_AFTER - HEDGE_SOONER * unheard.min(1.0);
+        let wait = pending.useful.minus(now).times(after).max(Micros(1));
         let twice = self.settings.limits.may_duplicate;
         let timeout = if again && !twice { wait } else { Micros(0) };
         actions.push(Action::Send { id, server: entry.server, timeout });
@@ -391,10 +391,11 @@
                 server.gap.outcome(now, now.minus(latency), rejected, &self.ladder, self.rng.f64());
             }
             if !origin && matches!(outcome.status, Status::Ok | Status::Miss) {
-                self.answers.add(now);
+                (server.heard, _) = (now, self.answers.add(now));
             }
             if !origin && latency.0 > 0 {
-                self.pace += ((latency.0 as f64).ln() - self.pace) * PACE;
+                let first = if self.pace > 50.0 { 1.0 } else { PACE };
+                self.pace += ((latency.0 as f64).ln() - self.pace) * first;
             }
         }
         if let Some(pending) = known {
--- a/src/rules/gap.rs
+++ b/src/rules/gap.rs
@@ -11,6 +11,8 @@
 pub(super) const LOW: f64 = 0.05;
 /// Outcomes that a first window needs, of all balancers together; under a gap each is a window.
 const LEAST: f64 = 12.0;
+/// Windows for which evidence lasts that nobody adds to.
+pub(super) const MEMORY: f64 = 8.0;
 /// So many balancers probe a dead server once in the longest deadline each.
 const PROBERS: f64 = 3.0;
 /// Served outcomes taken to be hidden behind a window of rejections only.
@@ -24,27 +26,21 @@
     base: f64,
     pub(super) window: Micros,
     pub(super) top: u32,
-    /// Outcomes that a first window needs.
     pub(super) least: f64,
 }
 
 impl Ladder {
-    /// The longest gap is the longest deadline, and grows with the root of the number of balancers: what
-    /// they lose together at a dead server grows with that number, and what they lose by being late to
-    /// find it well with the gap.
+    /// The longest gap is the longest deadline, times the root of the number of balancers: what all lose at
+    /// a dead server grows with it, and what they lose by finding it well late does not.
     pub(super) fn new(settings: &Settings) -> Ladder {
         let base = settings.tick.0.max(1_000) as f64;
         let aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or(Micros(500_000));
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(Micros(1_000_000));
-        let balancers = f64::from(settings.balancers.max(1));
+        let balancers = f64::from(settings.balancers);
+        let (window, least) = (aim.times(0.5).max(Micros(1)), (LEAST / balancers).clamp(1.0, 4.0));
         let longest = longest.times((balancers / PROBERS).max(1.0).sqrt());
         let top = ((longest.0 as f64 / base).max(1.0).ln() / RATIO.ln()).clamp(1.0, 64.0) as u32;
-        Ladder {
-            base,
-            window: aim.times(0.5).max(Micros(1)),
-            top,
-            least: (LEAST / balancers).clamp(1.0, 4.0),
-        }
+        Ladder { base, window, top, least }
     }
 
     pub(super) fn length(&self, rung: u32) -> Micros {
@@ -92,13 +88,14 @@
         if sent < self.raised {
             return;
         }
-        if now.minus(self.opened) > ladder.window.times(8.0) && self.rung == 0 {
+        if now.minus(self.opened) > ladder.window.times(MEMORY) && self.rung == 0 {
             (self.outcomes, self.rejected, self.opened) = (0.0, 0.0, sent);
         }
         self.outcomes += 1.0;
         self.rejected += f64::from(rejected);
         let span = now.minus(self.opened);
-        if self.rung == 0 && (self.outcomes < ladder.least || span < ladder.window) {
+        if self.rung == 0 && (self.outcomes < ladder.least || span < ladder.window.times(0.25 * ladder.least))
+        {
             return;
         }
         let r = self.rejected / (self.outcomes + UNSEEN * f64::from(self.rejected == self.outcomes));
--- a/src/rules/members.rs
+++ b/src/rules/members.rs
@@ -37,13 +37,14 @@
     pub(super) entry: Entry,
     pub(super) gap: Gap,
     pub(super) places: Places,
+    pub(super) heard: Micros,
     /// Once it was cold: sends that it may still get from here, and when that was counted.
     pub(super) budget: Option<(f64, Micros)>,
 }
 
 impl Server {
     pub(super) fn new(entry: Entry, balancers: u32) -> Server {
-        Server { entry, gap: Gap::default(), places: Places::new(balancers), budget: None }
+        Server { entry, gap: Gap::default(), places: Places::new(balancers), heard: Micros(0), budget: None }
     }
 
     /// Whether a cold server can take one more send: as warm ones answer, cut by its warmth (rule 4).
@@ -52,7 +53,6 @@
         if warm >= 1.0 {
             return true;
         }
-        // It begins with a part of a send, by chance: hundreds of routers then don't all spend one at once.
         let (left, counted) = self.budget.unwrap_or_else(|| (rng.f64(), now));
         let passed = now.minus(counted).0 as f64 / 1e6;
         let left = (left + passed * per_s * warm * COLD_SHARE).min(1.0);
--- a/src/rules/places.rs
+++ b/src/rules/places.rs
@@ -65,7 +65,6 @@
         *(if write { &mut self.writes } else { &mut self.reads }) += 1.0;
     }
 
-    /// Gives a place back; where given-up work goes on, it is held that much longer.
     pub(super) fn free(&mut self, now: Micros, write: bool, goes_on: Option<Micros>) {
         let out = if write { &mut self.writes } else { &mut self.reads };
         *out = (*out - 1.0).max(0.0);
