--- /dev/null
+++ b/src/rules/tests/fleet.rs
@@ -0,0 +1,120 @@
+//! The fleet in miniature: what many balancers do together that is harmless in one. Sums over all of them are
+//! asserted, in virtual time, seeded.
+
+use super::miniature::{play_fleet, Day, Plan};
+use super::*;
+
+const SIZES: [usize; 5] = [3, 12, 50, 100, 200];
+
+fn day(balancers: usize, silent: (u64, u64, u64)) -> Day {
+    play_fleet(Plan { seed: 5, balancers, caches: 24, rate: 240.0, seconds: 30, slow: (0, 0, 1.0), silent })
+}
+
+fn sum(of: &[f64], from: usize, to: usize) -> f64 {
+    of[from..to].iter().sum()
+}
+
+/// The same load by more balancers costs the origin and the caches no more, and is served as well.
+#[test]
+fn the_same_load_costs_no_more_by_more_balancers() {
+    let few = day(3, (0, 0, 1));
+    for balancers in SIZES {
+        let many = day(balancers, (0, 0, 1));
+        let (fetches, before) = (sum(&many.fetches, 5, 30), sum(&few.fetches, 5, 30));
+        println!(
+            "{balancers:4} balancers: {:.3} served, {:.1} fetches a second, {:.3} hits and {:.3} attempts a command",
+            many.share(5, 30),
+            fetches / 25.0,
+            many.hits / sum(&many.asked, 0, 30),
+            many.attempts / sum(&many.asked, 0, 30)
+        );
+        assert!(many.share(5, 30) > 0.95, "{balancers}: {:.3}", many.share(5, 30));
+        assert!(fetches < 1.35 * before, "{balancers}: {fetches} fetches, {before} by three");
+    }
+}
+
+/// One cache in six answers nothing for ten seconds, and each balancer meets it once in seconds: it loses its
+/// share of the sends, most commands are served all the same, and it is not pushed over when it is back, cold.
+#[test]
+fn a_silent_host_that_each_balancer_meets_seldom_is_left_and_comes_back() {
+    for balancers in SIZES {
+        let day = day(balancers, (8, 18, 6));
+        let share = 4.0 / 24.0 * sum(&day.asked, 11, 17);
+        let lost = sum(&day.lost, 11, 17) / share;
+        println!(
+            "{balancers:4} balancers: {lost:.2} of its share lost, {:.3} served, {:.3} after, cold host at {:.2}",
+            day.share(11, 17),
+            day.share(22, 30),
+            day.pushed
+        );
+        // Two hundred meet a host once in 20 s each: they learn no faster, and copies serve meanwhile.
+        let most = if balancers > 100 { 0.95 } else { 0.7 };
+        assert!(lost < most, "{balancers}: {lost:.2} of a silent host's share still goes there");
+        assert!(day.share(11, 17) > 0.97, "{balancers}: {:.3} served meanwhile", day.share(11, 17));
+        assert!(day.share(22, 30) > 0.97, "{balancers}: {:.3} served after", day.share(22, 30));
+        assert!(day.pushed < 4.0, "{balancers}: a cold host was sent {:.2} times what it can do", day.pushed);
+    }
+}
+
+/// Nine in ten balancers start at once before a discovery that answers ten calls a second and fails the rest:
+/// the calls come spread out, and all have their list soon.
+#[test]
+fn a_herd_does_not_bury_discovery() {
+    const CAN: usize = 10;
+    let mut one = settings(Effect::Safe, Group::All);
+    one.subscribe = true;
+    let mut herd: Vec<Balancer> = (0..90).map(|seed| Balancer::new(one.clone(), seed)).collect();
+    let mut due: Vec<(u64, usize)> = Vec::new();
+    let timer = |actions: &[Action]| match actions {
+        [Action::Timer { at, .. }] => at.0,
+        other => panic!("{other:?}"),
+    };
+    for (n, b) in herd.iter_mut().enumerate() {
+        due.push((timer(&step(b, SECOND, Event::Endpoints(ListKind::Restored, &fleet(6)))), n));
+    }
+    let (mut calls, mut listed) = ([0; 64], 0);
+    while let Some(next) = (0..due.len()).min_by_key(|at| due[*at]) {
+        let (now, n) = due.swap_remove(next);
+        assert_eq!(step(&mut herd[n], now, Event::Timer(DISCOVERY)), [Action::Watch]);
+        let second = &mut calls[(now / SECOND) as usize];
+        *second += 1;
+        if *second <= CAN {
+            listed += 1;
+            step(&mut herd[n], now, Event::Endpoints(ListKind::Replace, &fleet(6)));
+        } else {
+            due.push((timer(&step(&mut herd[n], now, Event::Endpoints(ListKind::Unavailable, &[]))), n));
+        }
+    }
+    assert_eq!(listed, 90);
+    assert!(calls.iter().all(|n| *n <= 3 * CAN), "{calls:?}");
+    assert_eq!(calls[22..].iter().sum::<usize>(), 0, "all have their list in 20 s: {calls:?}");
+}
+
+/// Lists as discovery may hand them out: none, one, very many, one name twice. Each is decided on.
+#[test]
+fn lists_of_any_size_are_decided_on() {
+    let twice = [fleet(3), fleet(3)].concat();
+    for (list, listed) in [(vec![], 0), (fleet(0), 1), (fleet(10_000), 10_000), (twice, 4)] {
+        let mut b = balancer(settings(Effect::Safe, Group::All), &list);
+        assert_eq!(b.limits(Micros(SECOND)).0.len(), listed);
+        let actions = step(&mut b, SECOND, Event::Request(request(1, SECOND, 7)));
+        assert_eq!(sent(&actions).is_some(), listed > 0, "{listed} listed: {actions:?}");
+    }
+}
+
+/// Settings that make no sense have sound defaults, and nothing is divided by nothing.
+#[test]
+fn settings_without_sense_are_decided_on() {
+    for (balancers, cold) in [(0, 0.0), (u32::MAX, f64::NAN), (1, f64::INFINITY)] {
+        let mut odd = settings(Effect::Safe, Group::All);
+        (odd.balancers, odd.rules.cold_share, odd.rules.warm_up) = (balancers, cold, Micros(0));
+        odd.classes.clear();
+        let mut b = balancer(odd, &fleet(3));
+        for n in 0..50 {
+            let now = SECOND + n * 10_000;
+            let to = sent(&step(&mut b, now, Event::Request(request(n, now, n)))).expect("sent");
+            step(&mut b, now + 5_000, outcome(n, 0, to, Status::Timeout));
+        }
+        assert!(b.requests.is_empty());
+    }
+}
--- a/src/rules/tests/miniature.rs
+++ b/src/rules/tests/miniature.rs
@@ -6,7 +6,6 @@
 
 use super::*;
 
-const CACHES: u64 = 6;
 const KEYS: u64 = 120;
 const HIT: f64 = 0.1;
 const FETCH: f64 = 0.15;
@@ -19,6 +18,8 @@
     Timer(usize, u64),
     Done(u64, u32),
     Expired(u64, u32),
+    /// A balancer hears that the silent caches have started anew.
+    Listed(usize),
 }
 
 /// One try of a client, as the miniature sees it.
@@ -40,6 +41,28 @@
     pub asked: Vec<f64>,
     pub served: Vec<f64>,
     pub fetches: Vec<f64>,
+    /// Sends to caches while they were silent.
+    pub lost: Vec<f64>,
+    pub hits: f64,
+    pub attempts: f64,
+    /// The most sends in a second to one cache that started anew, in parts of what it can do then.
+    pub pushed: f64,
+}
+
+/// What is played.
+#[derive(Clone, Copy)]
+pub struct Plan {
+    pub seed: u64,
+    pub balancers: usize,
+    pub caches: u64,
+    /// Commands a second, of all balancers together.
+    pub rate: f64,
+    pub seconds: u64,
+    /// Between these seconds the origin takes so many times as long.
+    pub slow: (u64, u64, f64),
+    /// Between these seconds the caches answer nothing whose number is a multiple of the third. Then they are
+    /// back, cold and empty, and balancers hear of it within two seconds.
+    pub silent: (u64, u64, u64),
 }
 
 impl Day {
@@ -58,33 +81,46 @@
     kept: Vec<HashSet<u64>>,
     /// When each of the origin's workers, and each cache's, is free.
     workers: Vec<Vec<u64>>,
-    slow: (u64, u64, f64),
+    plan: Plan,
+    cold: HashMap<(u64, u64), f64>,
     day: Day,
 }
 
 /// Plays `seconds` of `rate` commands a second to three routers; between `slow.0` and `slow.1` the
 /// origin takes `slow.2` times as long.
 pub fn play(seed: u64, rate: f64, seconds: u64, slow: (u64, u64, f64)) -> Day {
+    play_fleet(Plan { seed, balancers: 3, caches: 6, rate, seconds, slow, silent: (0, 0, 1) })
+}
+
+pub fn play_fleet(plan: Plan) -> Day {
+    let Plan { seed, balancers, caches, rate, seconds, silent, .. } = plan;
     let mut settings = settings(Effect::Safe, Group::All);
-    (settings.balancers, settings.limits.max_attempts) = (3, 3);
+    (settings.balancers, settings.limits.max_attempts) = (balancers as u32, 3);
+    (settings.rules.cold_share, settings.rules.warm_up) = (0.32, Micros(9 * SECOND));
     settings.limits.may_duplicate = true;
     settings.classes[0].aim = Micros(750_000);
     settings.classes[0].deadline = Micros(1_500_000);
-    let routers = (0..3)
+    let routers = (0..balancers as u64)
         .map(|n| {
             let mut b = Balancer::new(settings.clone(), seed * 10 + n);
-            step(&mut b, 1, Event::Endpoints(ListKind::Restored, &fleet(CACHES)));
+            step(&mut b, 1, Event::Endpoints(ListKind::Restored, &fleet(caches)));
             b
         })
         .collect();
-    let kept = vec![(0..KEYS).collect(); CACHES as usize];
-    let workers = (0..=CACHES).map(|n| vec![0; if n == CACHES { 12 } else { 2 }]).collect();
+    let kept = vec![(0..KEYS).collect(); caches as usize];
+    let workers = (0..=caches).map(|n| vec![0; if n == caches { 2 * caches as usize } else { 2 }]).collect();
     let zeros = || vec![0.0; seconds as usize + 5];
-    let day = Day { asked: zeros(), served: zeros(), fetches: zeros() };
+    let day = Day { asked: zeros(), served: zeros(), fetches: zeros(), lost: zeros(), ..Day::default() };
     let rng = fastrand::Rng::with_seed(seed);
     let (due, tries) = (BinaryHeap::new(), HashMap::new());
-    let mut world = Miniature { rng, now: SECOND, due, count: 0, routers, tries, kept, workers, slow, day };
+    let cold = HashMap::new();
+    let mut world =
+        Miniature { rng, now: SECOND, due, count: 0, routers, tries, kept, workers, plan, cold, day };
     world.plan(SECOND, Due::Arrival);
+    for router in 0..if silent.1 > 0 { balancers } else { 0 } {
+        let late = world.rng.u64(..2 * SECOND);
+        world.plan(silent.1 * SECOND + late, Due::Listed(router));
+    }
     let end = (seconds + 1) * SECOND;
     while let Some(Reverse((at, _, due))) = world.due.pop() {
         world.now = at;
@@ -94,7 +130,7 @@
                 world.plan(at + (gap * 1e6) as u64, Due::Arrival);
                 // A few keys are far more popular than the rest.
                 let key = ((KEYS as f64).powf(world.rng.f64()) - 1.0) as u64;
-                let (write, router) = (world.rng.f64() < 0.1, world.rng.usize(..3));
+                let (write, router) = (world.rng.f64() < 0.1, world.rng.usize(..balancers));
                 let second = (at / SECOND - 1) as usize;
                 world.day.asked[second] += 1.0;
                 world.ask(at, 0, key, write, router);
@@ -107,6 +143,12 @@
             Due::Timer(router, token) => world.tell(router, Event::Timer(token)),
             Due::Done(n, attempt) => world.done(n, attempt),
             Due::Expired(n, attempt) => world.end(n, attempt, Status::Timeout),
+            Due::Listed(router) => {
+                let started = Micros(silent.1 * SECOND);
+                let back = |n: &u64| n.is_multiple_of(silent.2);
+                let list: Vec<_> = (0..caches).filter(back).map(|n| Entry { started, ..entry(n) }).collect();
+                world.tell(router, Event::Endpoints(ListKind::Update, &list));
+            }
         }
     }
     world.day
@@ -149,13 +191,29 @@
     /// A first-come queue before two workers of a cache, or twelve of the origin.
     fn send(&mut self, n: u64, server: u64, timeout: u64) {
         let origin = server == 900;
-        let at = if origin { CACHES } else { server } as usize;
+        let at = if origin { self.plan.caches } else { server } as usize;
+        let second = self.now / SECOND;
+        let (from, to, every) = self.plan.silent;
+        let ill = !origin && to > 0 && server.is_multiple_of(every);
+        if ill && second >= to && !self.cold.contains_key(&(server, 0)) {
+            self.kept[at].clear();
+            self.cold.insert((server, 0), 0.0);
+        }
+        if ill && (to..to + 9).contains(&second) {
+            let warm = 0.32 + 0.68 * (self.now - to * SECOND) as f64 / (9 * SECOND) as f64;
+            let sends = self.cold.entry((server, second)).or_default();
+            *sends += 1.0;
+            self.day.pushed = self.day.pushed.max(*sends / (2.0 / HIT * warm));
+        }
+        let silent = ill && (from..to).contains(&second);
+        self.day.attempts += 1.0;
         let one = self.tries.get_mut(&n).expect("asked");
         let hit = origin || self.kept[at].contains(&one.key);
         one.attempts.push((server, self.now, true));
         let (attempt, deadline) = (one.attempts.len() as u32 - 1, one.deadline);
-        let slow = origin && (self.slow.0..self.slow.1).contains(&(self.now / SECOND));
-        let work = if origin { FETCH } else { HIT } * if slow { self.slow.2 } else { 1.0 };
+        let (begin, over, times) = self.plan.slow;
+        let slow = origin && (begin..over).contains(&second);
+        let work = if origin { FETCH } else { HIT } * if slow { times } else { 1.0 };
         let work = work * (0.4 - 0.6 * (1.0 - self.rng.f64()).ln()) * if hit { 1.0 } else { 0.45 };
         let free = self.workers[at].iter_mut().min().expect("workers");
         let begin = (*free).max(self.now);
@@ -168,6 +226,11 @@
         if origin {
             self.day.fetches[(self.now / SECOND - 1) as usize] += 1.0;
         }
+        if silent {
+            self.day.lost[second as usize - 1] += 1.0;
+            return self.plan(expired, Due::Expired(n, attempt));
+        }
+        self.day.hits += f64::from(!origin && hit);
         let due = if done < expired { Due::Done(n, attempt) } else { Due::Expired(n, attempt) };
         self.plan(done.min(expired), due);
     }
@@ -213,7 +276,7 @@
         one.open = false;
         if one.tries < 2 {
             let backoff = (100_000 << one.tries) * self.rng.u64(50..150) / 100;
-            let router = self.rng.usize(..3);
+            let router = self.rng.usize(..self.routers.len());
             self.plan(self.now + backoff.max(wait), Due::Retry(n, router));
         }
     }
