--- a/src/interface.rs
+++ b/src/interface.rs
@@ -159,6 +159,17 @@
 }
 
 impl Settings {
+    /// The class of this index; one that the settings lack names the last class. There is at least one: see
+    /// [`Settings::sound`].
+    pub fn class(&self, index: u32) -> &Class {
+        &self.classes[(index as usize).min(self.classes.len() - 1)]
+    }
+
+    /// Whether this is the origin.
+    pub fn is_origin(&self, entry: &Entry) -> bool {
+        self.mode == Mode::Aside(entry.kind)
+    }
+
     /// These settings with what makes no sense replaced by what does least harm: at least one class and one
     /// balancer, and shares that are numbers.
     pub fn sound(mut self) -> Settings {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -12,18 +12,17 @@
 
 use crate::interface::*;
 use gap::{Ladder, MEMORY};
-use members::{is_origin, Members, Rate};
-use pending::{class_of, Attempt, Fate, Pending, Step};
+use members::{Members, Rate};
+use pending::{Attempt, Fate, Pending, Step};
 use placement::{Placement, MAX_HOMES};
 
 /// Part of the time left after which an unanswered read goes elsewhere too; what an unheard server takes off.
 const HEDGE_AFTER: f64 = 0.65;
 const HEDGE_SOONER: f64 = 0.22;
-/// Means of all caches after which a silent one stands out, and what one end weighs in that mean.
-const STANDS_OUT: f64 = 3.0;
-const PACE: f64 = 0.05;
-/// Such second copies for each first try, and how many may be saved up.
-const HEDGES: f64 = 0.3;
+/// From how much more lost than in the best zone on caches of a zone are passed by, as often as it is lost.
+const ASTRAY: f64 = 0.4;
+/// Such second copies for each first try where a server is met seldom, and how many may be saved up.
+const HEDGES: f64 = 0.4;
 const HEDGES_SAVED: f64 = 10.0;
 /// Parts of their time that reads and writes wait for the origin, the time at its pace for all, and that
 /// over which those come back who were refused together.
@@ -51,8 +50,6 @@
     members: Members,
     placement: Placement,
     answers: Rate,
-    /// The logarithm of the time in which caches answer of late, or do not.
-    pace: f64,
     /// What waits for a place at the origin, with its worth; the longest wait of first tries, by class.
     queue: Vec<(f64, RequestId)>,
     first_waits: Vec<Micros>,
@@ -68,16 +65,14 @@
     /// A balancer that knows nothing yet but its settings.
     pub fn new(settings: Settings, seed: u64) -> Balancer {
         let settings = settings.sound();
-        let kind = if let Mode::Aside(kind) = settings.mode { Some(kind) } else { None };
         Balancer {
             ladder: Ladder::new(&settings),
             first_waits: vec![Micros(0); settings.classes.len()],
-            members: Members { balancers: settings.balancers, kind, ..Members::default() },
+            members: Members { balancers: settings.balancers, ..Members::default() },
             settings,
             rng: fastrand::Rng::with_seed(seed),
             placement: Placement::default(),
             answers: Rate::default(),
-            pace: f64::MAX.ln(),
             queue: vec![],
             requests: FxHashMap::default(),
             held: FxHashMap::default(),
@@ -136,7 +131,7 @@
             actions.push(Action::Timer { at, token: DISCOVERY });
             return;
         }
-        self.members.follow(kind, list);
+        self.members.follow(kind, list, &self.settings);
         if kind == ListKind::Restored && !self.begun {
             self.begun = true;
             if self.settings.subscribe {
@@ -151,7 +146,7 @@
     fn arrived(&mut self, now: Micros, mut request: Request, actions: &mut Vec<Action>) {
         request.tenant = request.tenant.min(self.settings.tenants.len() as u32);
         let spent = self.spent(now, &request);
-        let class = class_of(&self.settings, &request);
+        let class = self.settings.class(request.class);
         let work = request.hint.unwrap_or(Micros(0));
         let aim = class.aim.plus(work.times(class.aim_stretch)).min(class.deadline.max(class.aim));
         let aim = now.plus(aim.minus(spent)).min(request.deadline);
@@ -163,12 +158,12 @@
     /// The time since the client's first try: a client waits as long as its class has it over all its
     /// tries, so that a retry with less time left than first tries have tells how much is gone.
     fn spent(&mut self, now: Micros, request: &Request) -> Micros {
-        let class = class_of(&self.settings, request);
+        let class = self.settings.class(request.class);
         let left = request.deadline.minus(now);
         let first = &mut self.first_waits[(request.class as usize).min(self.settings.classes.len() - 1)];
         if !request.retry {
             *first = left.max(*first);
-            self.hedges = (self.hedges + HEDGES).min(HEDGES_SAVED);
+            self.hedges = (self.hedges + HEDGES / self.ladder.least).min(HEDGES_SAVED);
             return Micros(0);
         }
         let gone = class.deadline.minus(left);
@@ -194,7 +189,7 @@
                 }
             }
             Path::End(wait, why) => {
-                if pending.may_refuse(class_of(&self.settings, &pending.request)) {
+                if pending.may_refuse(self.settings.class(pending.request.class)) {
                     let limits = &self.settings.limits;
                     let most = if limits.retry_after { limits.max_retry_after } else { Micros(0) };
                     let spread = SPREAD.times(self.rng.f64());
@@ -208,11 +203,13 @@
 
     /// Sends a read that waits for a cache elsewhere as well, if there is a place to spare.
     fn hedge(&mut self, now: Micros, pending: Pending, actions: &mut Vec<Action>) {
-        let waited = pending.out().map_or(Micros(0), |a| now.minus(a.sent));
-        let slow = self.ladder.least <= 1.0 && waited.0 as f64 > STANDS_OUT * self.pace.exp();
-        let server = pending.out().filter(|_| slow).and_then(|a| self.members.find(a.to.server));
-        if let Some(server) = server.filter(|s| s.places.fair(waited)) {
-            server.gap.outcome(now, now.minus(waited), true, &self.ladder, self.rng.f64());
+        // Who sees little of a server cannot wait for the end of what it sent there.
+        let out = pending.out().filter(|_| self.ladder.least <= 1.0).map(|a| (a.to.clone(), a.sent));
+        if let Some((to, sent)) = out {
+            if let Some(server) = self.members.find(to.server).filter(|s| s.places.fair(now.minus(sent))) {
+                server.gap.outcome(now, sent, true, &self.ladder, self.rng.f64());
+                self.members.told(to.zone, true);
+            }
         }
         match self.path(now, &pending) {
             Path::Send(at) if self.hedges >= 1.0 && self.queue.is_empty() => {
@@ -232,8 +229,8 @@
         let entry = &server.entry;
         pending.step = Step::Usual;
         pending.attempts.push(Attempt { to: entry.clone(), sent: now, fate: Fate::Out });
-        let class = class_of(&self.settings, &pending.request);
-        let again = class.effect == Effect::Safe && !is_origin(entry, &self.settings);
+        let class = self.settings.class(pending.request.class);
+        let again = class.effect == Effect::Safe && !self.settings.is_origin(entry);
         let unheard = now.minus(server.heard).0 as f64 / (MEMORY * self.ladder.window.0 as f64);
         let after = HEDGE_AFTER - HEDGE_SOONER * unheard.min(1.0);
         let wait = pending.useful.minus(now).times(after).max(Micros(1));
@@ -313,6 +310,10 @@
         let mut least = None;
         for place in 0..self.placement.order.len() {
             let at = self.placement.order[place].1;
+            let astray = self.members.astray(self.members.servers[at].entry.zone);
+            if astray > ASTRAY && self.rng.f64() < astray {
+                continue;
+            }
             let server = &mut self.members.servers[at];
             if pending.attempts.iter().any(|a| a.to.server == server.entry.server) {
                 continue;
@@ -329,7 +330,7 @@
                 }
                 continue;
             }
-            let class = class_of(&self.settings, &pending.request);
+            let class = self.settings.class(pending.request.class);
             if server.spare(now, fair, &self.settings.rules, &mut self.rng)
                 && pending.may_send(now, &server.entry, class, &self.settings.limits)
             {
@@ -343,7 +344,7 @@
     fn at_origin(&mut self, now: Micros, pending: &Pending) -> Path {
         let request = &pending.request;
         let settings = &self.settings;
-        let class = class_of(settings, request);
+        let class = settings.class(request.class);
         let room = pending.useful.minus(now);
         let Some(at) = self.members.origin else { return Path::End(Micros(0), Why::Nowhere) };
         let server = &mut self.members.servers[at];
@@ -368,7 +369,7 @@
         let known = self.requests.remove(&outcome.id);
         let write = known.as_ref().is_some_and(|p| p.request.write);
         if let Some(server) = self.members.find(outcome.server) {
-            let origin = is_origin(&server.entry, &self.settings);
+            let origin = self.settings.is_origin(&server.entry);
             let (latency, places) = (outcome.latency, &mut server.places);
             // The origin drops what nobody waits for; a cache server goes on with it.
             let goes_on = (outcome.status == Status::Timeout && !origin).then_some(latency);
@@ -387,15 +388,15 @@
             if outcome.status == Status::Ok {
                 places.answered(now, latency);
             }
+            let zone = server.entry.zone;
             if let Some(rejected) = rejected {
                 server.gap.outcome(now, now.minus(latency), rejected, &self.ladder, self.rng.f64());
             }
             if !origin && matches!(outcome.status, Status::Ok | Status::Miss) {
                 (server.heard, _) = (now, self.answers.add(now));
             }
-            if !origin && latency.0 > 0 {
-                let first = if self.pace > 50.0 { 1.0 } else { PACE };
-                self.pace += ((latency.0 as f64).ln() - self.pace) * first;
+            if !origin {
+                rejected.into_iter().for_each(|rejected| self.members.told(zone, rejected));
             }
         }
         if let Some(pending) = known {
--- a/src/rules/members.rs
+++ b/src/rules/members.rs
@@ -1,5 +1,7 @@
 //! The server list in hand, and what a server that has started lately may be sent (rule 4).
 
+use rustc_hash::FxHashMap;
+
 use super::{gap::Gap, places::Places};
 use crate::interface::*;
 
@@ -8,6 +10,9 @@
 /// Sends to a cold server over what its warmth allows: above one, as chance bunches few sends.
 pub(super) const COLD_SHARE: f64 = 1.25;
 
+/// What one end weighs in a zone's share of rejected sends.
+const ZONE: f64 = 0.25;
+
 #[derive(Debug, Default)]
 pub(super) struct Rate {
     pub(super) count: f64,
@@ -61,19 +66,29 @@
     }
 }
 
-/// The server list in hand, sorted by id, with what this balancer saw of each server; the origin's kind of
-/// machine, and where it stands.
+/// The server list in hand, sorted by id, with what this balancer saw of each; where the origin stands.
 #[derive(Debug, Default)]
 pub(super) struct Members {
     pub(super) balancers: u32,
-    pub(super) kind: Option<u32>,
     pub(super) origin: Option<usize>,
     pub(super) servers: Vec<Server>,
+    /// The share of sends to a zone that were rejected of late: a zone is lost as a whole.
+    pub(super) lost: FxHashMap<u32, f64>,
     pub(super) subscribed: bool,
     pub(super) failures: u32,
 }
 
 impl Members {
+    pub(super) fn told(&mut self, zone: u32, rejected: bool) {
+        let lost = self.lost.entry(zone).or_default();
+        *lost += (f64::from(rejected) - *lost) * ZONE;
+    }
+
+    /// How much more of what is sent to this zone is lost than of what is sent to the best.
+    pub(super) fn astray(&self, zone: u32) -> f64 {
+        self.lost.get(&zone).map_or(0.0, |lost| lost - self.lost.values().fold(1.0, |a, b| b.min(a)))
+    }
+
     pub(super) fn find(&mut self, id: ServerId) -> Option<&mut Server> {
         let at = self.servers.binary_search_by_key(&id, |s| s.entry.server).ok()?;
         Some(&mut self.servers[at])
@@ -83,7 +98,7 @@
         self.origin.map(|at| &mut self.servers[at])
     }
 
-    pub(super) fn follow(&mut self, kind: ListKind, list: &[Entry]) {
+    pub(super) fn follow(&mut self, kind: ListKind, list: &[Entry], settings: &Settings) {
         if matches!(kind, ListKind::Replace | ListKind::Restored) {
             let mut named: Vec<ServerId> = list.iter().map(|e| e.server).collect();
             named.sort_unstable();
@@ -102,7 +117,7 @@
                 (Err(at), _) => self.servers.insert(at, Server::new(entry.clone(), self.balancers)),
             }
         }
-        let origin = |e: &Entry| e.state == State::Serving && Some(e.kind) == self.kind;
+        let origin = |e: &Entry| e.state == State::Serving && settings.is_origin(e);
         self.origin = self.servers.iter().position(|s| origin(&s.entry));
     }
 }
@@ -117,7 +132,3 @@
     let cold = if rules.cold_share > 0.0 { rules.cold_share.min(1.0) } else { 0.05 };
     cold + (1.0 - cold) * age / whole
 }
-
-pub(super) fn is_origin(entry: &Entry, settings: &Settings) -> bool {
-    settings.mode == Mode::Aside(entry.kind)
-}
--- a/src/rules/pending.rs
+++ b/src/rules/pending.rs
@@ -84,8 +84,3 @@
         class.effect == Effect::Safe || harmless || self.may_have_run().next().is_none()
     }
 }
-
-pub(super) fn class_of<'a>(settings: &'a Settings, request: &Request) -> &'a Class {
-    let last = settings.classes.len() - 1;
-    &settings.classes[(request.class as usize).min(last)]
-}
--- a/src/rules/placement.rs
+++ b/src/rules/placement.rs
@@ -2,7 +2,7 @@
 
 use rustc_hash::FxHashMap;
 
-use super::members::{is_origin, warmth, Server};
+use super::members::{warmth, Server};
 use crate::interface::*;
 
 /// Requests counted before all popularity counts are halved: bounds the table, ages old favourites.
@@ -44,8 +44,7 @@
         (asked - 1.0).max(0.0) / (self.total + 8.0)
     }
 
-    /// Fills `order` with the key's servers, best first, and returns how many of the first are its
-    /// homes: a key that alone would fill a good part of a server gets several.
+    /// Fills `order` with the key's servers, best first; returns how many are its homes: hot keys have more.
     pub(super) fn rank(&mut self, key: Key, now: Micros, servers: &[Server], settings: &Settings) -> usize {
         self.order.clear();
         let share = self.share(key) * servers.len() as f64;
@@ -53,7 +52,7 @@
         let keep = homes + MAX_HOMES;
         for (at, server) in servers.iter().enumerate() {
             let entry = &server.entry;
-            if entry.state != State::Serving || is_origin(entry, settings) {
+            if entry.state != State::Serving || settings.is_origin(entry) {
                 continue;
             }
             let warm = warmth(entry, now, &settings.rules);
@@ -72,6 +71,8 @@
                 self.order.truncate(keep);
             }
         }
-        homes.min(self.order.len())
+        let homes = homes.min(self.order.len());
+        self.order[..homes].sort_by_key(|(_, at)| servers[*at].entry.zone != settings.zone);
+        homes
     }
 }
--- a/src/rules/places.rs
+++ b/src/rules/places.rs
@@ -1,5 +1,4 @@
-//! How many own sends may be out at one server: the paper's internal control (section 2). A bound in
-//! sends, and not in sends a second, follows a server's pace at once, both ways.
+//! How many own sends may be out at one server: the paper's internal control (section 2).
 
 use crate::interface::*;
 
@@ -15,8 +14,7 @@
 const LEAST: f64 = 0.3;
 const ODD: f64 = 2.0;
 const SAMPLES: f64 = 4.0;
-/// Weights of such a mean in the usual latency, and the time in microseconds in which odd ones double
-/// it: a queue must not become usual by growing slowly.
+/// Weights of such a mean in the usual latency; the microseconds in which odd ones, as of a queue, double it.
 const DOWN: f64 = 0.1;
 const UP: f64 = 0.03;
 const CREEP: f64 = 600e6;
