Let a bound fall under one place where a balancer is one of many, and forget by their number

What was seen: in the miniature (24 caches, origin for 320 fetches a second), twice what the caches can do is served at 370 a second by 3 balancers and at 54 by 100; 600 a second at 521 and 340. Printed by second, the origin gets 350 to 380 a second all along and answers too late: each of the hundred keeps a place or more there whatever happens.

The lines at fault: Places::silent cut a bound to no less than one and to 0.9 of what was lately in use, which it forgot by 0.001 an answer, though one of a hundred balancers has a hundredth of the answers.

The change: the least bound is 3 / balancers (one for three, as before); under one place, a server rests between two sends for as long as makes up the rest of the place. What was lately in use is forgotten as fast as all together see answers.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -337,7 +337,6 @@
                 return Some(Path::Send(at));
             }
         }
-        // Behind the caches the origin has limits of its own to refuse by.
         least.filter(|_| self.settings.mode == Mode::Through).map(|wait| Path::End(wait, Why::Gapped))
     }
 
@@ -369,7 +368,7 @@
         let known = self.requests.remove(&outcome.id);
         let write = known.as_ref().is_some_and(|p| p.request.write);
         if let Some(server) = self.members.find(outcome.server) {
-            let origin = self.settings.is_origin(&server.entry);
+            let (origin, zone) = (self.settings.is_origin(&server.entry), server.entry.zone);
             let (latency, places) = (outcome.latency, &mut server.places);
             // The origin drops what nobody waits for; a cache server goes on with it.
             let goes_on = (outcome.status == Status::Timeout && !origin).then_some(latency);
@@ -388,16 +387,13 @@
             if outcome.status == Status::Ok {
                 places.answered(now, latency);
             }
-            let zone = server.entry.zone;
             if let Some(rejected) = rejected {
                 server.gap.outcome(now, now.minus(latency), rejected, &self.ladder, self.rng.f64());
             }
             if !origin && matches!(outcome.status, Status::Ok | Status::Miss) {
                 (server.heard, _) = (now, self.answers.add(now));
             }
-            if !origin {
-                rejected.into_iter().for_each(|rejected| self.members.told(zone, rejected));
-            }
+            rejected.filter(|_| !origin).into_iter().for_each(|rejected| self.members.told(zone, rejected));
         }
         if let Some(pending) = known {
             self.go_on(now, pending, &outcome, actions);
--- a/src/rules/gap.rs
+++ b/src/rules/gap.rs
@@ -13,9 +13,8 @@
 const LEAST: f64 = 12.0;
 /// Windows for which evidence lasts that nobody adds to.
 pub(super) const MEMORY: f64 = 8.0;
-/// So many balancers probe a dead server once in the longest deadline each.
+/// So many balancers probe a dead server once in the longest deadline; what a window hides of the served.
 const PROBERS: f64 = 3.0;
-/// Served outcomes taken to be hidden behind a window of rejections only.
 const UNSEEN: f64 = 0.25;
 const RELEASE_RUNGS: u32 = 3;
 /// Duration d in gaps: long enough that the trickle's own outcomes renew it.
--- a/src/rules/places.rs
+++ b/src/rules/places.rs
@@ -28,9 +28,11 @@
 pub(super) struct Places {
     reads: f64,
     writes: f64,
-    /// When the server may be done with what was given up.
     ghosts: Vec<Micros>,
     pub(super) most: f64,
+    /// The least bound, as one of so many balancers has; under one it rests between two sends, until then.
+    part: f64,
+    rest: Micros,
     used: f64,
     cut: Micros,
     pub(super) usual: f64,
@@ -43,7 +45,8 @@
 
 impl Places {
     pub(super) fn new(balancers: u32) -> Places {
-        Places { most: 1.0 + FIRST / f64::from(balancers.max(1)), ..Places::default() }
+        let part = (3.0 / f64::from(balancers.max(1))).min(1.0);
+        Places { most: 1.0 + FIRST / f64::from(balancers.max(1)), part, ..Places::default() }
     }
 
     pub(super) fn out(&self) -> f64 {
@@ -56,7 +59,8 @@
 
     pub(super) fn room(&mut self, now: Micros, write: bool) -> bool {
         self.ghosts.retain(|until| *until > now);
-        self.out() + 1.0 <= self.most || !write && self.reads + 1.0 <= READS * self.most
+        now >= self.rest && self.out() + 1.0 <= self.most.max(1.0)
+            || !write && self.reads + 1.0 <= READS * self.most
     }
 
     pub(super) fn take(&mut self, write: bool) {
@@ -66,13 +70,12 @@
     pub(super) fn free(&mut self, now: Micros, write: bool, goes_on: Option<Micros>) {
         let out = if write { &mut self.writes } else { &mut self.reads };
         *out = (*out - 1.0).max(0.0);
+        if self.most < 1.0 {
+            self.rest = now.plus(Micros((self.lately * (1.0 / self.most - 1.0)) as u64));
+        }
         self.ghosts.extend(goes_on.map(|more| now.plus(more)));
     }
 
-    pub(super) fn quick(&self, latency: Micros) -> bool {
-        self.usual == 0.0 || (latency.0 as f64) < QUICK * self.usual
-    }
-
     /// Whether a time-out of this length tells of the server: its client may have been about to leave.
     pub(super) fn fair(&self, latency: Micros) -> bool {
         latency.0 as f64 >= FAIR * self.usual
@@ -87,7 +90,7 @@
         self.lately += (latency - self.lately) * if self.lately == 0.0 { 1.0 } else { 0.15 };
         (self.sum, self.count) = (self.sum + latency, self.count + 1.0);
         self.pressed |= self.out() > 0.5 * self.most;
-        self.used *= FORGETS;
+        self.used *= FORGETS.powf(1.0 / self.part);
         if self.count >= SAMPLES {
             let mean = self.sum / self.count;
             self.usual += match mean - self.usual {
@@ -102,7 +105,8 @@
 
     pub(super) fn answered(&mut self, now: Micros, latency: Micros) {
         self.sample(now, latency);
-        if self.quick(latency) && self.out() + 2.0 > self.most {
+        let quick = self.usual == 0.0 || (latency.0 as f64) < QUICK * self.usual;
+        if quick && self.out() + 2.0 > self.most {
             self.most += if self.cut.0 == 0 { 1.0 } else { RAISE };
             self.used = self.used.max(self.most);
         }
@@ -112,7 +116,7 @@
         self.sample(now, latency);
         if now.minus(latency) >= self.cut {
             let least = if dropped { self.used * KEEPS } else { 0.0 };
-            self.most = (self.most * CUT).max(least).max(1.0);
+            self.most = (self.most * CUT).max(least).max(self.part);
             self.cut = now;
         }
     }
--- a/src/rules/tests/fleet.rs
+++ b/src/rules/tests/fleet.rs
@@ -61,14 +61,14 @@
 /// More than all caches can do, by few or by many balancers: what is over is turned away and the rest is served.
 #[test]
 fn overload_by_many_balancers_costs_no_more_than_what_is_over() {
-    for balancers in [3, 12] {
+    for (balancers, least) in [(3, 300.0), (12, 250.0), (100, 80.0)] {
         let silent = (0, 0, 1);
         let plan =
             Plan { seed: 5, balancers, caches: 24, rate: 1000.0, seconds: 20, slow: (0, 0, 1.0), silent };
         let day = play_fleet(plan);
         let served = sum(&day.served, 5, 20) / 15.0;
         println!("{balancers:4} balancers: {served:.0} a second served of 1000 asked for, 480 can be");
-        assert!(served > 200.0, "{balancers}: {served:.0} a second served");
+        assert!(served > least, "{balancers}: {served:.0} a second served");
     }
 }
 
--- a/src/rules/tests/limits.rs
+++ b/src/rules/tests/limits.rs
@@ -255,7 +255,7 @@
             places.free(Micros(now), true, None);
             places.answered(Micros(now), Micros(usual));
         }
-        prop_assert!(places.quick(Micros(usual)));
+        prop_assert!((usual as f64) < 1.6 * places.usual, "it is quick again");
     }
 }
 
