--- a/src/rules/gap.rs
+++ b/src/rules/gap.rs
@@ -56,7 +56,6 @@
 pub(super) struct Gap {
     pub(super) rung: u32,
     pub(super) until: Micros,
-    /// What was sent before tells nothing of the present rung.
     raised: Micros,
     opened: Micros,
     outcomes: f64,
--- a/src/rules/members.rs
+++ b/src/rules/members.rs
@@ -86,7 +86,8 @@
 
     /// How much more of what is sent to this zone is lost than of what is sent to the best.
     pub(super) fn astray(&self, zone: u32) -> f64 {
-        self.lost.get(&zone).map_or(0.0, |lost| lost - self.lost.values().fold(1.0, |a, b| b.min(a)))
+        let lost = self.lost.get(&zone).copied().unwrap_or(0.0);
+        lost - self.lost.values().fold(lost, |a, b| b.min(a))
     }
 
     pub(super) fn find(&mut self, id: ServerId) -> Option<&mut Server> {
--- a/src/rules/pending.rs
+++ b/src/rules/pending.rs
@@ -16,7 +16,6 @@
     pub(super) fate: Fate,
 }
 
-/// What a request in hand does: what its attempts say, wait for a place at the origin, or take one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Step {
     Usual,
--- a/src/rules/placement.rs
+++ b/src/rules/placement.rs
@@ -72,7 +72,8 @@
             }
         }
         let homes = homes.min(self.order.len());
-        self.order[..homes].sort_by_key(|(_, at)| servers[*at].entry.zone != settings.zone);
+        let near = self.order[..homes].iter().position(|(_, at)| servers[*at].entry.zone == settings.zone);
+        self.order[..near.map_or(0, |place| place + 1)].rotate_right(usize::from(near.is_some()));
         homes
     }
 }
--- a/src/rules/places.rs
+++ b/src/rules/places.rs
@@ -20,7 +20,7 @@
 const CREEP: f64 = 600e6;
 /// Part of the bound lately in use that silence leaves where given-up work is dropped; its memory.
 const KEEPS: f64 = 0.9;
-const FORGETS: f64 = 0.999;
+const FORGETS: f64 = 0.001;
 /// Part of the places that reads keep while writes take all they can.
 const READS: f64 = 0.3;
 
@@ -30,7 +30,7 @@
     writes: f64,
     ghosts: Vec<Micros>,
     pub(super) most: f64,
-    /// The least bound, as one of so many balancers has; under one it rests between two sends, until then.
+    /// The least bound of one of so many balancers; under one place it rests between sends, until then.
     part: f64,
     rest: Micros,
     used: f64,
@@ -90,7 +90,7 @@
         self.lately += (latency - self.lately) * if self.lately == 0.0 { 1.0 } else { 0.15 };
         (self.sum, self.count) = (self.sum + latency, self.count + 1.0);
         self.pressed |= self.out() > 0.5 * self.most;
-        self.used *= FORGETS.powf(1.0 / self.part);
+        self.used *= (1.0 - FORGETS / self.part).max(0.0);
         if self.count >= SAMPLES {
             let mean = self.sum / self.count;
             self.usual += match mean - self.usual {
