End a watch whose changes go back behind the list in hand

The need: the issue asks that a change without a reset whose generation goes back leaves the last list standing. It was taken as a change like any other: an old line could have put a host that drains or is gone back into service.

The lines at fault: hear() in node/src/name_table.rs took every list in. The watch now ends with one log line, the list stands, and the whole list is asked for when the module asks again, after its own drawn wait. Tests: that, half a line and silence, and the same generation once more, which is taken.

--- a/node/src/name_table.rs
+++ b/node/src/name_table.rs
@@ -210,6 +210,14 @@
             }
             let catalog = simd_json::from_slice::<Catalog>(&mut line);
             let catalog = catalog.map_err(|e| format!("not a list: {e}"))?;
+            if let Some(known) =
+                table.generation.filter(|known| !catalog.reset && catalog.generation < *known)
+            {
+                // Changes to an older list than this one cannot be told apart from its own: the list stands, and
+                // the whole one is asked for when the module asks again.
+                table.generation = None;
+                return Err(format!("generation {} after {known} without a reset", catalog.generation));
+            }
             let (kind, hosts) = table.take(catalog, log);
             count(&exchange.counters().lists);
             info!(log, "list"; "generation" => table.generation, "whole" => kind == ListKind::Replace,
@@ -304,6 +312,9 @@
                 (format!("{HEAD}{list}"), (1, 3)),
                 (format!("{HEAD}{list}4\r\n{{]}}\n\r\n"), (1, 3)),
                 (HEAD.to_owned(), (0, 0)),
+                (format!("{HEAD}{list}9\r\n{{\"generat\r\n"), (1, 3)),
+                (format!("{HEAD}{list}22\r\n{{\"generation\":2,\"instances\":[]}} \n\r\n"), (1, 0)),
+                (format!("{HEAD}{list}22\r\n{{\"generation\":3,\"instances\":[]}} \n\r\n"), (2, 3)),
                 ("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n".to_owned(), (0, 0)),
                 ("nonsense\r\n\r\n".to_owned(), (0, 0)),
             ];
