Play half of the hosts gone and back cold while lists disagree, in miniature

Half of 24 caches answer nothing for 4 s and are back cold; each balancer hears of it at a time of its own within 2 s.

--- a/src/rules/tests/fleet.rs
+++ b/src/rules/tests/fleet.rs
@@ -178,3 +178,24 @@
         assert!(b.requests.is_empty());
     }
 }
+
+/// Half of the caches are gone for four seconds and come back cold, while lists are up to two seconds apart between
+/// balancers: those who know and those who do not together push no cold host over, and the day goes on.
+#[test]
+fn half_of_the_hosts_come_back_cold_while_lists_disagree() {
+    for balancers in SIZES {
+        let day = day(balancers, (8, 12, 2));
+        let most = day.fetches.iter().fold(0.0, |a: f64, b| a.max(*b));
+        println!(
+            "{balancers:4} balancers: {:.3} served, {:.3} after, cold host at {:.2}, {most} fetches at most in a second",
+            day.share(8, 14),
+            day.share(20, 30),
+            day.pushed
+        );
+        assert!(day.pushed < 4.0, "{balancers}: a cold host was sent {:.2} times what it can do", day.pushed);
+        assert!(day.share(8, 14) > 0.8, "{balancers}: {:.3} served meanwhile", day.share(8, 14));
+        assert!(day.share(20, 30) > 0.97, "{balancers}: {:.3} served after", day.share(20, 30));
+        // The origin can do 320 a second and falls at 2.5 times that.
+        assert!(most < 2.0 * 320.0, "{balancers}: {most} fetches in a second");
+    }
+}
