Listen for clients with SO_REUSEPORT, and close the listener once closing begins

Ruled out: no other listener of ours holds the address; the first process was still serving. At fault: node/src/lib.rs bound with TcpListener::bind, which sets no SO_REUSEPORT. Change: the listener is made with socket2, SO_REUSEADDR and SO_REUSEPORT before bind; on closing the accept loop takes what waits in the backlog and drops the listener, so the kernel sends new connections to the process beside it.

--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -91,8 +91,9 @@
     exchange.listed(ListKind::Restored, &hosts);
 
     let shutdown = Rc::new(shutdown::Shutdown::default());
-    let listener = TcpListener::bind(config.listen).await;
-    let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let listener = listen(config.listen).map_err(|e| {
+        format!("cannot listen on {}: {e}; is another program than a balancer there?", config.listen)
+    })?;
     let service = service::Service::new(
         Rc::clone(&exchange),
         config.classes,
@@ -136,6 +137,19 @@
     Ok(())
 }
 
+/// A listener that shares its address with a balancer that replaces this one, or that this one replaces: the
+/// kernel deals new connections out among all that listen there.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    use socket2::{Domain, Protocol, Socket, Type};
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(1024)?;
+    TcpListener::from_std(socket.into())
+}
+
 /// Reads the configuration's file anew and turns to the discovery that it names. What else it says is taken
 /// up at the next start.
 fn reread(file: &Option<OsString>, discovery: &watch::Sender<SocketAddr>) -> Result<(), String> {
@@ -143,3 +157,20 @@
     discovery.send_if_modified(|address| std::mem::replace(address, config.discovery) != config.discovery);
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn a_second_balancer_listens_beside_the_first_and_takes_over_its_clients() {
+        let first = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = first.local_addr().unwrap();
+        let second = listen(address).expect("a second process must be able to listen at the same address");
+        drop(first);
+        // With the first gone, who connects reaches the second.
+        let client = tokio::net::TcpStream::connect(address).await.unwrap();
+        let (_, from) = second.accept().await.unwrap();
+        assert_eq!(from, client.local_addr().unwrap());
+    }
+}
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -136,7 +136,15 @@
                 let _ = timeout(ROOM, self.left.notified()).await;
                 continue;
             }
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = self.shutdown.closing() => {
+                    self.last_ones(&listener);
+                    // Closed, the listener leaves new connections to a balancer that shares its address.
+                    return;
+                }
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     count(&self.exchange.counters().clients);
                     self.shutdown.accepted();
@@ -161,6 +169,21 @@
         }
     }
 
+    /// Takes in the connections that wait in the backlog already: those would be reset when it closes.
+    fn last_ones(self: &Rc<Service>, listener: &TcpListener) {
+        let std = std::task::Context::from_waker(std::task::Waker::noop());
+        let mut cx = std;
+        while let std::task::Poll::Ready(Ok((stream, _))) = listener.poll_accept(&mut cx) {
+            count(&self.exchange.counters().clients);
+            let _ = stream.set_nodelay(true);
+            let seated = self.seat();
+            spawn_local(async move {
+                let mut client = ServiceClient::new(&seated.service, &seated.seat);
+                let _ = client.serve(stream).await;
+            });
+        }
+    }
+
     fn seat(self: &Rc<Service>) -> Seated {
         let (busy, half, spoke, leave, cut) = Default::default();
         let seat = Rc::new(Seat { quiet: Cell::new(Instant::now()), busy, half, spoke, leave, cut });
