Answer operators at a second address: HEALTH, DUMP figures, OFFLINE and ONLINE

Change: protocols/src/mgmt.rs reads a call with winnow (proptest on cut lines); node/src/operators.rs listens at mgmt or NODE_MGMT, one bounded slot per caller, a 2 s read deadline, never in the data path; exchange/src/operators.rs answers: readiness, figures in the Prometheus text format (passed, dropped, bad_gateway by category, upstream_tries counted when an attempt is written in full, in_progress, known and skipped cache hosts), and bans laid over every list (exchange/src/bans.rs); node/src/state.rs keeps bans in a versioned file in TMPDIR, written by rename, read with care. Format by hand, not prometheus-client: eight lines from counters on one thread; its registry wants atomics registered up front, which is more code here than the text.

--- a/exchange/src/counters.rs
+++ b/exchange/src/counters.rs
@@ -59,6 +59,8 @@
     overdue,
     /// Executions begun.
     executions,
+    /// Executions written in full to a host.
+    tries,
     /// Executions that a host answered with a value or a receipt.
     ok,
     /// Executions that a cache host answered with a miss.
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -17,6 +17,7 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::time::sleep_until;
 
+use crate::bans::Bans;
 use crate::clock::{to_ms, Clock};
 use crate::counters::{count, Counters};
 pub use crate::values::{Answer, Command, Host, Reply};
@@ -108,8 +109,8 @@
     Command(CommandId),
 }
 
-struct Inner {
-    balancer: Balancer,
+pub(crate) struct Inner {
+    pub(crate) balancer: Balancer,
     carrier: Rc<dyn Carrier>,
     commands: FxHashMap<CommandId, Open>,
     /// The clients' ids of the open commands; peers choose them, so that their hash is seeded.
@@ -121,6 +122,9 @@
     actions: Vec<Action>,
     last: u64,
     serving: FxHashMap<ServerId, (State, Option<SocketAddr>)>,
+    pub(crate) bans: Bans,
+    /// Commands served, refused and failed, by class.
+    pub(crate) by_class: Vec<[u64; 3]>,
 }
 
 impl Inner {
@@ -133,7 +137,8 @@
 
 /// The object through which all parts meet.
 pub struct Exchange {
-    inner: RefCell<Inner>,
+    pub(crate) inner: RefCell<Inner>,
+    pub(crate) origin: Option<u32>,
     clock: Clock,
     longest: Vec<Micros>,
     counters: Rc<Counters>,
@@ -155,6 +160,11 @@
         log: Logger,
     ) -> Rc<Exchange> {
         let longest = settings.classes.iter().map(|class| class.deadline).collect();
+        let origin = match settings.mode {
+            juniperladder::Mode::Aside(kind) => Some(kind),
+            juniperladder::Mode::Through => None,
+        };
+        let by_class = vec![[0; 3]; settings.classes.len().max(1)];
         let inner = Inner {
             balancer: Balancer::new(settings, seed),
             carrier,
@@ -166,9 +176,12 @@
             actions: Vec::new(),
             last: 0,
             serving: FxHashMap::default(),
+            bans: Bans::default(),
+            by_class,
         };
         Rc::new(Exchange {
             inner: RefCell::new(inner),
+            origin,
             clock,
             longest,
             counters,
@@ -185,6 +198,11 @@
         &self.counters
     }
 
+    /// Commands taken and not yet answered.
+    pub fn in_progress(&self) -> usize {
+        self.inner.borrow().commands.len()
+    }
+
     /// The program's clock.
     pub fn clock(&self) -> &Clock {
         &self.clock
@@ -310,6 +328,16 @@
     /// The name table has news.
     pub fn listed(&self, kind: ListKind, hosts: &[Host]) {
         let mut inner = self.inner.borrow_mut();
+        let hosts = if kind == ListKind::Unavailable {
+            Vec::new()
+        } else {
+            inner.bans.over(kind != ListKind::Update, hosts)
+        };
+        self.tell(&mut inner, kind, &hosts);
+    }
+
+    /// Tells the module and the carrier a list as it is to be seen, bans laid over.
+    pub(crate) fn tell(&self, inner: &mut Inner, kind: ListKind, hosts: &[Host]) {
         if kind != ListKind::Unavailable {
             if kind != ListKind::Update {
                 inner.serving.clear();
@@ -321,7 +349,7 @@
             inner.carrier.listed(kind, hosts);
         }
         let entries: Vec<Entry> = hosts.iter().map(|host| host.entry.clone()).collect();
-        self.handle(&mut inner, self.clock.now(), Event::Endpoints(kind, &entries));
+        self.handle(inner, self.clock.now(), Event::Endpoints(kind, &entries));
     }
 
     /// Waits until the module wants discovery's changes.
@@ -436,11 +464,14 @@
 
     fn finish(&self, inner: &mut Inner, id: CommandId, answer: Answer) {
         if let Some(open) = inner.close(id) {
-            count(match answer {
-                Answer::Value(_) | Answer::Receipt(_) => &self.counters.served,
-                Answer::Nack(_) => &self.counters.nacked,
-                Answer::Failed => &self.counters.failed,
-            });
+            let (counter, place) = match answer {
+                Answer::Value(_) | Answer::Receipt(_) => (&self.counters.served, 0),
+                Answer::Nack(_) => (&self.counters.nacked, 1),
+                Answer::Failed => (&self.counters.failed, 2),
+            };
+            count(counter);
+            let last = inner.by_class.len() - 1;
+            inner.by_class[(open.command.class as usize).min(last)][place] += 1;
             // The connection may have ended in this very moment; then nobody waits for it.
             let _ = open.answer.send(answer);
         }
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -3,10 +3,12 @@
 //! [`exchange::Exchange`] owns the decision module, the open commands, the executions and the timers;
 //! [`values`] are what every front and every protocol shares.
 
+pub mod bans;
 pub mod clock;
 pub mod counters;
 pub mod exchange;
 pub mod numbers;
+pub mod operators;
 #[cfg(any(test, feature = "testing"))]
 pub mod testing;
 pub mod values;
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -23,6 +23,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where operators call; none, no such listener.
+    pub mgmt: Option<SocketAddr>,
     /// For random numbers, new with each start.
     pub seed: u64,
     /// What the process may take of its machine.
@@ -47,6 +49,8 @@
     listen: String,
     discovery: String,
     #[serde(default)]
+    mgmt: Option<String>,
+    #[serde(default)]
     seed: String,
     #[serde(default)]
     limits: FileLimits,
@@ -92,10 +96,17 @@
             text.parse::<SocketAddr>().map_err(|_| format!("{name}: {text:?} is no address and port"))
         };
         env.check()?;
+        let listen = address("listen", &file.listen)?;
+        let mgmt = std::env::var("NODE_MGMT").ok().or(file.mgmt).filter(|text| !text.trim().is_empty());
+        let mgmt = mgmt.map(|text| address("mgmt", &text)).transpose()?;
+        if mgmt == Some(listen) {
+            return Err(format!("mgmt: {listen} is the clients' address; give the operators another one"));
+        }
         Ok(Config {
+            mgmt,
             file: None,
             settings: env.settings(),
-            listen: address("listen", &file.listen)?,
+            listen,
             discovery: address("discovery", &file.discovery)?,
             name: file.name,
             seed: u64::from_str_radix(&file.seed, 16)
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -5,8 +5,10 @@
 pub mod bounds;
 pub mod config;
 pub mod name_table;
+pub mod operators;
 pub mod service;
 pub mod shutdown;
+pub mod state;
 pub mod upstream;
 
 #[cfg(test)]
@@ -94,6 +96,7 @@
     let listener = listen(config.listen).map_err(|e| {
         format!("cannot listen on {}: {e}; is another program than a balancer there?", config.listen)
     })?;
+    let classes = config.classes.clone();
     let service = service::Service::new(
         Rc::clone(&exchange),
         config.classes,
@@ -109,6 +112,19 @@
     let (discovery, turns) = watch::channel(config.discovery);
     spawn_local(name_table::follow(table, turns, Rc::clone(&exchange), log.clone()));
     spawn_local(service.accept(listener));
+    if let Some(mgmt) = config.mgmt {
+        let listener = operators::listen(mgmt)
+            .map_err(|e| format!("cannot listen for operators on {mgmt}: {e}; give mgmt a free address"))?;
+        let operators = operators::Operators::new(
+            Rc::clone(&exchange),
+            classes,
+            Rc::clone(&shutdown),
+            &config.name,
+            log.clone(),
+        );
+        info!(log, "operators' address"; "address" => mgmt.to_string());
+        spawn_local(operators.accept(listener));
+    }
     let mut regular = tokio::time::interval(TELL);
     regular.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -131,6 +147,7 @@
         }
     }
     info!(log, "stopping");
+    shutdown.stop();
     shutdown.run(longest).await;
     exchange.idle().await;
     info!(log, "stopped"; "counters" => counters.to_string());
--- a/node/src/shutdown.rs
+++ b/node/src/shutdown.rs
@@ -17,11 +17,22 @@
 pub struct Shutdown {
     last: Cell<Option<Instant>>,
     closing: Cell<bool>,
+    stopping: Cell<bool>,
     open: Cell<usize>,
     changed: Notify,
 }
 
 impl Shutdown {
+    /// Whether the end has begun.
+    pub fn stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// The end has begun: operators are told so.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+    }
+
     /// A connection was accepted.
     pub fn accepted(&self) {
         self.last.set(Some(Instant::now()));
--- /dev/null
+++ b/node/src/state.rs
@@ -0,0 +1,82 @@
+//! What a process leaves for the one that replaces it: the hosts out by hand, in a small versioned file in
+//! `$TMPDIR`, written whole or not at all, and read with care.
+
+use std::path::Path;
+
+/// The first line: what the file is, and its version.
+const HEADER: &str = "juniperladder bans 1";
+/// The last line: a file without it was cut off.
+const END: &str = "end";
+/// More than this is no file of ours.
+const MOST: u64 = 1 << 20;
+
+/// A name as it may stand in a file's name.
+pub fn safe(name: &str) -> String {
+    name.chars().map(|c| if c.is_ascii_alphanumeric() || c == '-' || c == '_' { c } else { '_' }).collect()
+}
+
+/// Writes the names: to a file beside it, then renamed over it, so that a reader finds the old or the new.
+pub fn write(path: &Path, names: &[String]) -> std::io::Result<()> {
+    let mut text = format!("{HEADER}\n");
+    for name in names {
+        text.push_str(name);
+        text.push('\n');
+    }
+    text.push_str(END);
+    text.push('\n');
+    let beside = path.with_extension(format!("new-{}", std::process::id()));
+    std::fs::write(&beside, text)?;
+    std::fs::rename(&beside, path)
+}
+
+/// Reads the names; a missing, cut-off, foreign or oversized file is none, with why.
+pub fn read(path: &Path) -> Result<Vec<String>, String> {
+    let size = std::fs::metadata(path).map_err(|e| format!("{}: {e}", path.display()))?.len();
+    if size > MOST {
+        return Err(format!("{}: {size} bytes, too large to be ours", path.display()));
+    }
+    let bytes = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    parse(&bytes).ok_or_else(|| format!("{}: not a whole file of bans of this version", path.display()))
+}
+
+fn parse(bytes: &[u8]) -> Option<Vec<String>> {
+    let text = std::str::from_utf8(bytes).ok()?;
+    let mut lines: Vec<&str> = text.strip_suffix('\n')?.split('\n').collect();
+    if lines.first() != Some(&HEADER) || lines.pop() != Some(END) {
+        return None;
+    }
+    let names = &lines[1..];
+    let sound =
+        |name: &&str| !name.is_empty() && name.len() < 256 && name.bytes().all(|b| b.is_ascii_graphic());
+    names.iter().all(sound).then(|| names.iter().map(|name| (*name).to_owned()).collect())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn bans_outlive_the_process_that_wrote_them() {
+        let dir = std::env::temp_dir().join(format!("juniperladder-state-test-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        let path = dir.join("n0.bans");
+        assert!(read(&path).is_err(), "none yet");
+        write(&path, &["s-1".into(), "s-2".into()]).unwrap();
+        assert_eq!(read(&path).unwrap(), ["s-1", "s-2"]);
+        write(&path, &[]).unwrap();
+        assert!(read(&path).unwrap().is_empty());
+        std::fs::remove_dir_all(&dir).unwrap();
+    }
+
+    #[test]
+    fn a_cut_or_foreign_file_is_none() {
+        let whole = format!("{HEADER}\ns-1\n{END}\n");
+        assert_eq!(parse(whole.as_bytes()).unwrap(), ["s-1"]);
+        for cut in 0..whole.len() {
+            assert!(parse(&whole.as_bytes()[..cut]).is_none(), "cut at {cut}");
+        }
+        for foreign in ["juniperladder bans 2\nend\n", "{}\n", "juniperladder bans 1\ns 1\nend\n", "\u{ff}"] {
+            assert!(parse(foreign.as_bytes()).is_none(), "{foreign:?}");
+        }
+    }
+}
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -440,6 +440,7 @@
             upstream.stopped(self.server, id, End::NotSent);
             return After::Close;
         }
+        count(&upstream.counters.tries);
         let stop = upstream.written(self.server, id);
         let read = tokio::select! {
             biased;
--- a/protocols/src/lib.rs
+++ b/protocols/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod http;
 pub mod memcache;
+pub mod mgmt;
