Ask discovery at once in a process that replaces another

Ruled out: the bans, which the logs show taken over (bans taken over, hosts: 2) and called back in both processes before 18 s. At fault: name_table::follow waited for the module to want a watch, which a fresh process does only later; after a replacement what discovery says binds 2 s after the yes. Change: the bans file is written at every start; a process that finds one replaces another and starts its watch at once.

--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -109,13 +109,12 @@
 
     let timers = Rc::clone(&exchange);
     spawn_local(async move { timers.run().await });
-    let (discovery, turns) = watch::channel(config.discovery);
-    spawn_local(name_table::follow(table, turns, Rc::clone(&exchange), log.clone()));
-    spawn_local(service.accept(listener));
+    let mut successor = false;
     if let Some(mgmt) = config.mgmt {
         let listener = operators::listen(mgmt)
             .map_err(|e| format!("cannot listen for operators on {mgmt}: {e}; give mgmt a free address"))?;
-        let operators = operators::Operators::new(
+        let operators;
+        (operators, successor) = operators::Operators::new(
             Rc::clone(&exchange),
             classes,
             Rc::clone(&shutdown),
@@ -125,6 +124,9 @@
         info!(log, "operators' address"; "address" => mgmt.to_string());
         spawn_local(operators.accept(listener));
     }
+    let (discovery, turns) = watch::channel(config.discovery);
+    spawn_local(name_table::follow(table, turns, Rc::clone(&exchange), successor, log.clone()));
+    spawn_local(service.accept(listener));
     let mut regular = tokio::time::interval(TELL);
     regular.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
--- a/node/src/operators.rs
+++ b/node/src/operators.rs
@@ -38,23 +38,37 @@
 }
 
 impl Operators {
-    /// The operators' side; the bans that an earlier process of this name left are taken up at once.
+    /// The operators' side; the bans that an earlier process of this name left are taken up at once. Also
+    /// whether there was such a process, which this one replaces.
     pub fn new(
         exchange: Rc<Exchange>,
         classes: Vec<String>,
         shutdown: Rc<Shutdown>,
         name: &str,
         log: Logger,
-    ) -> Rc<Operators> {
+    ) -> (Rc<Operators>, bool) {
         let file = std::env::temp_dir().join(format!("juniperladder-{}.bans", crate::state::safe(name)));
-        match crate::state::read(&file) {
+        let successor = match crate::state::read(&file) {
             Ok(names) => {
                 info!(log, "bans taken over"; "hosts" => names.len());
                 names.iter().for_each(|name| exchange.restore_ban(name));
+                true
             }
-            Err(why) => info!(log, "no bans taken over"; "why" => why),
+            Err(why) => {
+                info!(log, "no bans taken over"; "why" => why);
+                false
+            }
+        };
+        let operators = Operators { exchange, classes, shutdown, file, callers: Cell::new(0), log };
+        // The file is there from the start, so that a successor knows that it replaces a process.
+        operators.keep();
+        (Rc::new(operators), successor)
+    }
+
+    fn keep(&self) {
+        if let Err(problem) = crate::state::write(&self.file, &self.exchange.banned()) {
+            warn!(self.log, "bans not kept for a successor"; "problem" => problem);
         }
-        Rc::new(Operators { exchange, classes, shutdown, file, callers: Cell::new(0), log })
     }
 
     /// Answers callers for as long as it is polled.
@@ -117,9 +131,7 @@
     fn changed(&self, result: Result<(), &'static str>, what: &str, name: &str) -> String {
         match result {
             Ok(()) => {
-                if let Err(problem) = crate::state::write(&self.file, &self.exchange.banned()) {
-                    warn!(self.log, "bans not kept for a successor"; "problem" => problem);
-                }
+                self.keep();
                 info!(self.log, "operator"; "host" => name, "now" => what);
                 ack(&format!("{name} {what}"))
             }
