--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -160,10 +160,7 @@
         log: Logger,
     ) -> Rc<Exchange> {
         let longest = settings.classes.iter().map(|class| class.deadline).collect();
-        let origin = match settings.mode {
-            juniperladder::Mode::Aside(kind) => Some(kind),
-            juniperladder::Mode::Through => None,
-        };
+        let origin = settings.mode.origin();
         let by_class = vec![[0; 3]; settings.classes.len().max(1)];
         let inner = Inner {
             balancer: Balancer::new(settings, seed),
--- a/exchange/src/operators.rs
+++ b/exchange/src/operators.rs
@@ -3,7 +3,8 @@
 
 use std::fmt::Write;
 
-use juniperladder::{ListKind, State};
+use juniperladder::{ListKind, ServerId};
+use rustc_hash::FxHashSet;
 
 use crate::exchange::Exchange;
 use crate::numbers::server;
@@ -58,19 +59,21 @@
                 let _ = writeln!(text, "app_{name}{{category=\"{}\"}} {}", escape(category), counts[place]);
             }
         }
-        let now = self.clock().now();
-        let (limits, _) = inner.balancer.limits(now);
-        let cache = |kind: u32| self.origin != Some(kind);
-        let known: Vec<_> =
-            inner.bans.listed().filter(|host| cache(host.entry.kind)).map(|host| host.entry.server).collect();
-        let gapped = |server| limits.iter().any(|limit| limit.server == server && limit.gap.0 > 0);
-        let skipped = known.iter().filter(|server| inner.bans.banned(**server) || gapped(**server)).count();
-        let listed = inner.bans.listed().filter(|host| host.entry.state != State::Deleted);
-        let known_count = listed.filter(|host| cache(host.entry.kind)).count();
+        let (limits, _) = inner.balancer.limits(self.clock().now());
+        let gapped: FxHashSet<ServerId> =
+            limits.iter().filter(|limit| limit.gap.0 > 0).map(|limit| limit.server).collect();
+        let known: Vec<ServerId> = inner
+            .bans
+            .listed()
+            .filter(|host| self.origin != Some(host.entry.kind))
+            .map(|host| host.entry.server)
+            .collect();
+        let skipped =
+            known.iter().filter(|server| inner.bans.banned(**server) || gapped.contains(server)).count();
         let gauges = [
             ("upstream_tries", "counter", self.counters().tries.get()),
             ("in_progress", "gauge", in_progress),
-            ("known_cache_hosts", "gauge", known_count as u64),
+            ("known_cache_hosts", "gauge", known.len() as u64),
             ("skipped_cache_hosts", "gauge", skipped as u64),
         ];
         for (name, kind, value) in gauges {
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -75,7 +75,12 @@
 impl Config {
     /// Reads the file that the environment names. A problem is told in one line.
     pub fn from_environment() -> Result<Config, String> {
-        Config::read(std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?)
+        let mut config = Config::read(std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?)?;
+        // The operators' address in the environment wins over the file's; an empty one turns it off.
+        if let Ok(text) = std::env::var("NODE_MGMT") {
+            config.mgmt = operators_address(config.listen, &text)?;
+        }
+        Ok(config)
     }
 
     /// Reads this file. A problem is told in one line.
@@ -92,18 +97,10 @@
         let file: File =
             simd_json::from_slice(&mut text).map_err(|e| e.to_string().replace(['\n', '\r'], " "))?;
         let env = file.settings;
-        let address = |name: &str, text: &str| {
-            text.parse::<SocketAddr>().map_err(|_| format!("{name}: {text:?} is no address and port"))
-        };
         env.check()?;
         let listen = address("listen", &file.listen)?;
-        let mgmt = std::env::var("NODE_MGMT").ok().or(file.mgmt).filter(|text| !text.trim().is_empty());
-        let mgmt = mgmt.map(|text| address("mgmt", &text)).transpose()?;
-        if mgmt == Some(listen) {
-            return Err(format!("mgmt: {listen} is the clients' address; give the operators another one"));
-        }
         Ok(Config {
-            mgmt,
+            mgmt: file.mgmt.map_or(Ok(None), |text| operators_address(listen, &text))?,
             file: None,
             settings: env.settings(),
             listen,
@@ -124,6 +121,23 @@
     }
 }
 
+/// An address and port, or one line that says which is not.
+fn address(name: &str, text: &str) -> Result<SocketAddr, String> {
+    text.parse::<SocketAddr>().map_err(|_| format!("{name}: {text:?} is no address and port"))
+}
+
+/// The operators' address as given; none where it is empty. It must not be the clients' own.
+fn operators_address(listen: SocketAddr, text: &str) -> Result<Option<SocketAddr>, String> {
+    if text.trim().is_empty() {
+        return Ok(None);
+    }
+    let mgmt = address("mgmt", text)?;
+    if mgmt == listen {
+        return Err(format!("mgmt: {listen} is the clients' address; give the operators another one"));
+    }
+    Ok(Some(mgmt))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -22,7 +22,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use juniperladder::{ListKind, Mode};
+use juniperladder::ListKind;
 use slog::{error, info, o, Drain, Logger};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -73,10 +73,7 @@
         idle: config.idle,
         late: longest,
         may_duplicate: config.settings.limits.may_duplicate,
-        origin: match config.settings.mode {
-            Mode::Aside(kind) => Some(kind),
-            Mode::Through => None,
-        },
+        origin: config.settings.mode.origin(),
     };
     let upstream = upstream::Upstream::new(limits, clock, Rc::clone(&counters), log.clone());
     let exchange = exchange::Exchange::new(
@@ -111,7 +108,7 @@
     spawn_local(async move { timers.run().await });
     let mut successor = false;
     if let Some(mgmt) = config.mgmt {
-        let listener = operators::listen(mgmt)
+        let listener = listen(mgmt)
             .map_err(|e| format!("cannot listen for operators on {mgmt}: {e}; give mgmt a free address"))?;
         let operators;
         (operators, successor) = operators::Operators::new(
@@ -149,7 +146,6 @@
         }
     }
     info!(log, "stopping");
-    shutdown.stop();
     shutdown.run(longest).await;
     exchange.idle().await;
     info!(log, "stopped"; "counters" => counters.to_string());
--- a/node/src/name_table.rs
+++ b/node/src/name_table.rs
@@ -139,13 +139,12 @@
     mut table: NameTable,
     mut discovery: watch::Receiver<SocketAddr>,
     exchange: Rc<Exchange>,
-    at_once: bool,
+    mut at_once: bool,
     log: Logger,
 ) {
     let mut turned = false;
     // A process that replaces another starts from a list that may be old, and what discovery says binds it
     // soon after its start: it asks at once, not when the module would.
-    let mut at_once = at_once;
     loop {
         if !std::mem::take(&mut at_once) && !turned {
             tokio::select! {
--- a/node/src/operators.rs
+++ b/node/src/operators.rs
@@ -5,7 +5,6 @@
 //! delay the data path or each other.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -139,8 +138,3 @@
         }
     }
 }
-
-/// Binds the operators' address.
-pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    crate::listen(address)
-}
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -8,7 +8,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use slog::{warn, Logger};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, Notify};
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, sleep_until, timeout, Duration, Instant};
@@ -146,15 +146,8 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    count(&self.exchange.counters().clients);
                     self.shutdown.accepted();
-                    let _ = stream.set_nodelay(true);
-                    let seated = self.seat();
-                    spawn_local(async move {
-                        let mut client = ServiceClient::new(&seated.service, &seated.seat);
-                        // A connection that breaks has no one to be told.
-                        let _ = client.serve(stream).await;
-                    });
+                    self.take_in(stream);
                 }
                 Err(problem) => {
                     // Out of descriptors, or a client that left at once: neither may end the program.
@@ -171,19 +164,24 @@
 
     /// Takes in the connections that wait in the backlog already: those would be reset when it closes.
     fn last_ones(self: &Rc<Service>, listener: &TcpListener) {
-        let std = std::task::Context::from_waker(std::task::Waker::noop());
-        let mut cx = std;
+        let mut cx = std::task::Context::from_waker(std::task::Waker::noop());
         while let std::task::Poll::Ready(Ok((stream, _))) = listener.poll_accept(&mut cx) {
-            count(&self.exchange.counters().clients);
-            let _ = stream.set_nodelay(true);
-            let seated = self.seat();
-            spawn_local(async move {
-                let mut client = ServiceClient::new(&seated.service, &seated.seat);
-                let _ = client.serve(stream).await;
-            });
+            self.take_in(stream);
         }
     }
 
+    /// Seats a client that has just connected and serves it.
+    fn take_in(self: &Rc<Service>, stream: TcpStream) {
+        count(&self.exchange.counters().clients);
+        let _ = stream.set_nodelay(true);
+        let seated = self.seat();
+        spawn_local(async move {
+            let mut client = ServiceClient::new(&seated.service, &seated.seat);
+            // A connection that breaks has no one to be told.
+            let _ = client.serve(stream).await;
+        });
+    }
+
     fn seat(self: &Rc<Service>) -> Seated {
         let (busy, half, spoke, leave, cut) = Default::default();
         let seat = Rc::new(Seat { quiet: Cell::new(Instant::now()), busy, half, spoke, leave, cut });
--- a/node/src/shutdown.rs
+++ b/node/src/shutdown.rs
@@ -28,11 +28,6 @@
         self.stopping.get()
     }
 
-    /// The end has begun: operators are told so.
-    pub fn stop(&self) {
-        self.stopping.set(true);
-    }
-
     /// A connection was accepted.
     pub fn accepted(&self) {
         self.last.set(Some(Instant::now()));
@@ -60,6 +55,7 @@
     /// Runs the end from the signal on: until every connection is closed, and not longer than the longest
     /// deadline from when the closing began, as a connection may stand still in the middle of a command.
     pub async fn run(&self, longest: Duration) {
+        self.stopping.set(true);
         let signal = Instant::now();
         loop {
             let quiet = self.last.get().unwrap_or(signal).max(signal) + QUIET;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -109,6 +109,16 @@
     Aside(u32),
 }
 
+impl Mode {
+    /// The kind of list entry that is the origin; none where cache servers fetch for themselves.
+    pub fn origin(self) -> Option<u32> {
+        match self {
+            Mode::Aside(kind) => Some(kind),
+            Mode::Through => None,
+        }
+    }
+}
+
 /// What a site permits.
 #[derive(Clone, Debug)]
 pub struct Limits {
