Keep an operator's call from passing for news of discovery

It sends to host at 17.5 s, which was banned from 4.4 s, called back at 10.8 s and told gone and back in between: the breach is not of the ban but of a list that n1 never asked for. n0, whose first watch came at 3.4 s, before the first call at 4.3 s, keeps the rule. Ruled out: the ban held against the entry that discovery replaces (the issue's guess): the bans are kept by id and laid over every list, breaches come after ONLINE only, at balancers without a watch, and not on those with one. The pools: nothing is written to a pool that is not open. Lines at fault: exchange/src/operators.rs told a call to the module as ListKind::Update, and rules.rs `listed` takes any list but the first as discovery's word (`members.subscribed = true`), so that the timer of the first watch, or of the next after a lost one, is passed over and the balancer never asks again.

Also: ids listed once can be banned while they are not listed (bounded memory of ids), and after ONLINE a host is taken to have started then until discovery tells when it did, as it is restarted while it is out.

--- a/exchange/src/bans.rs
+++ b/exchange/src/bans.rs
@@ -1,22 +1,40 @@
 //! Cache hosts out by hand: what operators have banned, laid over every list that discovery tells.
 //!
-//! No I/O and no clock: the exchange asks, this answers.
+//! A ban is kept by the host's id, outside the list's entries: no list, change or reset touches it. No I/O and
+//! no clock: the exchange asks, this answers.
 
-use juniperladder::{ServerId, State};
+use std::collections::VecDeque;
+
+use juniperladder::{Micros, ServerId, State};
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::values::Host;
 
+/// How many ids are remembered of hosts that have been listed; beyond it the oldest are forgotten.
+const REMEMBERED: usize = 16_384;
+
 /// The id of a host that has not been listed, and is not banned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NeverListed;
 
+/// One ban.
+#[derive(Debug)]
+struct Ban {
+    name: String,
+    since: Micros,
+}
+
 /// The bans and the last word of discovery on each listed host.
 #[derive(Debug, Default)]
 pub struct Bans {
-    banned: FxHashSet<ServerId>,
-    names: FxHashMap<ServerId, String>,
+    banned: FxHashMap<ServerId, Ban>,
+    /// Hosts whose ban has ended: since when it had held, and when it ended. Until discovery tells of a start
+    /// since the ban began, the host is taken to have started when it ended.
+    back: FxHashMap<ServerId, (Micros, Micros)>,
     listed: FxHashMap<ServerId, Host>,
+    /// The ids that have ever been listed, and the same in the order in which they were first.
+    known: FxHashSet<ServerId>,
+    order: VecDeque<ServerId>,
 }
 
 impl Bans {
@@ -26,60 +44,81 @@
             self.listed.clear();
         }
         for host in hosts {
+            let server = host.entry.server;
+            self.remember(server);
+            if self.back.get(&server).is_some_and(|(since, _)| host.entry.started >= *since) {
+                self.back.remove(&server);
+            }
             if host.entry.state == State::Deleted {
-                self.listed.remove(&host.entry.server);
+                self.listed.remove(&server);
             } else {
-                self.listed.insert(host.entry.server, host.clone());
+                self.listed.insert(server, host.clone());
             }
         }
         hosts.iter().map(|host| self.seen(host)).collect()
     }
 
+    fn remember(&mut self, server: ServerId) {
+        if self.known.insert(server) {
+            self.order.push_back(server);
+            if self.order.len() > REMEMBERED {
+                if let Some(oldest) = self.order.pop_front() {
+                    self.known.remove(&oldest);
+                }
+            }
+        }
+    }
+
     fn seen(&self, host: &Host) -> Host {
         let mut host = host.clone();
-        if self.banned.contains(&host.entry.server) && host.entry.state == State::Serving {
+        let server = host.entry.server;
+        if self.banned(server) && host.entry.state == State::Serving {
             host.entry.state = State::Draining;
         }
+        if let Some((_, ended)) = self.back.get(&server) {
+            host.entry.started = host.entry.started.max(*ended);
+        }
         host
     }
 
     /// Bans a host; the change for the module if it is listed now. An id never listed is refused, unless it
-    /// comes from a file that an earlier process left (`known` false), which is taken as it is.
+    /// comes from an earlier process (`must_be_known` false), whose word is taken.
     pub fn ban(
         &mut self,
         server: ServerId,
         name: &str,
-        must_be_listed: bool,
+        now: Micros,
+        must_be_known: bool,
     ) -> Result<Option<Host>, NeverListed> {
-        let listed = self.listed.get(&server);
-        if must_be_listed && listed.is_none() && !self.banned.contains(&server) {
+        if must_be_known && !self.known.contains(&server) && !self.banned(server) {
             return Err(NeverListed);
         }
-        self.banned.insert(server);
-        self.names.insert(server, name.to_owned());
-        Ok(listed.map(|host| self.seen(host)))
+        self.banned.entry(server).or_insert_with(|| Ban { name: name.to_owned(), since: now });
+        Ok(self.listed.get(&server).map(|host| self.seen(host)))
     }
 
-    /// Ends a ban; the change for the module if the host is listed. A host neither banned nor listed is
-    /// refused.
-    pub fn unban(&mut self, server: ServerId) -> Result<Option<Host>, NeverListed> {
-        let was = self.banned.remove(&server);
-        self.names.remove(&server);
-        match self.listed.get(&server) {
-            Some(host) => Ok(Some(host.clone())),
-            None if was => Ok(None),
-            None => Err(NeverListed),
+    /// Ends a ban; the change for the module if the host is listed. Whatever an operator did to the host
+    /// meanwhile, it comes back as one that has just started unless discovery has told when it did. An id that
+    /// is neither banned nor was ever listed is refused.
+    pub fn unban(&mut self, server: ServerId, now: Micros) -> Result<Option<Host>, NeverListed> {
+        let Some(ban) = self.banned.remove(&server) else {
+            return if self.known.contains(&server) { Ok(None) } else { Err(NeverListed) };
+        };
+        let told = self.listed.get(&server).is_some_and(|host| host.entry.started >= ban.since);
+        if !told {
+            self.back.insert(server, (ban.since, now));
         }
+        Ok(self.listed.get(&server).map(|host| self.seen(host)))
     }
 
     /// Whether this host is banned.
     pub fn banned(&self, server: ServerId) -> bool {
-        self.banned.contains(&server)
+        self.banned.contains_key(&server)
     }
 
     /// The names of the banned hosts, sorted.
     pub fn names(&self) -> Vec<String> {
-        let mut names: Vec<String> = self.names.values().cloned().collect();
+        let mut names: Vec<String> = self.banned.values().map(|ban| ban.name.clone()).collect();
         names.sort();
         names
     }
@@ -93,9 +132,11 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use juniperladder::{Entry, Micros};
+    use juniperladder::Entry;
 
-    fn host(server: u64, state: State) -> Host {
+    const NOW: Micros = Micros(50_000_000);
+
+    fn host(server: u64, state: State, started: u64) -> Host {
         let entry = Entry {
             server: ServerId(server),
             zone: 0,
@@ -103,36 +144,81 @@
             cell: 0,
             state,
             weight: 1.0,
-            started: Micros(0),
+            started: Micros(started),
         };
         Host { entry, address: None }
     }
 
+    fn serving(server: u64) -> Host {
+        host(server, State::Serving, 0)
+    }
+
     #[test]
     fn a_ban_outlives_what_discovery_says_until_it_is_called_back() {
         let mut bans = Bans::default();
-        assert!(bans.ban(ServerId(7), "s-7", true).is_err(), "never listed");
-        bans.over(true, &[host(7, State::Serving), host(8, State::Serving)]);
-        let told = bans.ban(ServerId(7), "s-7", true).unwrap().unwrap();
+        assert!(bans.ban(ServerId(7), "s-7", NOW, true).is_err(), "never listed");
+        bans.over(true, &[serving(7), serving(8)]);
+        let told = bans.ban(ServerId(7), "s-7", NOW, true).unwrap().unwrap();
         assert_eq!(told.entry.state, State::Draining);
-        assert!(bans.ban(ServerId(7), "s-7", true).is_ok(), "a second call is the same");
-        // Discovery says the host serves, in whole lists and in changes alike: it still drains.
+        assert!(bans.ban(ServerId(7), "s-7", NOW, true).is_ok(), "a second call is the same");
+        // Discovery says the host serves, in whole lists and in changes alike, that it is gone, that it has
+        // started anew, and has it in no list at all: it still drains whenever it is named.
         for replace in [true, false] {
-            let seen = bans.over(replace, &[host(7, State::Serving), host(8, State::Serving)]);
-            assert_eq!(seen[0].entry.state, State::Draining);
-            assert_eq!(seen[1].entry.state, State::Serving);
+            let seen = bans.over(replace, &[serving(7), serving(8)]);
+            assert_eq!((seen[0].entry.state, seen[1].entry.state), (State::Draining, State::Serving));
+            bans.over(false, &[host(7, State::Deleted, 0)]);
+            let anew = host(7, State::Serving, NOW.0 + 1);
+            assert_eq!(bans.over(false, &[anew])[0].entry.state, State::Draining);
+            bans.over(true, &[serving(8)]);
+            assert!(bans.banned(ServerId(7)) && bans.listed().count() == 1);
         }
+        assert_eq!(bans.over(false, &[serving(7)])[0].entry.state, State::Draining);
         assert_eq!(bans.names(), ["s-7"]);
-        let back = bans.unban(ServerId(7)).unwrap().unwrap();
+        let back = bans.unban(ServerId(7), NOW).unwrap().unwrap();
         assert_eq!(back.entry.state, State::Serving);
-        assert_eq!(bans.over(false, &[host(7, State::Serving)])[0].entry.state, State::Serving);
-        assert!(bans.unban(ServerId(9)).is_err());
+        assert_eq!(bans.over(false, &[serving(7)])[0].entry.state, State::Serving);
+        assert!(bans.unban(ServerId(9), NOW).is_err());
+    }
+
+    /// An id that was listed once is a host that operators know, though the list lacks it at this moment.
+    #[test]
+    fn a_host_that_is_gone_from_the_list_can_be_banned() {
+        let mut bans = Bans::default();
+        bans.over(true, &[serving(7)]);
+        bans.over(false, &[host(7, State::Deleted, 0)]);
+        assert!(bans.unban(ServerId(7), NOW).unwrap().is_none(), "nothing to end, and no harm");
+        assert!(bans.ban(ServerId(7), "s-7", NOW, true).unwrap().is_none());
+        assert_eq!(bans.over(false, &[serving(7)])[0].entry.state, State::Draining);
+        // What is remembered for this is bounded.
+        (0..2 * REMEMBERED as u64).for_each(|n| drop(bans.over(true, &[serving(100 + n)])));
+        assert_eq!((bans.known.len(), bans.order.len()), (REMEMBERED, REMEMBERED));
+        assert!(bans.banned(ServerId(7)), "a ban is not forgotten with that");
+    }
+
+    /// While a host is out it is restarted: it comes back cold, whether discovery has told that or not yet.
+    #[test]
+    fn a_host_comes_back_as_one_that_has_just_started() {
+        let later = Micros(NOW.0 + 6_000_000);
+        for (told, want) in [(0, later.0), (NOW.0 + 2, NOW.0 + 2)] {
+            let mut bans = Bans::default();
+            bans.over(true, &[serving(7)]);
+            bans.ban(ServerId(7), "s-7", NOW, true).unwrap();
+            bans.over(false, &[host(7, State::Serving, told)]);
+            let back = bans.unban(ServerId(7), later).unwrap().unwrap();
+            assert_eq!(back.entry.started, Micros(want));
+            // A whole list that knows nothing new does not make it warm.
+            assert_eq!(bans.over(true, &[host(7, State::Serving, told)])[0].entry.started, Micros(want));
+            // Discovery's word on the start, once it comes, is better than the guess.
+            let truth = host(7, State::Serving, NOW.0 + 1_000_000);
+            assert_eq!(bans.over(false, &[truth])[0].entry.started, Micros(NOW.0 + 1_000_000));
+            assert!(bans.back.is_empty());
+        }
     }
 
     #[test]
     fn a_ban_from_an_earlier_process_holds_before_the_host_is_listed() {
         let mut bans = Bans::default();
-        assert!(bans.ban(ServerId(7), "s-7", false).unwrap().is_none());
-        assert_eq!(bans.over(true, &[host(7, State::Serving)])[0].entry.state, State::Draining);
+        assert!(bans.ban(ServerId(7), "s-7", NOW, false).unwrap().is_none());
+        assert_eq!(bans.over(true, &[serving(7)])[0].entry.state, State::Draining);
     }
 }
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -325,18 +325,15 @@
     /// The name table has news.
     pub fn listed(&self, kind: ListKind, hosts: &[Host]) {
         let mut inner = self.inner.borrow_mut();
-        let hosts = if kind == ListKind::Unavailable {
-            Vec::new()
-        } else {
-            inner.bans.over(kind != ListKind::Update, hosts)
-        };
+        let hosts =
+            if kind == ListKind::Unavailable { Vec::new() } else { inner.bans.over(kind.whole(), hosts) };
         self.tell(&mut inner, kind, &hosts);
     }
 
     /// Tells the module and the carrier a list as it is to be seen, bans laid over.
     pub(crate) fn tell(&self, inner: &mut Inner, kind: ListKind, hosts: &[Host]) {
         if kind != ListKind::Unavailable {
-            if kind != ListKind::Update {
+            if kind.whole() {
                 inner.serving.clear();
             }
             for Host { entry, address } in hosts {
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -267,7 +267,7 @@
 impl Carrier for Upstream {
     fn listed(&self, kind: ListKind, hosts: &[Host]) {
         let mut pools = self.pools.borrow_mut();
-        if kind != ListKind::Update {
+        if kind.whole() {
             pools.values_mut().for_each(|pool| pool.open = false);
         }
         for Host { entry, address } in hosts {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -233,10 +233,20 @@
     Replace,
     /// The complete list as last held, possibly stale.
     Restored,
+    /// Lines that an operator changed by hand. They tell nothing of discovery: neither that it is heard nor
+    /// that a watch on it is open.
+    ByHand,
     /// A call failed or the subscription broke; keep the old list.
     Unavailable,
 }
 
+impl ListKind {
+    /// Whether it names every server, so that those it does not name are gone.
+    pub fn whole(self) -> bool {
+        matches!(self, ListKind::Replace | ListKind::Restored)
+    }
+}
+
 /// A client's request.
 #[derive(Clone, Debug)]
 pub struct Request {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -139,7 +139,7 @@
                 let at = now.plus(spread.times(0.6 * self.rng.f64())).plus(self.settings.tick);
                 actions.push(Action::Timer { at, token: DISCOVERY });
             }
-        } else {
+        } else if kind != ListKind::ByHand {
             (self.members.subscribed, self.members.failures) = (true, 0);
         }
     }
--- a/src/rules/members.rs
+++ b/src/rules/members.rs
@@ -100,7 +100,7 @@
     }
 
     pub(super) fn follow(&mut self, kind: ListKind, list: &[Entry], settings: &Settings) {
-        if matches!(kind, ListKind::Replace | ListKind::Restored) {
+        if kind.whole() {
             let mut named: Vec<ServerId> = list.iter().map(|e| e.server).collect();
             named.sort_unstable();
             self.servers.retain(|s| named.binary_search(&s.entry.server).is_ok());
