Pass long values on while they come, and give slow heads their time

Seen in its log: 836 of 840 bad answers are VA lines of 64 KiB to 2.5 MB, and bodies of the origin "longer than any value"; 2 slow requests cut off. Ruled out: writes over 64 KiB (malformed=0), memory (6 of 48 MB), descriptors (106 of 1024). At fault: protocols/src/memcache.rs and http.rs refuse any value over 64 KiB, node/src/service.rs ends half a command 0.75 s after its first byte.

Values over 64 KiB to 4 MiB go from the host to the client by pieces (exchange/src/long.rs, node/src/passing.rs); the client's pace holds the host back, pieces are bounded by the limits, and the last byte waits for the right end. A command's line may take 2.5 s, a value 15 s while it keeps coming. A value on its way counts as in progress.

--- a/exchange/src/counters.rs
+++ b/exchange/src/counters.rs
@@ -81,6 +81,10 @@
     late_answers,
     /// Commands served by such an answer.
     served_late,
+    /// Long values passed on in full while they came.
+    long,
+    /// Long values that broke off before their end.
+    long_broken,
     /// Answers that could not be understood or were for another id.
     bad_answers,
     /// Connections opened to hosts.
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -20,6 +20,7 @@
 use crate::bans::Bans;
 use crate::clock::{to_ms, Clock};
 use crate::counters::{count, Counters};
+use crate::long::{Ended, Tally};
 pub use crate::values::{Answer, Command, Host, Reply};
 
 /// How long before its client gives up a command is over here: the way of the answer back, and of the
@@ -123,8 +124,6 @@
     last: u64,
     serving: FxHashMap<ServerId, (State, Option<SocketAddr>)>,
     pub(crate) bans: Bans,
-    /// Commands served, refused and failed, by class.
-    pub(crate) by_class: Vec<[u64; 3]>,
 }
 
 impl Inner {
@@ -142,6 +141,7 @@
     clock: Clock,
     longest: Vec<Micros>,
     counters: Rc<Counters>,
+    pub(crate) tally: Rc<Tally>,
     timer_set: Notify,
     watch: Notify,
     idle: Notify,
@@ -161,7 +161,7 @@
     ) -> Rc<Exchange> {
         let longest = settings.classes.iter().map(|class| class.deadline).collect();
         let origin = settings.mode.origin();
-        let by_class = vec![[0; 3]; settings.classes.len().max(1)];
+        let tally = Tally::new(settings.classes.len());
         let inner = Inner {
             balancer: Balancer::new(settings, seed),
             carrier,
@@ -174,7 +174,6 @@
             last: 0,
             serving: FxHashMap::default(),
             bans: Bans::default(),
-            by_class,
         };
         Rc::new(Exchange {
             inner: RefCell::new(inner),
@@ -182,6 +181,7 @@
             clock,
             longest,
             counters,
+            tally,
             timer_set: Notify::new(),
             watch: Notify::new(),
             idle: Notify::new(),
@@ -195,9 +195,9 @@
         &self.counters
     }
 
-    /// Commands taken and not yet answered.
+    /// Commands taken and not yet answered in full.
     pub fn in_progress(&self) -> usize {
-        self.inner.borrow().commands.len()
+        self.inner.borrow().commands.len() + self.tally.passing()
     }
 
     /// The program's clock.
@@ -458,14 +458,20 @@
 
     fn finish(&self, inner: &mut Inner, id: CommandId, answer: Answer) {
         if let Some(open) = inner.close(id) {
-            let (counter, place) = match answer {
-                Answer::Value(_) | Answer::Receipt(_) => (&self.counters.served, 0),
-                Answer::Nack(_) => (&self.counters.nacked, 1),
-                Answer::Failed => (&self.counters.failed, 2),
+            let class = open.command.class;
+            let (counter, how) = match answer {
+                Answer::Value(_) | Answer::Receipt(_) => (&self.counters.served, Some(Ended::Passed)),
+                // It has passed, or failed, once its client has it or it broke off.
+                Answer::Long(_) => (&self.counters.served, None),
+                Answer::Nack(_) => (&self.counters.nacked, Some(Ended::Dropped)),
+                Answer::Failed => (&self.counters.failed, Some(Ended::Failed)),
             };
             count(counter);
-            let last = inner.by_class.len() - 1;
-            inner.by_class[(open.command.class as usize).min(last)][place] += 1;
+            how.into_iter().for_each(|how| self.tally.count(class, how));
+            let answer = match answer {
+                Answer::Long(long) => Answer::Long(long.counted(&self.tally, class)),
+                other => other,
+            };
             // The connection may have ended in this very moment; then nobody waits for it.
             let _ = open.answer.send(answer);
         }
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod counters;
 pub mod exchange;
+pub mod long;
 pub mod numbers;
 pub mod operators;
 #[cfg(any(test, feature = "testing"))]
--- /dev/null
+++ b/exchange/src/long.rs
@@ -0,0 +1,218 @@
+//! A long value, passed on while it still comes: the host's side feeds it, the client's side takes it piece by
+//! piece, and neither ever has more than a few pieces in hand.
+//!
+//! The last byte is held back until the host's end of the value has been seen, so that a client can always tell
+//! a value that broke off, or whose end was wrong, from a whole one.
+
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+
+/// Pieces that may wait between the two sides.
+const WAITING: usize = 1;
+
+/// The client's side of a long value.
+#[derive(Clone, Debug)]
+pub struct Long {
+    length: usize,
+    pieces: Rc<RefCell<mpsc::Receiver<Bytes>>>,
+    passing: Option<Rc<Passing>>,
+}
+
+/// The host's side of a long value.
+#[derive(Debug)]
+pub struct Feed {
+    pieces: mpsc::Sender<Bytes>,
+    left: usize,
+    last: Bytes,
+}
+
+/// Nobody takes the value any longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unwanted;
+
+/// The two sides of a value of so many bytes.
+pub fn long(length: usize) -> (Long, Feed) {
+    let (sender, receiver) = mpsc::channel(WAITING);
+    let long = Long { length, pieces: Rc::new(RefCell::new(receiver)), passing: None };
+    (long, Feed { pieces: sender, left: length, last: Bytes::new() })
+}
+
+impl Long {
+    /// How many bytes the value has.
+    pub fn length(&self) -> usize {
+        self.length
+    }
+
+    /// The next piece; none at the value's end, and where it broke off.
+    pub async fn next(&self) -> Option<Bytes> {
+        poll_fn(|cx| self.pieces.borrow_mut().poll_recv(cx)).await
+    }
+
+    /// From here on the tally counts it as on its way, until its last holder lets go.
+    pub(crate) fn counted(self, tally: &Rc<Tally>, class: u32) -> Long {
+        tally.passing.set(tally.passing.get() + 1);
+        let passing = Passing { tally: Rc::clone(tally), class, whole: Cell::new(false) };
+        Long { passing: Some(Rc::new(passing)), ..self }
+    }
+
+    /// The client has it whole.
+    pub fn whole(&self) {
+        self.passing.iter().for_each(|passing| passing.whole.set(true));
+    }
+}
+
+/// Two are the same if they are one.
+impl PartialEq for Long {
+    fn eq(&self, other: &Long) -> bool {
+        Rc::ptr_eq(&self.pieces, &other.pieces)
+    }
+}
+
+impl Eq for Long {}
+
+impl Feed {
+    /// Passes a piece on, and waits while the client has not taken the ones before it.
+    pub async fn push(&mut self, mut piece: Bytes) -> Result<(), Unwanted> {
+        self.left = self.left.saturating_sub(piece.len());
+        if self.left == 0 && !piece.is_empty() {
+            self.last = piece.split_off(piece.len() - 1);
+        }
+        if piece.is_empty() {
+            return Ok(());
+        }
+        self.pieces.send(piece).await.map_err(|_| Unwanted)
+    }
+
+    /// Waits until nobody takes the value any longer.
+    pub async fn unwanted(&self) {
+        self.pieces.closed().await;
+    }
+
+    /// The value's end has been seen and is right: the last byte goes too.
+    pub async fn finish(self) -> Result<(), Unwanted> {
+        self.pieces.send(self.last).await.map_err(|_| Unwanted)
+    }
+}
+
+/// How commands ended, by class; and the values that are on their way.
+#[derive(Debug)]
+pub struct Tally {
+    ended: RefCell<Vec<[u64; 3]>>,
+    passing: Cell<usize>,
+}
+
+/// How a command ended, as the figures tell it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// With a value or a receipt.
+    Passed,
+    /// With a nack.
+    Dropped,
+    /// Without either.
+    Failed,
+}
+
+impl Tally {
+    /// Nothing has ended yet, in any of so many classes.
+    pub fn new(classes: usize) -> Rc<Tally> {
+        Rc::new(Tally { ended: RefCell::new(vec![[0; 3]; classes.max(1)]), passing: Cell::new(0) })
+    }
+
+    /// A command of this class has ended; a class that the settings lack counts as the last.
+    pub fn count(&self, class: u32, how: Ended) {
+        let mut ended = self.ended.borrow_mut();
+        let last = ended.len() - 1;
+        ended[(class as usize).min(last)][how as usize] += 1;
+    }
+
+    /// How many ended so, for each class.
+    pub fn ended(&self, how: Ended) -> Vec<u64> {
+        self.ended.borrow().iter().map(|counts| counts[how as usize]).collect()
+    }
+
+    /// Long values on their way to their clients.
+    pub fn passing(&self) -> usize {
+        self.passing.get()
+    }
+}
+
+/// A long value on its way: it has passed once the client has it whole, and failed if it breaks off.
+#[derive(Debug)]
+struct Passing {
+    tally: Rc<Tally>,
+    class: u32,
+    whole: Cell<bool>,
+}
+
+impl Drop for Passing {
+    fn drop(&mut self) {
+        self.tally.passing.set(self.tally.passing.get() - 1);
+        self.tally.count(self.class, if self.whole.get() { Ended::Passed } else { Ended::Failed });
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::testing;
+
+    /// Whatever the pieces, the client gets the last byte only once the end was found right.
+    #[test]
+    fn the_last_byte_waits_for_the_end() {
+        testing::run(async {
+            for cut in [1, 3, 10] {
+                for right in [true, false] {
+                    let (long, mut feed) = long(10);
+                    let host = async move {
+                        for piece in b"0123456789".chunks(cut) {
+                            feed.push(Bytes::copy_from_slice(piece)).await.unwrap();
+                        }
+                        if right {
+                            feed.finish().await.unwrap();
+                        }
+                    };
+                    let client = async {
+                        let mut got = Vec::new();
+                        while let Some(piece) = long.next().await {
+                            got.extend_from_slice(&piece);
+                        }
+                        got
+                    };
+                    let (got, ()) = tokio::join!(client, host);
+                    assert_eq!(got, if right { &b"0123456789"[..] } else { b"012345678" });
+                }
+            }
+        });
+    }
+
+    /// The host's side waits for the client, and ends when the client is gone.
+    #[test]
+    fn a_client_that_is_slow_holds_the_host_back() {
+        testing::run(async {
+            let (long, mut feed) = long(100);
+            feed.push(Bytes::from_static(b"a")).await.unwrap();
+            let second = feed.push(Bytes::from_static(b"b"));
+            assert!(tokio::time::timeout(std::time::Duration::from_secs(9), second).await.is_err());
+            drop(long);
+            assert_eq!(feed.push(Bytes::from_static(b"c")).await, Err(Unwanted));
+            feed.unwanted().await;
+        });
+    }
+
+    #[test]
+    fn a_value_counts_when_it_has_passed_or_broken_off() {
+        let tally = Tally::new(2);
+        let [one, two] = [0, 9].map(|class| long(5).0.counted(&tally, class));
+        assert_eq!((tally.passing(), tally.ended(Ended::Passed)), (2, vec![0, 0]));
+        one.whole();
+        drop(one.clone());
+        assert_eq!(tally.passing(), 2, "another holds it yet");
+        drop((one, two));
+        assert_eq!((tally.passing(), tally.ended(Ended::Passed)), (0, vec![1, 0]));
+        assert_eq!(tally.ended(Ended::Failed), [0, 1]);
+    }
+}
--- a/exchange/src/operators.rs
+++ b/exchange/src/operators.rs
@@ -7,6 +7,7 @@
 use rustc_hash::FxHashSet;
 
 use crate::exchange::Exchange;
+use crate::long::Ended;
 use crate::numbers::server;
 
 /// Why an operator is told no.
@@ -54,11 +55,13 @@
         let in_progress = self.in_progress() as u64;
         let inner = self.inner.borrow();
         let mut text = String::new();
-        for (place, name) in ["passed", "dropped", "bad_gateway"].into_iter().enumerate() {
+        let endings =
+            [("passed", Ended::Passed), ("dropped", Ended::Dropped), ("bad_gateway", Ended::Failed)];
+        for (name, how) in endings {
             let _ = writeln!(text, "# TYPE app_{name} counter");
-            for (class, counts) in inner.by_class.iter().enumerate() {
+            for (class, count) in self.tally.ended(how).into_iter().enumerate() {
                 let category = classes.get(class).map_or("unknown", String::as_str);
-                let _ = writeln!(text, "app_{name}{{category=\"{}\"}} {}", escape(category), counts[place]);
+                let _ = writeln!(text, "app_{name}{{category=\"{}\"}} {count}", escape(category));
             }
         }
         let (limits, _) = inner.balancer.limits(self.clock().now());
--- a/exchange/src/values.rs
+++ b/exchange/src/values.rs
@@ -5,6 +5,8 @@
 use bytes::Bytes;
 use juniperladder::{Entry, Micros};
 
+use crate::long::Long;
+
 /// What a client asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Command {
@@ -29,6 +31,8 @@
 pub enum Answer {
     /// Served: the value read.
     Value(Bytes),
+    /// Served: a value read that is passed on while it still comes.
+    Long(Long),
     /// Served: the receipt of a write.
     Receipt(Bytes),
     /// A nack: trying again is harmless, after this time if it is not zero.
--- a/node/src/bounds.rs
+++ b/node/src/bounds.rs
@@ -35,6 +35,9 @@
     pub held: usize,
     /// Answer bytes that may stand unread on one client's connection before no more are added.
     pub unread: usize,
+    /// Bytes of a long value that stand in one place on their way: read from the host, between the two sides, held
+    /// back for its end, and unwritten to the client.
+    pub piece: usize,
 }
 
 impl Bounds {
@@ -45,7 +48,9 @@
         let clients = sockets - hosts;
         let held = (limits.memory as f64 * HELD_PART) as usize;
         let kept = (limits.sockets as f64 * CLIENTS_PART * KEPT_PART) as usize;
-        Bounds { clients, kept, hosts, held, unread: (held / clients).clamp(4 << 10, 256 << 10) }
+        // In four places at most, for every client at once: half of the memory.
+        let piece = (limits.memory / 8 / clients).clamp(2 << 10, 16 << 10);
+        Bounds { clients, kept, hosts, held, unread: (held / clients).clamp(4 << 10, 256 << 10), piece }
     }
 }
 
@@ -61,6 +66,7 @@
             let bounds = Bounds::of(Limits { memory: mb << 20, sockets });
             assert!(bounds.clients + bounds.hosts + OWN_SOCKETS <= sockets);
             assert!(bounds.clients > sockets / 3 && bounds.hosts > sockets / 2);
+            assert!(bounds.piece * 4 * bounds.clients <= (mb << 20) / 2);
             assert!(bounds.kept > 0 && bounds.kept < sockets / 3);
             assert!(
                 bounds.held <= (mb << 20) / 4 && bounds.unread * bounds.clients <= bounds.held.max(4 << 20)
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod name_table;
 pub mod operators;
+mod passing;
 pub mod service;
 pub mod shutdown;
 pub mod state;
@@ -69,6 +70,7 @@
     let longest = clock::duration(longest);
     let limits = upstream::Limits {
         connections: bounds.hosts,
+        piece: bounds.piece,
         connect_timeout: config.connect_timeout,
         idle: config.idle,
         late: longest,
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -18,6 +18,7 @@
 use crate::exchange::{Answer, CommandId, Exchange};
 use crate::memcache::{write_answer, Commands, Incoming};
 use crate::shutdown::Shutdown;
+use juniperladder_exchange::long::Long;
 
 /// Commands that one connection may have open: enough for any pipeline, a bound for one that runs away.
 const MAX_OWED: usize = 128;
@@ -34,7 +35,9 @@
 /// of a command holds a descriptor that others need. Unfinished commands do not set it back.
 const QUIET: Duration = Duration::from_millis(2200);
 /// How long a command may take from its first byte to its last, if that is longer.
-const HALF: Duration = Duration::from_millis(750);
+const HALF: Duration = Duration::from_millis(2500);
+/// How long a value may take to come to its end while pieces of it keep coming.
+const VALUE: Duration = Duration::from_secs(15);
 /// How long a full house waits for the one that was told to leave.
 const ROOM: Duration = Duration::from_millis(10);
 /// How long a client may take to read any part of the answers that wait for it.
@@ -240,8 +243,11 @@
     held: usize,
     /// How much it has brought that was no command.
     malformed: usize,
-    /// Since when a command has been coming that is not whole.
+    /// Since when a command has been coming that is not whole, and when a piece of it came last.
     half: Option<Instant>,
+    came: Instant,
+    /// The long value that is on its way to the client, and how much of it has yet to come.
+    long: Option<(Long, usize)>,
     /// When the client last read a part of what waits for it.
     read: Instant,
     /// The client sends no more, or nothing after this can be understood.
@@ -261,13 +267,19 @@
             held: 0,
             malformed: 0,
             half: None,
+            came: Instant::now(),
+            long: None,
             read: Instant::now(),
             ended: false,
         }
     }
 
     fn idle(&self) -> bool {
-        self.owed.is_empty() && self.output.is_empty() && self.input.is_empty() && !self.commands.unfinished()
+        self.owes_nothing() && self.input.is_empty() && !self.commands.unfinished()
+    }
+
+    fn owes_nothing(&self) -> bool {
+        self.owed.is_empty() && self.output.is_empty() && self.long.is_none()
     }
 
     /// Until when this connection may go on as it is; none while its client waits for the exchange.
@@ -276,8 +288,13 @@
             return Some(self.read + UNREAD);
         }
         let quiet = self.seat.quiet.get() + QUIET;
-        let end = self.half.map_or(quiet, |since| quiet.max(since + HALF));
-        self.owed.is_empty().then_some(end)
+        let end = match self.half {
+            // A value may come slowly, but it has to come.
+            Some(since) if self.commands.unfinished() => (self.came + QUIET).min(since + VALUE),
+            Some(since) => since + HALF,
+            None => quiet,
+        };
+        (self.owed.is_empty() && self.long.is_none()).then_some(end.max(quiet))
     }
 
     /// Keeps account of what this connection holds of the memory.
@@ -296,7 +313,7 @@
     /// Keeps the times by which the connection is judged.
     fn keep_time(&mut self) {
         let now = Instant::now();
-        let busy = !self.owed.is_empty() || !self.output.is_empty();
+        let busy = !self.owes_nothing();
         if self.seat.busy.replace(busy) && !busy {
             self.seat.quiet.set(now);
         }
@@ -314,7 +331,7 @@
             self.take();
             self.keep_time();
             self.keep_account();
-            if self.ended && self.owed.is_empty() && self.output.is_empty() {
+            if self.ended && self.owes_nothing() {
                 writer.shutdown().await?;
                 return linger(&mut reader).await;
             }
@@ -331,12 +348,18 @@
             }
             tokio::select! {
                 biased;
-                answered = next_answer(&mut self.owed), if drained => self.write(answered),
+                answered = next_answer(&mut self.owed), if drained && self.long.is_none() => {
+                    self.write(answered)
+                }
                 written = writer.write_buf(&mut self.output), if !self.output.is_empty() => {
                     written?;
                     self.read = Instant::now();
                 }
+                piece = next_piece(&self.long), if self.output.len() < service.bounds.piece => {
+                    self.pass_on(piece)?;
+                }
                 read = reader.read_buf(&mut self.input), if room && drained => {
+                    self.came = Instant::now();
                     if read? == 0 {
                         self.leave();
                     }
@@ -440,9 +463,28 @@
             Owed::Command(_, id, _, size) => {
                 self.open -= size;
                 write_answer(&mut self.output, &id, &answer);
+                if let Answer::Long(long) = answer {
+                    let length = long.length();
+                    self.long = Some((long, length));
+                }
             }
         }
     }
+
+    /// Takes a piece of the long value that is on its way. One that broke off cannot be mended, and only the end of
+    /// the connection tells the client that it is not whole.
+    fn pass_on(&mut self, piece: Option<Bytes>) -> io::Result<()> {
+        let Some((long, left)) = &mut self.long else { return Ok(()) };
+        let piece = piece.ok_or(io::ErrorKind::UnexpectedEof)?;
+        *left = left.saturating_sub(piece.len());
+        self.output.put_slice(&piece);
+        if *left == 0 {
+            long.whole();
+            self.long = None;
+            self.output.put_slice(b"\r\n");
+        }
+        Ok(())
+    }
 }
 
 impl Drop for ServiceClient<'_> {
@@ -472,6 +514,14 @@
     Ok(())
 }
 
+/// Waits for the next piece of a long value; for ever where none is on its way.
+async fn next_piece(long: &Option<(Long, usize)>) -> Option<Bytes> {
+    match long {
+        Some((long, _)) => long.next().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits for the first answer owed; the others wait behind it.
 async fn next_answer(owed: &mut VecDeque<Owed>) -> (Owed, Answer) {
     let answer = match owed.front_mut() {
@@ -517,7 +567,7 @@
 
     fn service(recorder: &Rc<Recorder>) -> Rc<Service> {
         let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), recorder.clone(), 1);
-        let bounds = Bounds { clients: 8, kept: 4, hosts: 8, held: 1 << 17, unread: 1 << 16 };
+        let bounds = Bounds { clients: 8, kept: 4, hosts: 8, held: 1 << 17, unread: 1 << 16, piece: 1 << 10 };
         Service::new(exchange, vec!["read".into()], Rc::default(), bounds, testing::log())
     }
 
--- a/node/src/testing.rs
+++ b/node/src/testing.rs
@@ -13,6 +13,7 @@
     let second = std::time::Duration::from_secs(1);
     let limits = crate::upstream::Limits {
         connections,
+        piece: 1024,
         connect_timeout: second / 4,
         idle: second * 5,
         late: second * 3,
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -18,9 +18,11 @@
 
 use crate::clock::Clock;
 use crate::counters::{count, worth_telling, Counters};
-use crate::exchange::{Carrier, End, Exchange, Execution, ExecutionId, Host, Reply};
+use crate::exchange::{Answer, Carrier, End, Exchange, Execution, ExecutionId, Host, Reply};
 use crate::http::{self, Response};
 use crate::memcache;
+use crate::passing::{self, Body};
+use juniperladder_exchange::long::{long, Feed};
 
 /// The part of the idle time that the settings tell after which a connection is closed here: a write must never
 /// cross the host's close, which comes by its clock and after the way there. What lies between is kept open: one
@@ -43,6 +45,8 @@
 pub struct Limits {
     /// Connections to all hosts together.
     pub connections: usize,
+    /// How much of a long value is read from its host at once.
+    pub piece: usize,
     /// How long one may take to come up.
     pub connect_timeout: Duration,
     /// How long a host keeps an idle one.
@@ -343,6 +347,14 @@
 /// An answer is not waited for any longer.
 struct Stopped;
 
+/// What was heard from a host.
+enum Heard {
+    /// Its whole reply.
+    Whole(Reply, After),
+    /// That a long value of so many bytes follows.
+    Long(usize, Body),
+}
+
 /// What a connection does after an execution.
 #[derive(Debug, PartialEq, Eq)]
 enum After {
@@ -450,7 +462,12 @@
             () = stop.notified() => Err(Stopped),
         };
         let (end, after) = match read {
-            Ok(Ok((reply, after))) => (End::Reply(reply), after),
+            Ok(Ok(Heard::Whole(reply, after))) => (End::Reply(reply), after),
+            Ok(Ok(Heard::Long(length, body))) => {
+                let (long, feed) = long(length);
+                upstream.stopped(self.server, id, End::Reply(Reply::Served(Answer::Long(long))));
+                return self.pass_on(upstream, stream, input, body, feed).await;
+            }
             Ok(Err(Some(problem))) => {
                 upstream.tell_bad(&self.address, &problem);
                 (End::Spoilt, After::Close)
@@ -468,7 +485,8 @@
         stream: &mut S,
         input: &mut BytesMut,
         execution: &Execution,
-    ) -> Result<(Reply, After), Option<String>> {
+    ) -> Result<Heard, Option<String>> {
+        let write = execution.command.value.is_some();
         let mut response = Response::default();
         loop {
             input.reserve(READ);
@@ -478,41 +496,62 @@
                 if read == 0 {
                     response.ended();
                 }
-                if response.too_large() {
-                    return Err(Some("a body longer than any value".into()));
-                }
                 let id = response.head.as_ref().and_then(|head| head.id.as_ref());
                 if id.is_some_and(|id| *id != execution.command.id) {
                     return Err(Some("a response for another id".into()));
                 }
+                if let Some(length) = response.long().filter(|_| !write) {
+                    return Ok(Heard::Long(length, Body::Http(response)));
+                }
+                if response.too_large() {
+                    return Err(Some("a body longer than any value".into()));
+                }
                 if response.done {
-                    // A length that was told too short leaves the rest of the body here, which nobody can
-                    // tell from noise behind a good response: only the beginning of another one is neither.
-                    read_on(stream, input).await.map_err(|_| None)?;
-                    if !http::may_begin(input) {
-                        return Err(Some("a body longer than its length".into()));
-                    }
-                    let close = response.head.as_ref().is_none_or(|head| head.close);
-                    let reply = http::reply(&response, execution.command.value.is_some());
-                    return Ok((reply, if close { After::Close } else { After::Keep }));
+                    passing::nothing_behind(stream, input).await?;
+                    return Ok(Heard::Whole(http::reply(&response, write), after(&response)));
                 }
-            } else if let Some(reply) = memcache::answer(input, &execution.command).map_err(Some)? {
-                return Ok((reply, After::Keep));
+            } else if let Some(heard) = memcache::answered(input, &execution.command).map_err(Some)? {
+                return Ok(match heard {
+                    memcache::Answered::Whole(reply) => Heard::Whole(reply, After::Keep),
+                    memcache::Answered::Long(length, rest) => Heard::Long(length, Body::Meta(rest)),
+                });
             }
             if read == 0 {
                 return Err(None);
             }
         }
     }
+
+    /// Passes a long value on while it comes, as fast as its client takes it. Where it breaks off the client has
+    /// not had its last byte.
+    async fn pass_on<S: AsyncRead + Unpin>(
+        &self,
+        upstream: &Upstream,
+        stream: &mut S,
+        input: &mut BytesMut,
+        mut body: Body,
+        feed: Feed,
+    ) -> After {
+        let passed = passing::pump(stream, input, &mut body, feed, upstream.limits.piece).await;
+        count(if passed.is_ok() { &upstream.counters.long } else { &upstream.counters.long_broken });
+        match (passed, body) {
+            (Ok(()), Body::Http(response)) => after(&response),
+            (Ok(()), Body::Meta(_)) => After::Keep,
+            (Err(problem), _) => {
+                problem.iter().for_each(|problem| upstream.tell_bad(&self.address, problem));
+                After::Close
+            }
+        }
+    }
 }
 
-/// Takes in what has come already, without waiting for more.
-async fn read_on<S: AsyncRead + Unpin>(stream: &mut S, input: &mut BytesMut) -> std::io::Result<()> {
-    input.reserve(READ);
-    tokio::select! {
-        biased;
-        read = stream.read_buf(input) => read.map(|_| ()),
-        () = std::future::ready(()) => Ok(()),
+/// What a connection does after this whole response.
+fn after(response: &Response) -> After {
+    let close = response.head.as_ref().is_none_or(|head| head.close);
+    if close {
+        After::Close
+    } else {
+        After::Keep
     }
 }
 
--- a/protocols/src/http.rs
+++ b/protocols/src/http.rs
@@ -7,7 +7,7 @@
 use winnow::prelude::*;
 use winnow::token::{take_till, take_while};
 
-use crate::memcache::{number, write_properties, MAX_VALUE};
+use crate::memcache::{number, write_properties, MAX_LONG, MAX_VALUE};
 use juniperladder_exchange::values::{Answer, Command, Reply};
 
 /// The longest head of a response.
@@ -142,7 +142,18 @@
         self.done |= self.head.as_ref().is_some_and(|head| head.framing == Framing::UntilClose);
     }
 
-    /// Whether its body is, or is said to be, longer than any value: it must not be read to its end.
+    /// The length of a long value that this response brings: it goes on while it comes. One that is not told its
+    /// length cannot, as the client is told it first.
+    pub fn long(&self) -> Option<usize> {
+        match self.head.as_ref()? {
+            Head { status: 200, framing: Framing::Length(length), .. } => {
+                (MAX_VALUE + 1..=MAX_LONG).contains(length).then_some(*length)
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether its body is, or is said to be, longer than what is taken whole: it must not be read to its end.
     pub fn too_large(&self) -> bool {
         let said = self.head.as_ref().map(|head| head.framing);
         self.body.len() > MAX_VALUE || matches!(said, Some(Framing::Length(length)) if length > MAX_VALUE)
--- a/protocols/src/memcache.rs
+++ b/protocols/src/memcache.rs
@@ -11,8 +11,10 @@
 
 /// The longest line; a key, an id and a few properties are far shorter.
 const MAX_LINE: usize = 4096;
-/// The longest value.
+/// The longest value that is taken in whole before it goes on.
 pub const MAX_VALUE: usize = 64 * 1024;
+/// The longest value: one over [`MAX_VALUE`] goes on while it comes.
+pub const MAX_LONG: usize = 4 * 1024 * 1024;
 /// The longest value that is skipped to keep a connection in step.
 const MAX_SKIPPED: usize = 1024 * 1024;
 /// The longest key, as memcache has it.
@@ -192,6 +194,11 @@
             out.put_slice(b"\r\n");
             out.put_slice(value);
         }
+        Answer::Long(long) => {
+            // The value follows by pieces, and then the end of its line.
+            out.put_slice(format!("VA {} O", long.length()).as_bytes());
+            out.put_slice(id);
+        }
         Answer::Receipt(receipt) => {
             out.put_slice(b"HD O");
             out.put_slice(id);
@@ -242,9 +249,51 @@
     }
 }
 
-/// Takes a cache host's answer to this command off the input: none until it is whole, an error when it
-/// cannot be one.
+/// A cache host's answer, as far as it has come.
+#[derive(Debug, PartialEq)]
+pub enum Answered {
+    /// Whole.
+    Whole(Reply),
+    /// The line of a value that goes on while it comes: its length, and what takes the rest off the input.
+    Long(usize, Rest),
+}
+
+/// The rest of a long value whose line has been read.
+#[derive(Debug, PartialEq)]
+pub struct Rest(usize);
+
+impl Rest {
+    /// Takes off what has come of the value, and tells whether its end has been seen. An error if something else
+    /// stands there.
+    pub fn take(&mut self, input: &mut BytesMut) -> Result<(Bytes, bool), String> {
+        let piece = input.split_to(self.0.min(input.len())).freeze();
+        self.0 -= piece.len();
+        if self.0 > 0 || input.len() < 2 {
+            return Ok((piece, false));
+        }
+        if &input[..2] != b"\r\n" {
+            return Err("a value without its end".into());
+        }
+        input.advance(2);
+        Ok((piece, true))
+    }
+}
+
+/// Takes a cache host's answer to this command off the input, a value only once it is whole: none until then, an
+/// error when it cannot be one.
 pub fn answer(input: &mut BytesMut, command: &Command) -> Result<Option<Reply>, String> {
+    match answered(input, command)? {
+        Some(Answered::Whole(reply)) => Ok(Some(reply)),
+        Some(Answered::Long(length, _)) => {
+            Err(format!("a value of {length} bytes, too long to be taken whole"))
+        }
+        None => Ok(None),
+    }
+}
+
+/// Takes a cache host's answer to this command off the input, of a long value its line: none until it is whole, an
+/// error when it cannot be one.
+pub fn answered(input: &mut BytesMut, command: &Command) -> Result<Option<Answered>, String> {
     let Some((bare, whole)) = line_end(input) else {
         return if input.len() > MAX_LINE { Err("an answer's line has no end".into()) } else { Ok(None) };
     };
@@ -263,9 +312,13 @@
         (b"VA", Some(length)) if !write => {
             let length = number(length).and_then(|n| usize::try_from(n).ok()).ok_or_else(|| strange(text))?;
             // A value far too long is refused at its line: it would keep coming and fill the memory.
-            if length > MAX_VALUE {
+            if length > MAX_LONG {
                 return Err(strange(text));
             }
+            if length > MAX_VALUE {
+                input.advance(whole);
+                return Ok(Some(Answered::Long(length, Rest(length))));
+            }
             if input.len() < whole + length + 2 {
                 return Ok(None);
             }
@@ -288,9 +341,9 @@
     if let Some(length) = value {
         let value = input.split_to(length).freeze();
         input.advance(2);
-        return Ok(Some(Reply::Served(Answer::Value(value))));
+        return Ok(Some(Answered::Whole(Reply::Served(Answer::Value(value)))));
     }
-    Ok(reply)
+    Ok(reply.map(Answered::Whole))
 }
 
 /// Writes a cache host's answer, which [`answer`] reads. `hit` tells how a read went where hosts tell that,
