Keep bans by a thread of their own, shared by both processes of a replacement

In the logs OFFLINE comes at 5.99 s at n1 and at 5.05 s at n0, and n1's regular counters are late by as much: n1's one thread stood still. Ruled out: the machine (the other balancer on the same cores went on), the module (no timer of its own came late before the call), the processor limit (0.06 s in its busiest second). At fault: node/src/operators.rs `keep` wrote and renamed the file on the one thread, and the disk was busy.

node/src/keeper.rs leaves reading and writing to the runtime's threads for blocking work; calls hold in memory at once, and their answer waits 0.4 s for the file at most. Changes are made under a lock and both processes look at the file every 0.2 s: a call at one of them used to be lost at the other. A lost or spoilt file ends no ban. Tests: a lock that stands for a disk that does, two processes side by side, a spoilt file, an unwritable one, callers with half a call (paused time), the figures against commands whose endings are known.

--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod bounds;
 pub mod config;
+mod keeper;
 pub mod name_table;
 pub mod operators;
 mod passing;
--- a/node/src/operators.rs
+++ b/node/src/operators.rs
@@ -11,18 +11,21 @@
 
 use juniperladder_protocols::mgmt::{ack, nak, read, Call, Read, MAX_LINE};
 use slog::{info, warn, Logger};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use crate::exchange::Exchange;
+use crate::keeper::Keeper;
 use crate::shutdown::Shutdown;
 
 /// How long a caller may take to bring its whole line.
 const DEADLINE: Duration = Duration::from_secs(2);
 /// How long writing the reply may take.
 const WRITE: Duration = Duration::from_millis(500);
+/// How long a call waits for what it changed to be kept for a successor; the change holds here whether it is or not.
+const KEPT: Duration = Duration::from_millis(400);
 /// The most callers at once; one more is closed at once.
 const CALLERS: usize = 128;
 
@@ -31,7 +34,7 @@
     exchange: Rc<Exchange>,
     classes: Vec<String>,
     shutdown: Rc<Shutdown>,
-    file: PathBuf,
+    keeper: Rc<Keeper>,
     callers: Cell<usize>,
     log: Logger,
 }
@@ -47,27 +50,21 @@
         log: Logger,
     ) -> (Rc<Operators>, bool) {
         let file = std::env::temp_dir().join(format!("juniperladder-{}.bans", crate::state::safe(name)));
-        let successor = match crate::state::read(&file) {
-            Ok(names) => {
-                info!(log, "bans taken over"; "hosts" => names.len());
-                names.iter().for_each(|name| exchange.restore_ban(name));
-                true
-            }
-            Err(why) => {
-                info!(log, "no bans taken over"; "why" => why);
-                false
-            }
-        };
-        let operators = Operators { exchange, classes, shutdown, file, callers: Cell::new(0), log };
-        // The file is there from the start, so that a successor knows that it replaces a process.
-        operators.keep();
-        (Rc::new(operators), successor)
+        Operators::over(exchange, classes, shutdown, file, log)
     }
 
-    fn keep(&self) {
-        if let Err(problem) = crate::state::write(&self.file, &self.exchange.banned()) {
-            warn!(self.log, "bans not kept for a successor"; "problem" => problem);
-        }
+    fn over(
+        exchange: Rc<Exchange>,
+        classes: Vec<String>,
+        shutdown: Rc<Shutdown>,
+        file: PathBuf,
+        log: Logger,
+    ) -> (Rc<Operators>, bool) {
+        let (keeper, successor) = Keeper::new(Rc::clone(&exchange), file, log.clone());
+        // The file is there from the start, so that a successor knows that it replaces a process.
+        let keeps = Rc::clone(&keeper);
+        spawn_local(async move { keeps.run().await });
+        (Rc::new(Operators { exchange, classes, shutdown, keeper, callers: Cell::new(0), log }), successor)
     }
 
     /// Answers callers for as long as it is polled.
@@ -77,21 +74,25 @@
                 tokio::time::sleep(Duration::from_millis(10)).await;
                 continue;
             };
-            if self.callers.get() >= CALLERS {
-                // The newest is the one to go: those before it may be about to speak.
-                drop(stream);
-                continue;
-            }
-            self.callers.set(self.callers.get() + 1);
-            let operators = Rc::clone(&self);
-            spawn_local(async move {
-                let _ = timeout(DEADLINE + WRITE, operators.serve(stream)).await;
-                operators.callers.set(operators.callers.get() - 1);
-            });
+            self.take_in(stream);
+        }
+    }
+
+    /// Gives a caller its slot, or none.
+    fn take_in<S: AsyncRead + AsyncWrite + Unpin + 'static>(self: &Rc<Operators>, stream: S) {
+        if self.callers.get() >= CALLERS {
+            // The newest is the one to go: those before it may be about to speak.
+            return;
         }
+        self.callers.set(self.callers.get() + 1);
+        let operators = Rc::clone(self);
+        spawn_local(async move {
+            let _ = timeout(DEADLINE + WRITE, operators.serve(stream)).await;
+            operators.callers.set(operators.callers.get() - 1);
+        });
     }
 
-    async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+    async fn serve<S: AsyncRead + AsyncWrite + Unpin>(&self, mut stream: S) -> std::io::Result<()> {
         let mut input = Vec::with_capacity(64);
         let mut piece = [0; MAX_LINE];
         let call = loop {
@@ -108,7 +109,7 @@
             input.extend_from_slice(&piece[..got]);
         };
         let reply = match call {
-            Ok(call) => self.answer(call),
+            Ok(call) => self.answer(call).await,
             Err(why) => nak(why),
         };
         timeout(WRITE, stream.write_all(reply.as_bytes())).await??;
@@ -116,25 +117,162 @@
     }
 
     /// What a call is answered.
-    pub fn answer(&self, call: Call) -> String {
+    pub async fn answer(&self, call: Call) -> String {
         match call {
             Call::Health if self.shutdown.stopping() => nak("stopping: this process has been told to end"),
             Call::Health if self.exchange.ready() => ack("ready"),
             Call::Health => nak("not ready: no cache host is listed yet"),
             Call::Dump => format!("{}{}", ack("figures follow"), self.exchange.figures(&self.classes)),
-            Call::Offline(name) => self.changed(self.exchange.offline(&name), "out by hand", &name),
-            Call::Online(name) => self.changed(self.exchange.online(&name), "may serve again", &name),
+            Call::Offline(name) => self.changed(self.exchange.offline(&name), &name, true).await,
+            Call::Online(name) => self.changed(self.exchange.online(&name), &name, false).await,
         }
     }
 
-    fn changed(&self, result: Result<(), &'static str>, what: &str, name: &str) -> String {
-        match result {
-            Ok(()) => {
-                self.keep();
-                info!(self.log, "operator"; "host" => name, "now" => what);
-                ack(&format!("{name} {what}"))
-            }
-            Err(why) => nak(why),
+    /// The change holds here already; the answer waits a moment for it to be kept, too.
+    async fn changed(&self, result: Result<(), &'static str>, name: &str, out: bool) -> String {
+        if let Err(why) = result {
+            return nak(why);
+        }
+        let now = if out { "out by hand" } else { "may serve again" };
+        info!(self.log, "operator"; "host" => name, "now" => now);
+        let change = self.keeper.changed(name, out);
+        if timeout(KEPT, self.keeper.kept(change)).await.is_err() {
+            warn!(self.log, "bans not kept yet"; "host" => name);
+        }
+        ack(&format!("{name} {now}"))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::exchange::{Answer, End, Reply};
+    use crate::testing::{self, command, log, Recorder};
+    use juniperladder::Effect;
+    use tokio::io::{duplex, DuplexStream};
+    use tokio::time::Instant;
+
+    const HOST: &str = "s-00000009";
+
+    fn process(dir: &std::path::Path) -> (Rc<Operators>, Rc<Recorder>) {
+        let recorder = Rc::new(Recorder::default());
+        let exchange = testing::exchange(testing::settings(1, Effect::Safe), recorder.clone(), 2);
+        let classes = vec!["read".into()];
+        let (operators, _) = Operators::over(exchange, classes, Rc::default(), dir.join("n0.bans"), log());
+        (operators, recorder)
+    }
+
+    async fn call(operators: &Rc<Operators>, pieces: &[&[u8]]) -> DuplexStream {
+        let (near, mut far) = duplex(4096);
+        operators.take_in(near);
+        for piece in pieces {
+            // One caller too many is closed at once.
+            let _ = far.write_all(piece).await;
+            testing::settle().await;
         }
+        far
+    }
+
+    async fn reply(mut far: DuplexStream) -> String {
+        let mut got = String::new();
+        far.read_to_string(&mut got).await.unwrap();
+        got
+    }
+
+    /// Callers that say nothing, or half a call, are closed at their deadline without an answer, take a bounded
+    /// number of slots, and keep nobody waiting meanwhile.
+    #[test]
+    fn callers_that_say_half_a_call_hold_nobody_up() {
+        let dir = tempfile::tempdir().unwrap();
+        testing::run(async {
+            let (operators, _) = process(dir.path());
+            let start = Instant::now();
+            let mut slow = Vec::new();
+            for n in 0..CALLERS + 5 {
+                slow.push(call(&operators, &[&b"HEALTH"[..n % 7]]).await);
+                if n + 1 < CALLERS {
+                    assert_eq!(reply(call(&operators, &[b"HEAL", b"TH\r\n"]).await).await, "ACK ready\n");
+                }
+            }
+            assert_eq!((start.elapsed(), operators.callers.get()), (Duration::ZERO, CALLERS));
+            for far in slow {
+                assert_eq!(reply(far).await, "");
+            }
+            assert_eq!((start.elapsed(), operators.callers.get()), (DEADLINE, 0));
+            assert_eq!(reply(call(&operators, &[b"HEALTH\n"]).await).await, "ACK ready\n");
+        });
+    }
+
+    #[test]
+    fn what_is_no_call_is_told_so() {
+        let dir = tempfile::tempdir().unwrap();
+        testing::run(async {
+            let (operators, _) = process(dir.path());
+            let long = [b'x'; 300];
+            for line in [
+                &b"\n"[..],
+                b"OFFLINE s-0000abcd\n",
+                b"ONLINE a b\n",
+                b"\xff\xfe\n",
+                b"GET / HTTP/1.1\r\n",
+                &long,
+            ] {
+                let told = reply(call(&operators, &[line]).await).await;
+                assert!(
+                    told.starts_with("NAK ") && told.ends_with('\n') && told.lines().count() == 1,
+                    "{told}"
+                );
+            }
+        });
+    }
+
+    /// The figures against commands whose endings are known: each is counted once, in its class.
+    #[test]
+    fn the_figures_tell_what_happened() {
+        let dir = tempfile::tempdir().unwrap();
+        testing::run(async {
+            let (operators, recorder) = process(dir.path());
+            let exchange = &operators.exchange;
+            let value = Reply::Served(Answer::Value("v".into()));
+            let mut answers = Vec::new();
+            for (n, end) in
+                [End::Reply(value.clone()), End::NotSent, End::Reply(value)].into_iter().enumerate()
+            {
+                answers.push(exchange.take(command(&n.to_string(), None)).unwrap());
+                let execution = recorder.begun.borrow_mut().pop().unwrap();
+                exchange.ended(execution.id, end);
+            }
+            let _open = exchange.take(command("9", None)).unwrap();
+            assert!(operators.answer(Call::Offline(HOST.into())).await.starts_with("ACK"));
+            let told = operators.answer(Call::Dump).await;
+            for line in [
+                "app_passed{category=\"read\"} 2",
+                "app_dropped{category=\"read\"} 1",
+                "app_bad_gateway{category=\"read\"} 0",
+                "app_in_progress 1",
+                "app_known_cache_hosts 2",
+                "app_skipped_cache_hosts 1",
+            ] {
+                assert!(told.lines().any(|told| told == line), "{line} is not in {told}");
+            }
+            assert!(told.starts_with("ACK ") && told.ends_with("\n--\n"));
+        });
+    }
+
+    /// A disk that stands still: calls are answered, what they ask for holds, and it is kept once the disk goes on.
+    #[test]
+    fn a_disk_that_stands_still_holds_nobody_up() {
+        let dir = tempfile::tempdir().unwrap();
+        testing::run_on_sockets(async {
+            let lock = std::fs::File::create(dir.path().join("n0.lock")).unwrap();
+            lock.lock().unwrap();
+            let (operators, _) = process(dir.path());
+            assert!(operators.answer(Call::Offline(HOST.into())).await.starts_with("ACK"));
+            assert_eq!(operators.answer(Call::Health).await, "ACK ready\n");
+            assert_eq!(operators.exchange.banned(), [HOST]);
+            lock.unlock().unwrap();
+            operators.keeper.kept(1).await;
+            assert_eq!(crate::state::read(&dir.path().join("n0.bans")).unwrap(), [HOST]);
+        });
     }
 }
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -1,6 +1,9 @@
 //! What a process leaves for the one that replaces it: the hosts out by hand, in a small versioned file in
 //! `$TMPDIR`, written whole or not at all, and read with care.
 
+use std::collections::BTreeMap;
+use std::fs::{File, Metadata};
+use std::os::unix::fs::MetadataExt;
 use std::path::Path;
 
 /// The first line: what the file is, and its version.
@@ -29,6 +32,48 @@
     std::fs::rename(&beside, path)
 }
 
+/// Which writing of the file was seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stamp {
+    inode: u64,
+    seconds: i64,
+    nanos: i64,
+    size: u64,
+}
+
+impl Stamp {
+    fn of(found: &Metadata) -> Stamp {
+        Stamp { inode: found.ino(), seconds: found.mtime(), nanos: found.mtime_nsec(), size: found.len() }
+    }
+}
+
+/// Brings these changes (out, or back) into the file and returns the names in it, sorted, and its stamp; none where
+/// nothing is to be changed and the file is the one last seen. A file that cannot be read is written anew from the
+/// caller's own names. Two processes may do so at the same time: each change is made under a lock.
+pub fn bring_up_to_date(
+    path: &Path,
+    own: &[String],
+    changes: &BTreeMap<String, bool>,
+    seen: Option<Stamp>,
+) -> std::io::Result<Option<(Vec<String>, Stamp)>> {
+    if changes.is_empty() && seen.is_some() && std::fs::metadata(path).map(|m| Stamp::of(&m)).ok() == seen {
+        return Ok(None);
+    }
+    // The lock lies beside the file, as that is another one after each change, and ends with this handle.
+    let lock = File::create(path.with_extension("lock"))?;
+    lock.lock()?;
+    let found = read(path).ok();
+    let mut names = found.clone().unwrap_or_else(|| own.to_vec());
+    names.retain(|name| changes.get(name) != Some(&false));
+    names.extend(changes.iter().filter(|(_, out)| **out).map(|(name, _)| name.clone()));
+    names.sort();
+    names.dedup();
+    if found.as_ref() != Some(&names) {
+        write(path, &names)?;
+    }
+    Ok(Some((names, Stamp::of(&std::fs::metadata(path)?))))
+}
+
 /// Reads the names; a missing, cut-off, foreign or oversized file is none, with why.
 pub fn read(path: &Path) -> Result<Vec<String>, String> {
     let size = std::fs::metadata(path).map_err(|e| format!("{}: {e}", path.display()))?.len();
