Send long values that clients write to the origin while they come

Writes over 64 KiB were turned away at their line.

A host begins a command with its last byte, so that all of a long value but that byte goes ahead at its client's pace, a few pieces in hand, before the decisions hear of the command; the last byte is the execution (node/src/upstream/uploads.rs, Ticket in exchange/src/long.rs). Such values hold a quarter of the connections to hosts at most. A value that breaks off, or is refused, never ran; it is not tried elsewhere, as nobody has it. Tests on loopback with a stand-in origin: 4 MiB reach it but for the last byte while the client still writes; an origin that leaves early (busy at once, no try counted); a client that leaves or ends its value wrongly.

--- a/exchange/src/counters.rs
+++ b/exchange/src/counters.rs
@@ -85,6 +85,8 @@
     long,
     /// Long values that broke off before their end.
     long_broken,
+    /// Long values of clients that were begun to be sent to the origin while they came.
+    uploads,
     /// Answers that could not be understood or were for another id.
     bad_answers,
     /// Connections opened to hosts.
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -20,7 +20,8 @@
 use crate::bans::Bans;
 use crate::clock::{to_ms, Clock};
 use crate::counters::{count, Counters};
-use crate::long::{Ended, Tally};
+use crate::long::{long, ticket, Ended, Feed, Going, Long, Tally, Ticket};
+pub use crate::numbers::ExecutionId;
 pub use crate::values::{Answer, Command, Host, Reply};
 
 /// How long before its client gives up a command is over here: the way of the answer back, and of the
@@ -42,10 +43,6 @@
     CalledOff,
 }
 
-/// Names one execution for as long as the program runs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct ExecutionId(pub u64);
-
 /// Names one command for as long as the program runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CommandId(u64);
@@ -76,12 +73,28 @@
     pub until: Micros,
 }
 
+/// A long value that a client writes, to be sent to the origin while it still comes: all but its last byte, which
+/// waits for the execution.
+#[derive(Debug)]
+pub struct Upload {
+    /// What it is about; its value is the one below.
+    pub command: Rc<Command>,
+    /// Where to.
+    pub server: ServerId,
+    /// The value. Whoever lets go of it takes no more.
+    pub value: Long,
+    /// Brings the execution that sends the last byte. If none comes the connection has to end as it is.
+    pub going: Going,
+}
+
 /// Carries executions to hosts. No method may call the exchange: what is to be told comes from a task.
 pub trait Carrier {
     /// The name table has news.
     fn listed(&self, kind: ListKind, hosts: &[Host]);
     /// Start an execution.
     fn begin(&self, execution: Execution);
+    /// Begin to send a long value. The execution that ends it comes by its ticket.
+    fn upload(&self, upload: Upload);
     /// Its answer is not waited for any longer. Tells whether its last byte has been written.
     fn abandon(&self, id: ExecutionId, server: ServerId) -> bool;
 }
@@ -261,6 +274,23 @@
         Some((id, receiver))
     }
 
+    /// Whether a client may write long values: they go to the origin while they come.
+    pub fn takes_long(&self) -> bool {
+        self.origin.is_some()
+    }
+
+    /// Begins to send a long value that this command writes, though the command is not whole and not taken yet: a
+    /// host begins a command with its last byte. None where there is nowhere to send it now.
+    pub fn upload(&self, command: &Command, length: usize) -> Option<(Ticket, Feed)> {
+        let inner = self.inner.borrow();
+        let server = inner.balancer.origin()?;
+        let (value, feed) = long(length);
+        let (ticket, going) = ticket(server);
+        count(&self.counters.uploads);
+        inner.carrier.upload(Upload { command: Rc::new(command.clone()), server, value, going });
+        Some((ticket, feed))
+    }
+
     /// The client is gone: nothing is owed any more.
     pub fn gone(&self, id: CommandId) {
         let mut inner = self.inner.borrow_mut();
--- a/exchange/src/long.rs
+++ b/exchange/src/long.rs
@@ -9,7 +9,10 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use tokio::sync::mpsc;
+use juniperladder::{Micros, ServerId};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::numbers::ExecutionId;
 
 /// Pieces that may wait between the two sides.
 const WAITING: usize = 1;
@@ -76,15 +79,43 @@
 
 impl Feed {
     /// Passes a piece on, and waits while the client has not taken the ones before it.
-    pub async fn push(&mut self, mut piece: Bytes) -> Result<(), Unwanted> {
+    pub async fn push(&mut self, piece: Bytes) -> Result<(), Unwanted> {
+        match self.hold_back(piece) {
+            Some(piece) => self.pieces.send(piece).await.map_err(|_| Unwanted),
+            None => Ok(()),
+        }
+    }
+
+    /// Whether a piece can be passed on without a wait.
+    pub fn has_room(&self) -> bool {
+        self.pieces.capacity() > 0 || self.pieces.is_closed()
+    }
+
+    /// Waits until a piece can be passed on, or nobody takes the value any longer.
+    pub async fn room(&self) {
+        drop(self.pieces.reserve().await);
+    }
+
+    /// Passes a piece on for which there is room.
+    pub fn push_now(&mut self, piece: Bytes) -> Result<(), Unwanted> {
+        match self.hold_back(piece) {
+            Some(piece) => self.pieces.try_send(piece).map_err(|_| Unwanted),
+            None => Ok(()),
+        }
+    }
+
+    /// The last byte of a value of which all else has been passed on.
+    pub fn last(&self) -> Option<Bytes> {
+        (!self.last.is_empty()).then(|| self.last.clone())
+    }
+
+    /// What of this piece may go on now: all but the value's last byte.
+    fn hold_back(&mut self, mut piece: Bytes) -> Option<Bytes> {
         self.left = self.left.saturating_sub(piece.len());
         if self.left == 0 && !piece.is_empty() {
             self.last = piece.split_off(piece.len() - 1);
         }
-        if piece.is_empty() {
-            return Ok(());
-        }
-        self.pieces.send(piece).await.map_err(|_| Unwanted)
+        (!piece.is_empty()).then_some(piece)
     }
 
     /// Waits until nobody takes the value any longer.
@@ -98,6 +129,59 @@
     }
 }
 
+/// The execution that a long value waits for, to send its last byte.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Go {
+    /// Its name.
+    pub id: ExecutionId,
+    /// Until when its answer is waited for.
+    pub until: Micros,
+    /// The last byte.
+    pub last: Bytes,
+}
+
+/// Where a connection that has all but the last byte of a value hears of the execution.
+pub type Going = oneshot::Receiver<Go>;
+
+/// Stands in a command for a long value, all of which but the last byte is on its way to one server. The way ends
+/// where the last holder lets go of it unused: that value never ran.
+#[derive(Clone, Debug)]
+pub struct Ticket {
+    server: ServerId,
+    last: Bytes,
+    go: Rc<RefCell<Option<oneshot::Sender<Go>>>>,
+}
+
+/// A ticket to this server, and what it leads to.
+pub fn ticket(server: ServerId) -> (Ticket, Going) {
+    let (sender, receiver) = oneshot::channel();
+    (Ticket { server, last: Bytes::new(), go: Rc::new(RefCell::new(Some(sender))) }, receiver)
+}
+
+impl Ticket {
+    /// The whole value has come, and this is its last byte.
+    pub fn whole(self, last: Bytes) -> Ticket {
+        Ticket { last, ..self }
+    }
+
+    /// Sends the last byte as this execution. False where that cannot be: it has been used, leads to another
+    /// server, or its connection has ended.
+    pub fn give(&self, id: ExecutionId, server: ServerId, until: Micros) -> bool {
+        if server != self.server || self.last.is_empty() {
+            return false;
+        }
+        let go = Go { id, until, last: self.last.clone() };
+        self.go.take().is_some_and(|sender| sender.send(go).is_ok())
+    }
+}
+
+/// Two are the same if they lead to the same connection.
+impl PartialEq for Ticket {
+    fn eq(&self, other: &Ticket) -> bool {
+        Rc::ptr_eq(&self.go, &other.go)
+    }
+}
+
 /// How commands ended, by class; and the values that are on their way.
 #[derive(Debug)]
 pub struct Tally {
--- a/exchange/src/numbers.rs
+++ b/exchange/src/numbers.rs
@@ -1,7 +1,12 @@
-//! The numbers of hosts and keys: the same at every balancer and after every restart, from the names alone.
+//! The numbers of hosts and keys: the same at every balancer and after every restart, from the names alone. And
+//! those of executions, which are this process's own.
 
 use juniperladder::{Key, ServerId};
 
+/// Names one execution for as long as the program runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ExecutionId(pub u64);
+
 /// A hash of 64 bits that is the same at every balancer and after every restart (FNV-1a, then mixed).
 pub fn hash(bytes: &[u8]) -> u64 {
     let mixed = bytes.iter().fold(0xcbf2_9ce4_8422_2325_u64, |sum, byte| {
--- a/exchange/src/testing.rs
+++ b/exchange/src/testing.rs
@@ -11,7 +11,7 @@
 
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::exchange::{self, Carrier, Exchange, Execution, ExecutionId, Host};
+use crate::exchange::{self, Carrier, Exchange, Execution, ExecutionId, Host, Upload};
 
 /// The only host.
 pub const HOST: ServerId = ServerId(9);
@@ -21,6 +21,8 @@
 pub struct Recorder {
     /// What has begun, oldest first.
     pub begun: RefCell<Vec<Execution>>,
+    /// The long values that are being written.
+    pub uploads: RefCell<Vec<Upload>>,
     /// What was abandoned.
     pub abandoned: RefCell<Vec<ExecutionId>>,
 }
@@ -30,6 +32,9 @@
     fn begin(&self, execution: Execution) {
         self.begun.borrow_mut().push(execution);
     }
+    fn upload(&self, upload: Upload) {
+        self.uploads.borrow_mut().push(upload);
+    }
     fn abandon(&self, id: ExecutionId, _: ServerId) -> bool {
         self.abandoned.borrow_mut().push(id);
         true
@@ -92,6 +97,7 @@
         id: Bytes::copy_from_slice(id.as_bytes()),
         key: Bytes::from_static(b"7f3a9c21e0b4d655"),
         value: value.map(Bytes::from),
+        ticket: None,
         class: 0,
         retry: false,
         wait: Some(Micros(480_000)),
--- a/exchange/src/values.rs
+++ b/exchange/src/values.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use juniperladder::{Entry, Micros};
 
-use crate::long::Long;
+use crate::long::{Long, Ticket};
 
 /// What a client asks for.
 #[derive(Clone, Debug, PartialEq)]
@@ -14,8 +14,10 @@
     pub id: Bytes,
     /// What it is about.
     pub key: Bytes,
-    /// The value that it writes; none for a read.
+    /// The value that it writes; none for a read, and empty for a long one.
     pub value: Option<Bytes>,
+    /// For a long value that it writes: what sends the last byte of it, where the rest is on its way already.
+    pub ticket: Option<Ticket>,
     /// Its class, by its place in the settings.
     pub class: u32,
     /// Whether the client marked it as a retry of its own.
--- a/node/src/passing.rs
+++ b/node/src/passing.rs
@@ -12,7 +12,7 @@
 
 /// How long a host may bring nothing more of a value that it has begun to give: it may stand still, and one that
 /// vanished says nothing for ever.
-const STALLED: Duration = Duration::from_secs(10);
+pub const STALLED: Duration = Duration::from_secs(10);
 /// Room made to look for what has come already.
 const READ: usize = 4096;
 
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -15,10 +15,11 @@
 
 use crate::bounds::Bounds;
 use crate::counters::{count, worth_telling};
-use crate::exchange::{Answer, CommandId, Exchange};
+use crate::exchange::{Answer, Command, CommandId, Exchange};
 use crate::memcache::{write_answer, Commands, Incoming};
 use crate::shutdown::Shutdown;
-use juniperladder_exchange::long::Long;
+use juniperladder::ServerId;
+use juniperladder_exchange::long::{self, Feed, Long, Ticket};
 
 /// Commands that one connection may have open: enough for any pipeline, a bound for one that runs away.
 const MAX_OWED: usize = 128;
@@ -29,6 +30,8 @@
 /// What a connection may hold whatever the others do: a command as clients send it.
 const SMALL: usize = 8 * 1024;
 
+/// How much of a long value a client has brought before a connection to the origin is opened for it.
+const AHEAD: usize = 16 * 1024;
 /// How long a connection that is about to close is read once more.
 const LAST_LOOK: Duration = Duration::from_millis(2);
 /// How long a connection may go without an open command: one that is silent, kept for good or in the middle
@@ -230,6 +233,55 @@
     }
 }
 
+/// A command whose long value is coming.
+struct Writing {
+    command: Box<Command>,
+    length: usize,
+    /// What came before it was worth a connection.
+    ahead: BytesMut,
+    begun: bool,
+    way: Option<(Ticket, Feed)>,
+}
+
+impl Writing {
+    /// Whether what comes next has to wait for the origin's side.
+    fn blocked(&self) -> bool {
+        self.way.as_ref().is_some_and(|(_, feed)| !feed.has_room())
+    }
+
+    /// Takes a piece of the value. What nobody takes any longer is let go of: the command is told so at its end.
+    fn add(&mut self, exchange: &Exchange, piece: Bytes, end: bool) {
+        if self.begun {
+            self.pass(piece);
+            return;
+        }
+        self.ahead.put_slice(&piece);
+        if end || self.ahead.len() >= AHEAD {
+            self.begun = true;
+            self.way = exchange.upload(&self.command, self.length);
+            let ahead = self.ahead.split().freeze();
+            self.pass(ahead);
+        }
+    }
+
+    fn pass(&mut self, piece: Bytes) {
+        if self.way.as_mut().is_some_and(|(_, feed)| feed.push_now(piece).is_err()) {
+            self.way = None;
+        }
+    }
+
+    /// The command, once its value is whole.
+    fn whole(self) -> Command {
+        // Without a way it is taken all the same, and what decides hears that it did not go.
+        let (ticket, last) = match self.way {
+            Some((ticket, feed)) => (ticket, feed.last()),
+            None => (long::ticket(ServerId(0)).0, None),
+        };
+        let ticket = Some(ticket.whole(last.unwrap_or_default()));
+        Command { value: Some(Bytes::new()), ticket, ..*self.command }
+    }
+}
+
 /// One client's connection.
 struct ServiceClient<'a> {
     service: &'a Service,
@@ -250,6 +302,8 @@
     long: Option<(Long, usize)>,
     /// When the client last read a part of what waits for it.
     read: Instant,
+    /// The long value that it is writing.
+    writing: Option<Writing>,
     /// The client sends no more, or nothing after this can be understood.
     ended: bool,
 }
@@ -266,6 +320,7 @@
             open: 0,
             held: 0,
             malformed: 0,
+            writing: None,
             half: None,
             came: Instant::now(),
             long: None,
@@ -299,7 +354,8 @@
 
     /// Keeps account of what this connection holds of the memory.
     fn keep_account(&mut self) {
-        let held = self.input.len() + self.output.len() + self.open;
+        let ahead = self.writing.as_ref().map_or(0, |writing| writing.ahead.len());
+        let held = self.input.len() + self.output.len() + self.open + ahead;
         self.service.held.set(self.service.held.get() + held - self.held);
         self.held = held;
     }
@@ -320,6 +376,10 @@
         let half = !self.input.is_empty() || self.commands.unfinished();
         self.seat.half.set(half);
         self.half = if half { self.half.or(Some(now)) } else { None };
+        if self.blocked() {
+            // It is not the client who is waited for.
+            self.came = now;
+        }
         if self.output.is_empty() {
             self.read = now;
         }
@@ -337,14 +397,15 @@
             }
             // With room here every whole command has been taken, so that the end of the client's side, which
             // is only read then, never comes before a command that it had sent.
-            let room = !self.ended && self.owed.len() < MAX_OWED && self.may_hold_more();
+            let blocked = self.blocked();
+            let room = !self.ended && !blocked && self.owed.len() < MAX_OWED && self.may_hold_more();
             // Answers to a client that does not read them wait in their small form.
             let drained = self.output.len() < self.service.bounds.unread;
             let idle = self.idle();
             let patience = self.patience();
             let service = self.service;
             if room && drained {
-                self.input.reserve(READ);
+                self.input.reserve(if self.writing.is_some() { service.bounds.piece } else { READ });
             }
             tokio::select! {
                 biased;
@@ -358,6 +419,7 @@
                 piece = next_piece(&self.long), if self.output.len() < service.bounds.piece => {
                     self.pass_on(piece)?;
                 }
+                () = way_is_free(&self.writing), if blocked => {}
                 read = reader.read_buf(&mut self.input), if room && drained => {
                     self.came = Instant::now();
                     if read? == 0 {
@@ -394,36 +456,44 @@
         self.ended = true;
     }
 
+    fn blocked(&self) -> bool {
+        self.writing.as_ref().is_some_and(Writing::blocked)
+    }
+
     /// Takes every whole command in hand.
     fn take(&mut self) {
-        while !self.ended && self.owed.len() < MAX_OWED && self.output.len() < self.service.bounds.unread {
+        while !self.ended
+            && !self.blocked()
+            && self.owed.len() < MAX_OWED
+            && self.output.len() < self.service.bounds.unread
+        {
             match self.commands.next(&mut self.input) {
                 None => return,
                 Some(Incoming::Ready) if self.service.exchange.ready() => {
                     self.owed.push_back(Owed::Line("MN"))
                 }
                 Some(Incoming::Ready) => self.owed.push_back(Owed::Line("SERVER_ERROR not ready")),
-                Some(Incoming::Command(mut command, class)) => {
-                    self.half = None;
-                    let place = self.service.classes.iter().position(|name| name.as_bytes() == class);
-                    // A class that the settings lack has no deadline and no effect: hosts turn it away too.
-                    let Some(place) = place else {
-                        self.turn_away("CLIENT_ERROR unknown class");
-                        continue;
-                    };
-                    command.class = place as u32;
-                    let text = command.id.clone();
-                    let size = command.value.as_ref().map_or(0, Bytes::len);
-                    match self.service.exchange.take(*command) {
-                        Some((id, answer)) => {
-                            self.open += size;
-                            self.owed.push_back(Owed::Command(id, text, answer, size));
-                            self.seat.busy.set(true);
-                            if !self.seat.spoke.replace(true) {
-                                self.service.thin_out();
-                            }
-                        }
-                        None => self.turn_away("CLIENT_ERROR id in use"),
+                Some(Incoming::Command(command, class)) => {
+                    if let Some(command) = self.of_class(command, &class) {
+                        self.take_whole(*command);
+                    }
+                }
+                Some(Incoming::Long(..)) if !self.service.exchange.takes_long() => {
+                    self.turn_away("SERVER_ERROR object too large for cache");
+                }
+                Some(Incoming::Long(command, class, length)) => {
+                    self.writing = self.of_class(command, &class).map(|command| {
+                        let (ahead, begun, way) = Default::default();
+                        Writing { command, length, ahead, begun, way }
+                    });
+                }
+                Some(Incoming::Piece(piece, end)) => {
+                    // Of a command that was turned away at its line the value is read past.
+                    if let Some(writing) = &mut self.writing {
+                        writing.add(&self.service.exchange, piece, end);
+                    }
+                    if let Some(writing) = self.writing.take_if(|_| end) {
+                        self.take_whole(writing.whole());
                     }
                 }
                 Some(Incoming::Malformed(line)) => self.turn_away(line),
@@ -436,6 +506,35 @@
         }
     }
 
+    /// The command with its class; none if that is no class of the settings, which the client is told: such a one
+    /// has no deadline and no effect, and hosts turn it away too.
+    fn of_class(&mut self, mut command: Box<Command>, class: &[u8]) -> Option<Box<Command>> {
+        let place = self.service.classes.iter().position(|name| name.as_bytes() == class);
+        if place.is_none() {
+            self.turn_away("CLIENT_ERROR unknown class");
+        }
+        command.class = place? as u32;
+        Some(command)
+    }
+
+    /// Takes a command that is whole.
+    fn take_whole(&mut self, command: Command) {
+        self.half = None;
+        let text = command.id.clone();
+        let size = command.value.as_ref().map_or(0, Bytes::len);
+        match self.service.exchange.take(command) {
+            Some((id, answer)) => {
+                self.open += size;
+                self.owed.push_back(Owed::Command(id, text, answer, size));
+                self.seat.busy.set(true);
+                if !self.seat.spoke.replace(true) {
+                    self.service.thin_out();
+                }
+            }
+            None => self.turn_away("CLIENT_ERROR id in use"),
+        }
+    }
+
     /// Owes this line for what was no command. Whoever goes on sending such things loses the connection.
     fn turn_away(&mut self, line: &'static str) {
         count(&self.service.exchange.counters().malformed);
@@ -514,6 +613,14 @@
     Ok(())
 }
 
+/// Waits until the next piece of the value that a client writes can go on; for ever where none is on its way.
+async fn way_is_free(writing: &Option<Writing>) {
+    match writing.as_ref().and_then(|writing| writing.way.as_ref()) {
+        Some((_, feed)) => feed.room().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits for the next piece of a long value; for ever where none is on its way.
 async fn next_piece(long: &Option<(Long, usize)>) -> Option<Bytes> {
     match long {
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -1,5 +1,7 @@
 //! The server side: pools of connections to the cache hosts and the origin, and the executions on them.
 
+mod uploads;
+
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -7,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use juniperladder::{ListKind, ServerId, State};
+use juniperladder::{ListKind, Micros, ServerId, State};
 use rustc_hash::FxHashMap;
 use slog::{warn, Logger};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
@@ -18,7 +20,7 @@
 
 use crate::clock::Clock;
 use crate::counters::{count, worth_telling, Counters};
-use crate::exchange::{Answer, Carrier, End, Exchange, Execution, ExecutionId, Host, Reply};
+use crate::exchange::{Answer, Carrier, End, Exchange, Execution, ExecutionId, Host, Reply, Upload};
 use crate::http::{self, Response};
 use crate::memcache;
 use crate::passing::{self, Body};
@@ -94,6 +96,8 @@
     clock: Clock,
     counters: Rc<Counters>,
     connections: Cell<usize>,
+    /// How many of them have a long value on its way.
+    uploads: Cell<usize>,
     /// How long a connection may now stand idle here.
     keep: Cell<Duration>,
     last: Cell<u64>,
@@ -121,6 +125,7 @@
             clock,
             counters,
             connections: Cell::new(0),
+            uploads: Cell::new(0),
             last: Cell::new(0),
             log,
         })
@@ -189,6 +194,12 @@
         self.connect(server, pool);
     }
 
+    /// Whether this host may be sent to, and stands where this connection leads.
+    fn is_at(&self, lane: &Lane) -> bool {
+        let pools = self.pools.borrow();
+        pools.get(&lane.server).is_some_and(|pool| pool.open && pool.address == Some(lane.address))
+    }
+
     fn is_open(&self, server: ServerId) -> bool {
         self.pools.borrow().get(&server).is_some_and(|pool| pool.open)
     }
@@ -299,6 +310,16 @@
         let Some(pool) = pools.get_mut(&server).filter(|pool| pool.open && pool.address.is_some()) else {
             return self.end_later(execution.id, End::CalledOff);
         };
+        if let Some(ticket) = &execution.command.ticket {
+            // All else is written; where that has failed it never ran, and nobody has it to send it again.
+            let id = execution.id;
+            if ticket.give(id, server, execution.until) {
+                pool.running.insert(id, Carried::default());
+            } else {
+                self.end_later(id, End::CalledOff);
+            }
+            return;
+        }
         let mut execution = execution;
         // The connection used last is taken first, so that those that are not needed grow old.
         while let Some(idle) = pool.idle.pop() {
@@ -321,6 +342,10 @@
         }
     }
 
+    fn upload(&self, upload: Upload) {
+        self.begin_upload(upload);
+    }
+
     fn abandon(&self, id: ExecutionId, server: ServerId) -> bool {
         let mut pools = self.pools.borrow_mut();
         let Some(pool) = pools.get_mut(&server) else { return false };
@@ -432,12 +457,10 @@
         input: &mut BytesMut,
         execution: Execution,
     ) -> After {
-        let id = execution.id;
-        let now = upstream.clock.now();
-        let wait = execution.until.minus(now);
+        let wait = execution.until.minus(upstream.clock.now());
         if wait.0 == 0 {
             // It timed out on its way here; to write it now would be work for nobody.
-            upstream.stopped(self.server, id, End::NotSent);
+            upstream.stopped(self.server, execution.id, End::NotSent);
             return After::Keep;
         }
         let mut output = BytesMut::new();
@@ -446,8 +469,22 @@
         } else {
             memcache::write_command(&mut output, &execution.command, wait);
         }
+        self.send(upstream, stream, input, execution, &output, wait).await
+    }
+
+    /// Writes the last that is to be written of an execution, and waits for its reply.
+    async fn send<S: AsyncRead + AsyncWrite + Unpin>(
+        &self,
+        upstream: &Upstream,
+        stream: &mut S,
+        input: &mut BytesMut,
+        execution: Execution,
+        output: &[u8],
+        wait: Micros,
+    ) -> After {
+        let id = execution.id;
         let most = crate::clock::duration(wait);
-        let written = timeout(most, stream.write_all(&output)).await;
+        let written = timeout(most, stream.write_all(output)).await;
         if !matches!(written, Ok(Ok(()))) {
             upstream.stopped(self.server, id, End::NotSent);
             return After::Close;
--- /dev/null
+++ b/node/src/upstream/uploads.rs
@@ -0,0 +1,250 @@
+//! Long values that clients write, on their way to the origin while they still come.
+//!
+//! A host begins a command with its last byte. So all of a long value but that byte can go ahead, at the pace of its
+//! client and a few pieces at a time, before the command is whole and before the decisions hear of it; the last byte
+//! is the execution. A value that breaks off, or whose command is refused, never ran: its connection ends.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use bytes::{Bytes, BytesMut};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::{After, Counted, Lane, Upstream};
+use crate::counters::count;
+use crate::exchange::{Command, End, Execution, Upload};
+use crate::http;
+use crate::passing::STALLED;
+
+/// The part of the connections to hosts that long values may hold: clients may be slow, and others need theirs.
+const PART: usize = 4;
+
+/// Counts an upload for as long as it is on its way.
+struct OnItsWay<'a>(&'a Cell<usize>);
+
+impl Drop for OnItsWay<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Upstream {
+    /// Begins to send a long value, if there is room. Who lets go of it, at once or later, takes no more of it.
+    pub(super) fn begin_upload(&self, upload: Upload) {
+        let Some(this) = self.this.upgrade() else { return };
+        let full = self.uploads.get() >= (self.limits.connections / PART).max(1);
+        if full || self.connections.get() >= self.limits.connections {
+            return;
+        }
+        let pools = self.pools.borrow();
+        let pool = pools.get(&upload.server).filter(|pool| pool.open && pool.origin);
+        let Some(address) = pool.and_then(|pool| pool.address) else { return };
+        let lane = Lane { server: upload.server, origin: true, address };
+        self.connections.set(self.connections.get() + 1);
+        let counted = Counted(Rc::clone(&this));
+        tokio::task::spawn_local(async move {
+            lane.upload(&counted.0, upload).await;
+            drop(counted);
+            this.make_use_of_room();
+        });
+    }
+}
+
+impl Lane {
+    async fn upload(&self, upstream: &Upstream, mut upload: Upload) {
+        upstream.uploads.set(upstream.uploads.get() + 1);
+        let on_its_way = OnItsWay(&upstream.uploads);
+        let stream = self.send_ahead(upstream, &upload).await;
+        // From here on the client's side is told that no more is taken, if more there is.
+        let Upload { value, command, .. } = upload;
+        drop(value);
+        let Some(mut stream) = stream else {
+            upload.going.close();
+            if let Ok(go) = upload.going.try_recv() {
+                upstream.stopped(self.server, go.id, End::NotSent);
+            }
+            return;
+        };
+        let Ok(go) = upload.going.await else { return };
+        drop(on_its_way);
+        let wait = go.until.minus(upstream.clock.now());
+        if wait.0 == 0 || !upstream.is_at(self) {
+            return upstream.stopped(self.server, go.id, End::CalledOff);
+        }
+        // The reply is read as to a write.
+        let command = Rc::new(Command { value: Some(Bytes::new()), ..Command::clone(&command) });
+        let execution = Execution { id: go.id, command, server: self.server, until: go.until };
+        let after = self.send(upstream, &mut stream, &mut BytesMut::new(), execution, &go.last, wait).await;
+        if after == After::Keep {
+            self.carry(upstream, stream).await;
+        }
+    }
+
+    /// Sends all but the last byte, on a connection of its own; none if that did not come to its end.
+    async fn send_ahead(&self, upstream: &Upstream, upload: &Upload) -> Option<TcpStream> {
+        let connect = timeout(upstream.limits.connect_timeout, TcpStream::connect(self.address));
+        let mut stream = connect.await.ok()?.ok()?;
+        count(&upstream.counters.opened);
+        let _ = stream.set_nodelay(true);
+        let length = upload.value.length();
+        let (mut head, host) = (BytesMut::new(), self.address.to_string());
+        let wait = upload.command.wait.unwrap_or_default();
+        http::write_head(&mut head, &upload.command, &host, wait, Some(length));
+        timeout(STALLED, stream.write_all(&head)).await.ok()?.ok()?;
+        let mut left = length - 1;
+        while left > 0 {
+            let piece = upload.value.next().await?;
+            left = left.checked_sub(piece.len())?;
+            timeout(STALLED, stream.write_all(&piece)).await.ok()?.ok()?;
+        }
+        Some(stream)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::bounds::Bounds;
+    use crate::service::Service;
+    use crate::testing::{self, host, log, HOST, ORIGIN};
+    use juniperladder::{Effect, ListKind, Mode, ServerId, State};
+    use tokio::io::AsyncReadExt;
+    use tokio::net::TcpListener;
+
+    const LENGTH: usize = 4 << 20;
+
+    /// A balancer on loopback between a client and a stand-in for the origin, whose connections come here.
+    async fn world() -> (Rc<Upstream>, TcpStream, TcpListener) {
+        let origin = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let upstream = testing::upstream(8);
+        let settings =
+            juniperladder::Settings { mode: Mode::Aside(ORIGIN), ..testing::settings(3, Effect::Keyed) };
+        let exchange = testing::exchange(settings, upstream.clone(), 0);
+        upstream.attach(&exchange);
+        let mut up = host(ServerId(HOST.0 + 1), State::Serving);
+        (up.entry.kind, up.address) = (ORIGIN, origin.local_addr().ok());
+        exchange.listed(ListKind::Replace, &[up]);
+        let bounds = Bounds { clients: 8, kept: 4, hosts: 8, held: 1 << 17, unread: 1 << 16, piece: 1 << 12 };
+        let classes = vec!["read".into()];
+        let service = Service::new(exchange, classes, Rc::default(), bounds, log());
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        tokio::task::spawn_local(service.accept(listener));
+        (upstream, client, origin)
+    }
+
+    fn byte(at: usize) -> u8 {
+        (at % 251) as u8
+    }
+
+    async fn line(client: &mut TcpStream) -> String {
+        let mut told = Vec::new();
+        while !told.ends_with(b"\r\n") {
+            told.push(client.read_u8().await.unwrap());
+        }
+        String::from_utf8(told).unwrap()
+    }
+
+    /// Reads the head of a write off.
+    async fn head(origin: &mut TcpStream) -> String {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(origin.read_u8().await.unwrap());
+        }
+        String::from_utf8(head).unwrap()
+    }
+
+    /// A value of four megabytes reaches the origin while the client is still writing, all but its last byte, which
+    /// is the execution. The connection is good for the next one.
+    #[test]
+    fn a_long_write_goes_on_while_it_comes() {
+        testing::run_on_sockets(async {
+            let (upstream, client, origin) = world().await;
+            let (mut reads, mut writes) = client.into_split();
+            let value: Vec<u8> = (0..LENGTH).map(byte).collect();
+            let (all, last) = (value.clone(), tokio::sync::oneshot::channel::<()>());
+            let (go, going) = last;
+            tokio::task::spawn_local(async move {
+                writes
+                    .write_all(format!("ms k {LENGTH} O7 Pc=read,d=480,k=5c\r\n").as_bytes())
+                    .await
+                    .unwrap();
+                writes.write_all(&all[..LENGTH - 1]).await.unwrap();
+                going.await.unwrap();
+                writes.write_all(&all[LENGTH - 1..]).await.unwrap();
+                writes.write_all(b"\r\nmn\r\n").await.unwrap();
+                std::future::pending::<()>().await;
+            });
+            let (mut at_origin, _) = origin.accept().await.unwrap();
+            let head = head(&mut at_origin).await;
+            assert!(head.starts_with("PUT /k HTTP/1.1\r\n") && head.contains("X-Trace-Id: 7\r\n"), "{head}");
+            assert!(head.contains(&format!("Content-Length: {LENGTH}\r\n")), "{head}");
+            let mut got = vec![0; LENGTH - 1];
+            at_origin.read_exact(&mut got).await.unwrap();
+            assert!(got == value[..LENGTH - 1]);
+            assert_eq!(
+                (upstream.counters.tries.get(), upstream.uploads.get()),
+                (0, 1),
+                "nothing has run yet"
+            );
+            go.send(()).unwrap();
+            assert_eq!(at_origin.read_u8().await.unwrap(), value[LENGTH - 1]);
+            at_origin.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nr1").await.unwrap();
+            let mut told = [0; 14];
+            reads.read_exact(&mut told).await.unwrap();
+            assert_eq!(&told, b"HD O7 cr1\r\nMN\r");
+            assert_eq!((upstream.counters.tries.get(), upstream.uploads.get()), (1, 0));
+        });
+    }
+
+    /// Where the origin's side ends early the value never ran; the client is told so at its end, at once.
+    #[test]
+    fn a_long_write_that_cannot_go_on_is_refused() {
+        testing::run_on_sockets(async {
+            let (upstream, mut client, origin) = world().await;
+            let leaves = tokio::task::spawn_local(async move {
+                let (mut at_origin, _) = origin.accept().await.unwrap();
+                head(&mut at_origin).await;
+            });
+            client.write_all(format!("ms k {LENGTH} O7 Pc=read,d=480,k=5c\r\n").as_bytes()).await.unwrap();
+            client.write_all(&vec![b'v'; LENGTH]).await.unwrap();
+            client.write_all(b"\r\n").await.unwrap();
+            leaves.await.unwrap();
+            assert!(line(&mut client).await.starts_with("SERVER_ERROR busy"));
+            assert_eq!((upstream.counters.tries.get(), upstream.counters.resets.get()), (0, 0));
+        });
+    }
+
+    /// A client that leaves, or ends its value wrongly: the origin never has the last byte.
+    #[test]
+    fn a_long_write_that_breaks_off_never_runs() {
+        testing::run_on_sockets(async {
+            for (sent, behind) in [(LENGTH / 2, &b""[..]), (LENGTH, b"xx")] {
+                let (upstream, mut client, origin) = world().await;
+                let text = format!("ms k {LENGTH} O7 Pc=read,d=480,k=5c\r\n");
+                let writes = tokio::task::spawn_local(async move {
+                    client.write_all(text.as_bytes()).await.unwrap();
+                    client.write_all(&vec![b'v'; sent]).await.unwrap();
+                    client.write_all(behind).await.unwrap();
+                    let _ = client.shutdown().await;
+                    let mut told = String::new();
+                    let _ = client.read_to_string(&mut told).await;
+                    told
+                });
+                let (mut at_origin, _) = origin.accept().await.unwrap();
+                head(&mut at_origin).await;
+                let mut got = Vec::new();
+                let _ = at_origin.read_to_end(&mut got).await;
+                assert!(got.len() < LENGTH, "{}", got.len());
+                let told = writes.await.unwrap();
+                assert!(
+                    !told.contains("HD") && (sent < LENGTH || told.starts_with("CLIENT_ERROR")),
+                    "{told}"
+                );
+                assert_eq!(upstream.counters.tries.get(), 0);
+            }
+        });
+    }
+}
--- a/protocols/src/http.rs
+++ b/protocols/src/http.rs
@@ -215,7 +215,13 @@
 
 /// Writes a command to the origin.
 pub fn write_command(out: &mut BytesMut, command: &Command, host: &str, wait: Micros) {
-    out.put_slice(if command.value.is_some() { b"PUT /" } else { b"GET /" });
+    write_head(out, command, host, wait, command.value.as_ref().map(Bytes::len));
+    command.value.iter().for_each(|value| out.put_slice(value));
+}
+
+/// Writes the head of a command to the origin: a write, if there is the length of a value that follows.
+pub fn write_head(out: &mut BytesMut, command: &Command, host: &str, wait: Micros, value: Option<usize>) {
+    out.put_slice(if value.is_some() { b"PUT /" } else { b"GET /" });
     for byte in &command.key {
         // What would end the path, or is no URI character, is written in percent form.
         if byte.is_ascii_graphic() && !b"%?#\"<>\\^`{|}".contains(byte) {
@@ -228,12 +234,10 @@
     out.put_slice(&command.id);
     out.put_slice(b"\r\nX-Props: ");
     write_properties(out, command, wait);
-    if let Some(value) = &command.value {
-        out.put_slice(format!("\r\nContent-Length: {}\r\n\r\n", value.len()).as_bytes());
-        out.put_slice(value);
-    } else {
-        out.put_slice(b"\r\n\r\n");
+    if let Some(length) = value {
+        out.put_slice(format!("\r\nContent-Length: {length}").as_bytes());
     }
+    out.put_slice(b"\r\n\r\n");
 }
 
 /// What the origin's whole response to a command means.
--- a/protocols/src/memcache.rs
+++ b/protocols/src/memcache.rs
@@ -16,7 +16,7 @@
 /// The longest value: one over [`MAX_VALUE`] goes on while it comes.
 pub const MAX_LONG: usize = 4 * 1024 * 1024;
 /// The longest value that is skipped to keep a connection in step.
-const MAX_SKIPPED: usize = 1024 * 1024;
+const MAX_SKIPPED: usize = 2 * MAX_LONG;
 /// The longest key, as memcache has it.
 const MAX_KEY: usize = 250;
 
@@ -27,6 +27,10 @@
     Ready,
     /// A command, and its class by name.
     Command(Box<Command>, Bytes),
+    /// The line of a write whose value is long: its class, and the value's length. Its pieces follow.
+    Long(Box<Command>, Bytes, usize),
+    /// A piece of a long value, and whether the value is whole with it.
+    Piece(Bytes, bool),
     /// No command; this is the whole answer.
     Malformed(&'static str),
     /// The same, and what follows cannot be told apart from it: the connection has to end.
@@ -42,6 +46,8 @@
     skip: usize,
     /// A write whose value is not there yet, so that its line is read once.
     pending: Option<(Box<Command>, Bytes, usize)>,
+    /// A long value that is coming.
+    rest: Option<Rest>,
 }
 
 type Flags<'a> = Vec<&'a [u8]>;
@@ -84,7 +90,7 @@
 impl Commands {
     /// Whether a command has begun that is not whole.
     pub fn unfinished(&self) -> bool {
-        self.pending.is_some() || self.skip > 0
+        self.pending.is_some() || self.rest.is_some() || self.skip > 0
     }
 
     /// Takes the next command off the input; none until more has come.
@@ -97,6 +103,16 @@
                 return None;
             }
         }
+        if let Some(rest) = &mut self.rest {
+            let Ok((piece, end)) = rest.take(input) else {
+                self.rest = None;
+                return Some(Incoming::Lost("CLIENT_ERROR bad data chunk"));
+            };
+            if end {
+                self.rest = None;
+            }
+            return (end || !piece.is_empty()).then_some(Incoming::Piece(piece, end));
+        }
         if self.pending.is_none() {
             let Some((bare, whole)) = line_end(input) else {
                 // A line that never ends must not fill the memory.
@@ -108,6 +124,10 @@
             }
             match command(&text) {
                 Ok(Line::Whole(incoming)) => return Some(incoming),
+                Ok(Line::Write(command, class, length)) if length > MAX_VALUE => {
+                    self.rest = Some(Rest(length));
+                    return Some(Incoming::Long(command, class, length));
+                }
                 Ok(Line::Write(command, class, length)) => self.pending = Some((command, class, length)),
                 Ok(Line::TooLarge(length)) if length <= MAX_SKIPPED => {
                     self.skip = length + 2;
@@ -152,7 +172,7 @@
             // Without a length nobody can tell where the value ends.
             let length = number(length).ok_or(Incoming::Lost("CLIENT_ERROR bad data chunk"))?;
             let length = usize::try_from(length).unwrap_or(usize::MAX);
-            if length > MAX_VALUE {
+            if length > MAX_LONG {
                 return Ok(Line::TooLarge(length));
             }
             // The value follows all the same, and read as a line it would be another error.
@@ -181,7 +201,16 @@
     let wait = Some(from_ms(number(&wait).ok_or("CLIENT_ERROR bad properties")?));
     let class = value_of(b"c").unwrap_or_default();
     let retry = value_of(b"r").is_some_and(|mark| mark.as_ref() == b"1");
-    let command = Command { id, key: text.slice_ref(key), value: None, class: 0, retry, wait, properties };
+    let command = Command {
+        id,
+        key: text.slice_ref(key),
+        value: None,
+        ticket: None,
+        class: 0,
+        retry,
+        wait,
+        properties,
+    };
     Ok((Box::new(command), class))
 }
 
@@ -457,7 +486,8 @@
     fn bad_input_is_told_and_harms_nothing_behind_it() {
         let long = [b"mg ".to_vec(), vec![b'k'; 300], b" v O1 Pd=1\r\nmn\r\n".to_vec()].concat();
         assert_eq!(all(&long, 64), [Incoming::Malformed("CLIENT_ERROR key too long"), Incoming::Ready]);
-        let large = [b"ms k 70000 O1 Pd=1\r\n".to_vec(), vec![b'\n'; 70002], b"mn\r\n".to_vec()].concat();
+        let line = format!("ms k {} O1 Pd=1\r\n", MAX_LONG + 1);
+        let large = [line.into_bytes(), vec![b'\n'; MAX_LONG + 3], b"mn\r\n".to_vec()].concat();
         let told = Incoming::Malformed("SERVER_ERROR object too large for cache");
         assert_eq!(all(&large, 4096), [told, Incoming::Ready]);
         assert_eq!(all(b"mg k v O1 Pd=x\r\n", 99), [Incoming::Malformed("CLIENT_ERROR bad properties")]);
--- a/src/rules/view.rs
+++ b/src/rules/view.rs
@@ -35,6 +35,11 @@
 }
 
 impl Balancer {
+    /// The origin that requests go to now, if one serves.
+    pub fn origin(&self) -> Option<ServerId> {
+        self.members.origin.map(|at| self.members.servers[at].entry.server)
+    }
+
     /// The limits of every listed server, and how many requests wait for a place at the origin.
     pub fn limits(&self, now: Micros) -> (Vec<LimitView>, usize) {
         let view = |server: &super::members::Server| LimitView {
