--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -132,7 +132,7 @@
         return Ok(None);
     }
     let mgmt = address("mgmt", text)?;
-    if mgmt == listen {
+    if mgmt == listen && mgmt.port() != 0 {
         return Err(format!("mgmt: {listen} is the clients' address; give the operators another one"));
     }
     Ok(Some(mgmt))
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -121,7 +121,8 @@
             &config.name,
             log.clone(),
         );
-        info!(log, "operators' address"; "address" => mgmt.to_string());
+        let address = listener.local_addr().unwrap_or(mgmt);
+        info!(log, "operators' address"; "address" => address.to_string());
         spawn_local(operators.accept(listener));
     }
     let (discovery, turns) = watch::channel(config.discovery);
