Let idle connections give up their seats before those that have just come

Ruled out: the limits of memory (1 of 24 MB) and of processor time (0.14 of a core). At fault: node/src/service.rs `make_room`, which told the longest silent that had never spoken to leave, also one of a few milliseconds that was about to speak; and `accept`, which made room only when the house was full, so that each new client waited for another to leave.

Who came within half a second goes after those that are idle after an answer, and a sixteenth of the seats is kept free. Test: who_is_about_to_speak_keeps_the_seat. The replacement test now also tells the old process twice to end.

--- a/cli/tests/process.rs
+++ b/cli/tests/process.rs
@@ -188,6 +188,9 @@
 
     tell(&old, "-TERM");
     logged(&mut old_log, "stopping");
+    // Told again, or to read its configuration meanwhile, it goes on ending as it was.
+    tell(&old, "-TERM");
+    tell(&old, "-HUP");
     assert!(call(&old_mgmt, "HEALTH\n").starts_with("NAK stopping"));
     let mut let_in = 0;
     let ends = thread::spawn(move || {
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -41,6 +41,10 @@
 const HALF: Duration = Duration::from_millis(2500);
 /// How long a value may take to come to its end while pieces of it keep coming.
 const VALUE: Duration = Duration::from_secs(15);
+/// How long a connection that has said nothing yet is taken to be about to.
+const FRESH: Duration = Duration::from_millis(500);
+/// The part of the seats that is kept free for who comes next, by telling the longest silent to leave in time.
+const SPARE_PART: usize = 16;
 /// How long a full house waits for the one that was told to leave.
 const ROOM: Duration = Duration::from_millis(10);
 /// How long a client may take to read any part of the answers that wait for it.
@@ -154,6 +158,9 @@
                 Ok((stream, _)) => {
                     self.shutdown.accepted();
                     self.take_in(stream);
+                    if self.seats.borrow().len() + self.bounds.clients / SPARE_PART > self.bounds.clients {
+                        self.make_room();
+                    }
                 }
                 Err(problem) => {
                     // Out of descriptors, or a client that left at once: neither may end the program.
@@ -222,11 +229,17 @@
     }
 
     /// Tells one connection to leave that has no command open: the longest quiet of those that never brought
-    /// one, or else of the others, and one in the middle of a command only when there is no other.
+    /// one, or else of the others, then one that has only just come, and one in the middle of a command only when
+    /// there is no other.
     fn make_room(&self) {
         let seats = self.seats.borrow();
         let quiet = seats.iter().filter(|seat| !seat.busy.get());
-        if let Some(seat) = quiet.min_by_key(|seat| (seat.half.get(), seat.spoke.get(), seat.quiet.get())) {
+        let now = Instant::now();
+        // Who has just come may be about to speak, and to close on it loses what it says; who has been answered and
+        // is idle has nothing to lose.
+        let fresh = |seat: &Seat| !seat.spoke.get() && now.duration_since(seat.quiet.get()) < FRESH;
+        let last = |seat: &&Rc<Seat>| (seat.half.get(), fresh(seat), seat.spoke.get(), seat.quiet.get());
+        if let Some(seat) = quiet.min_by_key(last) {
             // Who is told to close while idle and then begins a command may finish it.
             if seat.half.get() { &seat.cut } else { &seat.leave }.notify_one();
         }
@@ -869,6 +882,38 @@
         });
     }
 
+    /// Where seats run out, who has just come and not spoken yet stays, who is idle after an answer goes first, and
+    /// who has been silent for long before that.
+    #[test]
+    fn who_is_about_to_speak_keeps_the_seat() {
+        testing::run(async {
+            let service = service(&Rc::new(Recorder::default()));
+            let mut clients = Vec::new();
+            for (spoke, wait) in [(false, 900), (true, 100), (true, 100), (false, 0)] {
+                let (near, mut far) = duplex(1 << 10);
+                let seated = service.seat();
+                seated.seat.spoke.set(spoke);
+                spawn_local(async move {
+                    let _ = ServiceClient::new(&seated.service, &seated.seat).serve(near).await;
+                });
+                far.write_all(b"").await.unwrap();
+                clients.push(far);
+                sleep(Duration::from_millis(wait)).await;
+            }
+            let mut fresh = clients.pop().unwrap();
+            for (gone, mut client) in clients.into_iter().enumerate() {
+                service.make_room();
+                settle().await;
+                assert_eq!(client.read(&mut [0; 8]).await.unwrap(), 0);
+                assert_eq!(service.seats.borrow().len(), 3 - gone);
+            }
+            fresh.write_all(b"mn\r\n").await.unwrap();
+            let mut got = [0; 4];
+            fresh.read_exact(&mut got).await.unwrap();
+            assert_eq!(&got, b"MN\r\n");
+        });
+    }
+
     /// Silent connections by the hundred must not shut out a client that has something to say.
     #[test]
     fn a_silent_connection_gives_way() {
