Put the client's side of long writes in a file of its own, and bound what bans leave

node/src/writing.rs has what service.rs held of a long value that is being written; behaviour is unchanged. An id that is forgotten as listed (the oldest of 16,384) is forgotten as come back, too.

--- a/exchange/src/bans.rs
+++ b/exchange/src/bans.rs
@@ -64,6 +64,7 @@
             if self.order.len() > REMEMBERED {
                 if let Some(oldest) = self.order.pop_front() {
                     self.known.remove(&oldest);
+                    self.back.remove(&oldest);
                 }
             }
         }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod shutdown;
 pub mod state;
 pub mod upstream;
+mod writing;
 
 #[cfg(test)]
 mod testing;
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -18,8 +18,8 @@
 use crate::exchange::{Answer, Command, CommandId, Exchange};
 use crate::memcache::{write_answer, Commands, Incoming};
 use crate::shutdown::Shutdown;
-use juniperladder::ServerId;
-use juniperladder_exchange::long::{self, Feed, Long, Ticket};
+use crate::writing::{self, Writing};
+use juniperladder_exchange::long::Long;
 
 /// Commands that one connection may have open: enough for any pipeline, a bound for one that runs away.
 const MAX_OWED: usize = 128;
@@ -30,8 +30,6 @@
 /// What a connection may hold whatever the others do: a command as clients send it.
 const SMALL: usize = 8 * 1024;
 
-/// How much of a long value a client has brought before a connection to the origin is opened for it.
-const AHEAD: usize = 16 * 1024;
 /// How long a connection that is about to close is read once more.
 const LAST_LOOK: Duration = Duration::from_millis(2);
 /// How long a connection may go without an open command: one that is silent, kept for good or in the middle
@@ -246,55 +244,6 @@
     }
 }
 
-/// A command whose long value is coming.
-struct Writing {
-    command: Box<Command>,
-    length: usize,
-    /// What came before it was worth a connection.
-    ahead: BytesMut,
-    begun: bool,
-    way: Option<(Ticket, Feed)>,
-}
-
-impl Writing {
-    /// Whether what comes next has to wait for the origin's side.
-    fn blocked(&self) -> bool {
-        self.way.as_ref().is_some_and(|(_, feed)| !feed.has_room())
-    }
-
-    /// Takes a piece of the value. What nobody takes any longer is let go of: the command is told so at its end.
-    fn add(&mut self, exchange: &Exchange, piece: Bytes, end: bool) {
-        if self.begun {
-            self.pass(piece);
-            return;
-        }
-        self.ahead.put_slice(&piece);
-        if end || self.ahead.len() >= AHEAD {
-            self.begun = true;
-            self.way = exchange.upload(&self.command, self.length);
-            let ahead = self.ahead.split().freeze();
-            self.pass(ahead);
-        }
-    }
-
-    fn pass(&mut self, piece: Bytes) {
-        if self.way.as_mut().is_some_and(|(_, feed)| feed.push_now(piece).is_err()) {
-            self.way = None;
-        }
-    }
-
-    /// The command, once its value is whole.
-    fn whole(self) -> Command {
-        // Without a way it is taken all the same, and what decides hears that it did not go.
-        let (ticket, last) = match self.way {
-            Some((ticket, feed)) => (ticket, feed.last()),
-            None => (long::ticket(ServerId(0)).0, None),
-        };
-        let ticket = Some(ticket.whole(last.unwrap_or_default()));
-        Command { value: Some(Bytes::new()), ticket, ..*self.command }
-    }
-}
-
 /// One client's connection.
 struct ServiceClient<'a> {
     service: &'a Service,
@@ -367,7 +316,7 @@
 
     /// Keeps account of what this connection holds of the memory.
     fn keep_account(&mut self) {
-        let ahead = self.writing.as_ref().map_or(0, |writing| writing.ahead.len());
+        let ahead = self.writing.as_ref().map_or(0, Writing::ahead);
         let held = self.input.len() + self.output.len() + self.open + ahead;
         self.service.held.set(self.service.held.get() + held - self.held);
         self.held = held;
@@ -432,7 +381,7 @@
                 piece = next_piece(&self.long), if self.output.len() < service.bounds.piece => {
                     self.pass_on(piece)?;
                 }
-                () = way_is_free(&self.writing), if blocked => {}
+                () = writing::room(&self.writing), if blocked => {}
                 read = reader.read_buf(&mut self.input), if room && drained => {
                     self.came = Instant::now();
                     if read? == 0 {
@@ -495,10 +444,8 @@
                     self.turn_away("SERVER_ERROR object too large for cache");
                 }
                 Some(Incoming::Long(command, class, length)) => {
-                    self.writing = self.of_class(command, &class).map(|command| {
-                        let (ahead, begun, way) = Default::default();
-                        Writing { command, length, ahead, begun, way }
-                    });
+                    let command = self.of_class(command, &class);
+                    self.writing = command.map(|command| Writing::new(command, length));
                 }
                 Some(Incoming::Piece(piece, end)) => {
                     // Of a command that was turned away at its line the value is read past.
@@ -626,14 +573,6 @@
     Ok(())
 }
 
-/// Waits until the next piece of the value that a client writes can go on; for ever where none is on its way.
-async fn way_is_free(writing: &Option<Writing>) {
-    match writing.as_ref().and_then(|writing| writing.way.as_ref()) {
-        Some((_, feed)) => feed.room().await,
-        None => std::future::pending().await,
-    }
-}
-
 /// Waits for the next piece of a long value; for ever where none is on its way.
 async fn next_piece(long: &Option<(Long, usize)>) -> Option<Bytes> {
     match long {
