Connect and count in one way each, and count a long write from where it begins

And one defect: uploads were counted when their task ran, so that those which began in one turn of the runtime all passed the bound of a quarter of the connections.

Now Lane::connect, Counted::one and Pool::is_at serve both places, Writing makes its command a write once, the tally has exchange/src/tally.rs, and an upload counts from begin_upload on. Behaviour is otherwise unchanged. Test: long_writes_hold_a_quarter_of_the_connections begins five in one turn; two go, three are told so.

--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -20,8 +20,9 @@
 use crate::bans::Bans;
 use crate::clock::{to_ms, Clock};
 use crate::counters::{count, Counters};
-use crate::long::{long, ticket, Ended, Feed, Going, Long, Tally, Ticket};
+use crate::long::{long, ticket, Feed, Going, Long, Ticket};
 pub use crate::numbers::ExecutionId;
+use crate::tally::{Ended, Tally};
 pub use crate::values::{Answer, Command, Host, Reply};
 
 /// How long before its client gives up a command is over here: the way of the answer back, and of the
@@ -77,7 +78,7 @@
 /// waits for the execution.
 #[derive(Debug)]
 pub struct Upload {
-    /// What it is about; its value is the one below.
+    /// What it is about: a write, whose value is the one below.
     pub command: Rc<Command>,
     /// Where to.
     pub server: ServerId,
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod long;
 pub mod numbers;
 pub mod operators;
+pub mod tally;
 #[cfg(any(test, feature = "testing"))]
 pub mod testing;
 pub mod values;
--- a/exchange/src/operators.rs
+++ b/exchange/src/operators.rs
@@ -7,8 +7,8 @@
 use rustc_hash::FxHashSet;
 
 use crate::exchange::Exchange;
-use crate::long::Ended;
 use crate::numbers::server;
+use crate::tally::Ended;
 
 /// Why an operator is told no.
 pub const NEVER_LISTED: &str = "no such cache host has been listed; give an instanceId of the list";
@@ -24,10 +24,10 @@
         let _ = self.ban(name, false);
     }
 
-    fn ban(&self, name: &str, must_be_listed: bool) -> Result<(), &'static str> {
+    fn ban(&self, name: &str, must_be_known: bool) -> Result<(), &'static str> {
         let now = self.clock().now();
         let mut inner = self.inner.borrow_mut();
-        let told = inner.bans.ban(server(name), name, now, must_be_listed).map_err(|_| NEVER_LISTED)?;
+        let told = inner.bans.ban(server(name), name, now, must_be_known).map_err(|_| NEVER_LISTED)?;
         if let Some(host) = told {
             self.tell(&mut inner, ListKind::ByHand, &[host]);
         }
--- a/node/src/bounds.rs
+++ b/node/src/bounds.rs
@@ -35,8 +35,8 @@
     pub held: usize,
     /// Answer bytes that may stand unread on one client's connection before no more are added.
     pub unread: usize,
-    /// Bytes of a long value that stand in one place on their way: read from the host, between the two sides, held
-    /// back for its end, and unwritten to the client.
+    /// Bytes of a long value that stand in one place on their way: read from the host, waiting to go to the client's
+    /// side, between the two sides, and unwritten to the client.
     pub piece: usize,
 }
 
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -87,6 +87,13 @@
     running: FxHashMap<ExecutionId, Carried>,
 }
 
+impl Pool {
+    /// Whether its host may be sent to, and stands where this connection leads.
+    fn is_at(&self, lane: &Lane) -> bool {
+        self.open && self.address == Some(lane.address)
+    }
+}
+
 /// All pools.
 pub struct Upstream {
     pools: RefCell<FxHashMap<ServerId, Pool>>,
@@ -107,6 +114,13 @@
 /// Counts a connection for as long as it lives.
 struct Counted(Rc<Upstream>);
 
+impl Counted {
+    fn one(upstream: &Rc<Upstream>) -> Counted {
+        upstream.connections.set(upstream.connections.get() + 1);
+        Counted(Rc::clone(upstream))
+    }
+}
+
 impl Drop for Counted {
     fn drop(&mut self) {
         self.0.connections.set(self.0.connections.get() - 1);
@@ -154,9 +168,8 @@
         let (Some(this), Some(address)) = (self.this.upgrade(), pool.address) else { return };
         while pool.connecting < pool.waiting.len() && self.connections.get() < self.limits.connections {
             pool.connecting += 1;
-            self.connections.set(self.connections.get() + 1);
             let this = Rc::clone(&this);
-            let counted = Counted(Rc::clone(&this));
+            let counted = Counted::one(&this);
             let lane = Lane { server, origin: pool.origin, address };
             spawn_local(async move {
                 lane.open(&counted.0).await;
@@ -196,8 +209,7 @@
 
     /// Whether this host may be sent to, and stands where this connection leads.
     fn is_at(&self, lane: &Lane) -> bool {
-        let pools = self.pools.borrow();
-        pools.get(&lane.server).is_some_and(|pool| pool.open && pool.address == Some(lane.address))
+        self.pools.borrow().get(&lane.server).is_some_and(|pool| pool.is_at(lane))
     }
 
     fn is_open(&self, server: ServerId) -> bool {
@@ -263,8 +275,7 @@
     fn rest(&self, lane: &Lane) -> Option<(u64, oneshot::Receiver<Execution>)> {
         let mut pools = self.pools.borrow_mut();
         // A host that has moved has nothing to do with whoever listens at its old address now.
-        let here = |pool: &&mut Pool| pool.open && pool.address == Some(lane.address);
-        let pool = pools.get_mut(&lane.server).filter(here)?;
+        let pool = pools.get_mut(&lane.server).filter(|pool| pool.is_at(lane))?;
         let (next, receiver) = oneshot::channel();
         let id = self.last.get() + 1;
         self.last.set(id);
@@ -391,17 +402,23 @@
 
 impl Lane {
     async fn open(self, upstream: &Upstream) {
-        let connect = timeout(upstream.limits.connect_timeout, TcpStream::connect(self.address)).await;
-        let Ok(Ok(stream)) = connect else { return upstream.not_up(self.server) };
-        count(&upstream.counters.opened);
-        // Without this the kernel would hold a short write back for the answer to the one before.
-        let _ = stream.set_nodelay(true);
+        let Some(stream) = self.connect(upstream).await else { return upstream.not_up(self.server) };
         if let Some(pool) = upstream.pools.borrow_mut().get_mut(&self.server) {
             pool.connecting -= 1;
         }
         self.carry(upstream, stream).await;
     }
 
+    /// A connection to the host, if one comes up in time.
+    async fn connect(&self, upstream: &Upstream) -> Option<TcpStream> {
+        let connect = timeout(upstream.limits.connect_timeout, TcpStream::connect(self.address));
+        let stream = connect.await.ok()?.ok()?;
+        count(&upstream.counters.opened);
+        // Without this the kernel would hold a short write back for the answer to the one before.
+        let _ = stream.set_nodelay(true);
+        Some(stream)
+    }
+
     async fn carry(&self, upstream: &Upstream, mut stream: TcpStream) {
         let (mut input, mut used) = (BytesMut::new(), false);
         loop {
--- a/node/src/upstream/uploads.rs
+++ b/node/src/upstream/uploads.rs
@@ -4,17 +4,15 @@
 //! client and a few pieces at a time, before the command is whole and before the decisions hear of it; the last byte
 //! is the execution. A value that breaks off, or whose command is refused, never ran: its connection ends.
 
-use std::cell::Cell;
 use std::rc::Rc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use super::{After, Counted, Lane, Upstream};
-use crate::counters::count;
-use crate::exchange::{Command, End, Execution, Upload};
+use crate::exchange::{End, Execution, Upload};
 use crate::http;
 use crate::passing::STALLED;
 
@@ -22,11 +20,18 @@
 const PART: usize = 4;
 
 /// Counts an upload for as long as it is on its way.
-struct OnItsWay<'a>(&'a Cell<usize>);
+struct OnItsWay(Rc<Upstream>);
 
-impl Drop for OnItsWay<'_> {
+impl OnItsWay {
+    fn one(upstream: &Rc<Upstream>) -> OnItsWay {
+        upstream.uploads.set(upstream.uploads.get() + 1);
+        OnItsWay(Rc::clone(upstream))
+    }
+}
+
+impl Drop for OnItsWay {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.0.uploads.set(self.0.uploads.get() - 1);
     }
 }
 
@@ -42,10 +47,10 @@
         let pool = pools.get(&upload.server).filter(|pool| pool.open && pool.origin);
         let Some(address) = pool.and_then(|pool| pool.address) else { return };
         let lane = Lane { server: upload.server, origin: true, address };
-        self.connections.set(self.connections.get() + 1);
-        let counted = Counted(Rc::clone(&this));
+        // Both are counted from here on: more may begin before the task does.
+        let (counted, on_its_way) = (Counted::one(&this), OnItsWay::one(&this));
         tokio::task::spawn_local(async move {
-            lane.upload(&counted.0, upload).await;
+            lane.upload(&counted.0, upload, on_its_way).await;
             drop(counted);
             this.make_use_of_room();
         });
@@ -53,9 +58,7 @@
 }
 
 impl Lane {
-    async fn upload(&self, upstream: &Upstream, mut upload: Upload) {
-        upstream.uploads.set(upstream.uploads.get() + 1);
-        let on_its_way = OnItsWay(&upstream.uploads);
+    async fn upload(&self, upstream: &Upstream, mut upload: Upload, on_its_way: OnItsWay) {
         let stream = self.send_ahead(upstream, &upload).await;
         // From here on the client's side is told that no more is taken, if more there is.
         let Upload { value, command, .. } = upload;
@@ -73,8 +76,6 @@
         if wait.0 == 0 || !upstream.is_at(self) {
             return upstream.stopped(self.server, go.id, End::CalledOff);
         }
-        // The reply is read as to a write.
-        let command = Rc::new(Command { value: Some(Bytes::new()), ..Command::clone(&command) });
         let execution = Execution { id: go.id, command, server: self.server, until: go.until };
         let after = self.send(upstream, &mut stream, &mut BytesMut::new(), execution, &go.last, wait).await;
         if after == After::Keep {
@@ -84,10 +85,7 @@
 
     /// Sends all but the last byte, on a connection of its own; none if that did not come to its end.
     async fn send_ahead(&self, upstream: &Upstream, upload: &Upload) -> Option<TcpStream> {
-        let connect = timeout(upstream.limits.connect_timeout, TcpStream::connect(self.address));
-        let mut stream = connect.await.ok()?.ok()?;
-        count(&upstream.counters.opened);
-        let _ = stream.set_nodelay(true);
+        let mut stream = self.connect(upstream).await?;
         let length = upload.value.length();
         let (mut head, host) = (BytesMut::new(), self.address.to_string());
         let wait = upload.command.wait.unwrap_or_default();
@@ -199,6 +197,20 @@
         });
     }
 
+    /// However many begin at one moment, a quarter of the connections is all that they hold; the others are told so.
+    #[test]
+    fn long_writes_hold_a_quarter_of_the_connections() {
+        testing::run_on_sockets(async {
+            let (upstream, _client, _origin) = world().await;
+            let exchange = upstream.exchange.borrow().upgrade().unwrap();
+            let begin = |_| exchange.upload(&testing::command("7", None), LENGTH).unwrap();
+            let mut ways: Vec<_> = (0..5).map(begin).collect();
+            assert_eq!((upstream.uploads.get(), upstream.connections.get()), (2, 2));
+            let mut taken = |place: usize| ways[place].1.push_now("v".into()).is_ok();
+            assert_eq!([0, 1, 2, 3, 4].map(&mut taken), [true, true, false, false, false]);
+        });
+    }
+
     /// Where the origin's side ends early the value never ran; the client is told so at its end, at once.
     #[test]
     fn a_long_write_that_cannot_go_on_is_refused() {
--- a/node/src/writing.rs
+++ b/node/src/writing.rs
@@ -23,7 +23,9 @@
 
 impl Writing {
     /// A command whose line has come, and then a value of so many bytes.
-    pub fn new(command: Box<Command>, length: usize) -> Writing {
+    pub fn new(mut command: Box<Command>, length: usize) -> Writing {
+        // A write all the same, whose value goes another way.
+        command.value = Some(Bytes::new());
         Writing { command, length, ahead: BytesMut::new(), begun: false, way: None }
     }
 
@@ -66,7 +68,7 @@
             None => (long::ticket(ServerId(0)).0, None),
         };
         let ticket = Some(ticket.whole(last.unwrap_or_default()));
-        Command { value: Some(Bytes::new()), ticket, ..*self.command }
+        Command { ticket, ..*self.command }
     }
 }
 
