--- /dev/null
+++ b/world/src/chance.rs
@@ -0,0 +1,59 @@
+//! Seeded chance: one generator for each purpose of a run, the same numbers on every machine.
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// The generator of all chance here. ChaCha is portable, unlike rand's own standard generator.
+pub type Chance = ChaCha8Rng;
+
+/// What a generator is drawn for. Each purpose has a stream of its own, so that a change of one (more hosts, say)
+/// leaves the numbers of the others as they were.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// When commands come, at which balancer, for which key.
+    Load = 1,
+    /// Which processes and hosts a share of a group names.
+    Groups = 2,
+    /// Work and pauses of the cache hosts and the origin.
+    Machines = 3,
+    /// What clients do after an answer.
+    Clients = 4,
+    /// Delays and losses on links.
+    Links = 5,
+    /// When discovery tells each balancer.
+    Lists = 6,
+    /// The seeds that the processes are given.
+    Processes = 7,
+    /// The judge's fair draws.
+    Fair = 8,
+}
+
+/// The generator of this purpose in a run of this seed.
+pub fn chance(seed: u64, purpose: Purpose) -> Chance {
+    let mut chance = Chance::seed_from_u64(seed);
+    chance.set_stream(purpose as u64);
+    chance
+}
+
+/// Spreads a number over 64 bits, the same everywhere: names of keys and hosts are made of it.
+pub fn spread(number: u64) -> u64 {
+    let mut x = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::RngCore;
+
+    #[test]
+    fn the_numbers_are_the_same_everywhere_and_apart_by_purpose() {
+        let first = |seed, purpose| chance(seed, purpose).next_u64();
+        assert_eq!(first(1, Purpose::Load), first(1, Purpose::Load));
+        assert_ne!(first(1, Purpose::Load), first(1, Purpose::Groups));
+        assert_ne!(first(1, Purpose::Load), first(2, Purpose::Load));
+        assert_eq!(spread(0), 0xe220_a839_7b1d_cdaf);
+    }
+}
--- /dev/null
+++ b/world/src/discovery.rs
@@ -0,0 +1,134 @@
+//! Discovery: a list with generations, and a door that takes calls in turn.
+
+use crate::{us, Us, SECOND};
+
+/// What the list says of a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    /// In service.
+    InService,
+    /// It finishes what it has and wants nothing new.
+    Terminating,
+    /// Gone.
+    Terminated,
+}
+
+impl Life {
+    /// The word on the wire.
+    pub fn word(self) -> &'static str {
+        match self {
+            Life::InService => "in_service",
+            Life::Terminating => "terminating",
+            Life::Terminated => "terminated",
+        }
+    }
+}
+
+/// A line of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// The host's id.
+    pub id: String,
+    /// Where it stands: a host's number, or the number of hosts for the origin.
+    pub slot: usize,
+    /// What it does.
+    pub life: Life,
+    /// When it last started; none, long ago.
+    pub started: Option<Us>,
+}
+
+/// The list, with all its changes.
+#[derive(Clone, Debug, Default)]
+pub struct Catalog {
+    changes: Vec<Entry>,
+}
+
+impl Catalog {
+    /// A list that begins with these.
+    pub fn new(entries: Vec<Entry>) -> Catalog {
+        Catalog { changes: entries }
+    }
+
+    /// The newest generation.
+    pub fn generation(&self) -> u64 {
+        self.changes.len() as u64
+    }
+
+    /// A line has changed.
+    pub fn change(&mut self, entry: Entry) {
+        self.changes.push(entry);
+    }
+
+    /// What changed after this generation, up to that one, in order.
+    pub fn between(&self, after: u64, up_to: u64) -> &[Entry] {
+        let to = (up_to as usize).min(self.changes.len());
+        &self.changes[(after as usize).min(to)..to]
+    }
+
+    /// The whole list as of a generation, without those that are gone.
+    pub fn whole(&self, generation: u64) -> Vec<Entry> {
+        let mut list: Vec<Entry> = Vec::new();
+        for entry in self.between(0, generation) {
+            list.retain(|old| old.id != entry.id);
+            if entry.life != Life::Terminated {
+                list.push(entry.clone());
+            }
+        }
+        list
+    }
+}
+
+/// Calls in turn: each takes its time, and one that would wait too long fails.
+#[derive(Clone, Debug)]
+pub struct Door {
+    each: Us,
+    timeout: Us,
+    free: Us,
+}
+
+impl Door {
+    /// A door for so many calls a second.
+    pub fn new(calls_per_s: f64, timeout_s: f64) -> Door {
+        Door { each: (SECOND as f64 / calls_per_s) as Us, timeout: us(timeout_s), free: 0 }
+    }
+
+    /// When a call that comes now is answered; none, it fails.
+    pub fn call(&mut self, now: Us) -> Option<Us> {
+        let begin = self.free.max(now);
+        if begin - now > self.timeout {
+            return None;
+        }
+        self.free = begin + self.each;
+        Some(self.free)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_list_is_the_sum_of_its_changes() {
+        let entry = |id: &str, life| Entry { id: id.into(), slot: 0, life, started: None };
+        let mut list = Catalog::new(vec![entry("a", Life::InService), entry("b", Life::InService)]);
+        list.change(entry("a", Life::Terminating));
+        list.change(entry("a", Life::Terminated));
+        assert_eq!(list.generation(), 4);
+        let ids = |generation| list.whole(generation).iter().map(|e| e.id.clone()).collect::<Vec<_>>();
+        assert_eq!(
+            (ids(2), ids(3), ids(4)),
+            (vec!["a".into(), "b".into()], vec!["b".into(), "a".into()], vec!["b".into()])
+        );
+        assert_eq!(list.between(2, 4).len(), 2);
+        assert!(list.between(9, 12).is_empty());
+    }
+
+    #[test]
+    fn calls_wait_for_each_other_and_fail_when_that_takes_too_long() {
+        let mut door = Door::new(2.0, 1.0);
+        let half = SECOND / 2;
+        assert_eq!([door.call(0), door.call(0), door.call(0)], [Some(half), Some(SECOND), Some(3 * half)]);
+        assert_eq!(door.call(0), None);
+        assert_eq!(door.call(SECOND), Some(4 * half));
+    }
+}
--- /dev/null
+++ b/world/src/experiment.rs
@@ -0,0 +1,489 @@
+//! The experiment's file: what is played, in the form that the laboratory's page states. An unknown field is an error.
+//!
+//! [`read`] parses a file and checks it; what is wrong comes back as [`Problem`]s that name the line, the field and
+//! what would be right. Nothing is started before that.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::check;
+
+/// One experiment.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Experiment {
+    /// Its name, which the report and the comparison show.
+    pub name: String,
+    /// From it follow the load, the targets of faults and the processes' seeds.
+    #[serde(default = "one")]
+    pub seed: u64,
+    /// Seconds of load; starting and ending come on top.
+    pub seconds: f64,
+    /// The processes and the hosts.
+    pub fleet: Fleet,
+    /// What clients ask for.
+    pub load: Load,
+    /// What clients do after an answer.
+    #[serde(default)]
+    pub clients: Clients,
+    /// What a cache host can do.
+    #[serde(default)]
+    pub hosts: Hosts,
+    /// The origin.
+    #[serde(default)]
+    pub origin: Origin,
+    /// Discovery.
+    #[serde(default)]
+    pub discovery: Discovery,
+    /// The network when nothing is wrong with it.
+    #[serde(default)]
+    pub net: Net,
+    /// What goes wrong, and when.
+    #[serde(default)]
+    pub fault: Vec<Fault>,
+}
+
+/// The processes and the hosts.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// Processes of the program.
+    pub balancers: usize,
+    /// Cache hosts; the origin comes on top.
+    pub hosts: usize,
+    /// Zones; processes and hosts are dealt out to them in turn.
+    #[serde(default = "one_zone")]
+    pub zones: usize,
+    /// `balancers` in the settings, if it is to be wrong; by default the real number.
+    #[serde(default)]
+    pub told: Option<usize>,
+    /// Cores of the hosts' kinds, in turn.
+    #[serde(default = "one_core")]
+    pub weights: Vec<f64>,
+    /// The program, from the folder that the laboratory is run in.
+    #[serde(default = "program")]
+    pub program: String,
+    /// The operators' file given to every process; left out, as on the platform, no talk.
+    #[serde(default)]
+    pub operator: Option<String>,
+}
+
+/// What clients ask for, drawn ahead and sent whatever the answers (open loop).
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    /// Commands a second, first tries of all clients together.
+    pub rate: f64,
+    /// How many keys there are.
+    pub keys: u64,
+    /// The exponent of Zipf's law for the keys' popularity; 0 makes all alike.
+    #[serde(default = "zipf")]
+    pub zipf: f64,
+    /// The share of the commands that write.
+    #[serde(default)]
+    pub writes: f64,
+    /// A share of the load at a share of the balancers.
+    #[serde(default)]
+    pub uneven: Option<Uneven>,
+    /// From each moment on one more key has this share.
+    #[serde(default)]
+    pub hot: Vec<Hot>,
+    /// Times of a higher or lower rate.
+    #[serde(default)]
+    pub burst: Vec<Burst>,
+    /// The rate at the end over the rate at the beginning, linear in between.
+    #[serde(default = "one_times")]
+    pub ramp: f64,
+    /// The share of the keys that change places in popularity each second.
+    #[serde(default)]
+    pub drift: f64,
+}
+
+/// A share of the load at a share of the balancers.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Uneven {
+    /// The share of the load.
+    pub share: f64,
+    /// The share of the balancers that it comes to.
+    pub at: f64,
+}
+
+/// A key that grows hot.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Hot {
+    /// From when on, in seconds.
+    pub at: f64,
+    /// Its share of all commands.
+    pub share: f64,
+}
+
+/// A time of another rate.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Burst {
+    /// From when on, in seconds.
+    pub at: f64,
+    /// For how long, in seconds.
+    #[serde(rename = "for")]
+    pub lasts: f64,
+    /// Times the rate.
+    pub times: f64,
+}
+
+/// What clients do after an answer.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Clients {
+    /// How often a client tries again at the most.
+    pub retries: u32,
+    /// The wait before the first retry; doubled with each.
+    pub backoff_ms: f64,
+    /// The share of clients that honour a time to come back.
+    pub honour: f64,
+    /// The share of first tries whose client gives up after a tenth of its time.
+    pub impatient: f64,
+}
+
+impl Default for Clients {
+    fn default() -> Clients {
+        Clients { retries: 2, backoff_ms: 100.0, honour: 0.9, impatient: 0.0 }
+    }
+}
+
+/// What a cache host can do.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Hosts {
+    /// The mean work of a hit on one core.
+    pub work_ms: f64,
+    /// A miss's work over a hit's.
+    pub miss: f64,
+    /// What runs at once on a core before it waits.
+    pub slots: usize,
+    /// What may wait for a core.
+    pub queue: usize,
+    /// The keys that all hosts together keep, over all keys.
+    pub keep: f64,
+    /// The part of its capacity that a host starts with.
+    pub cold_from: f64,
+    /// Seconds until it is warm.
+    pub cold_s: f64,
+    /// Sent so many times what it can do for a second, a cold host falls over.
+    pub fall_times: f64,
+    /// The connections that one holds.
+    pub connections: usize,
+    /// The longest time between two load reports, and their noise.
+    pub report_ms: f64,
+    /// The share by which a report is off.
+    pub report_noise: f64,
+}
+
+impl Default for Hosts {
+    fn default() -> Hosts {
+        Hosts {
+            work_ms: 20.0,
+            miss: 0.45,
+            slots: 8,
+            queue: 200,
+            keep: 3.0,
+            cold_from: 0.35,
+            cold_s: 6.0,
+            fall_times: 4.0,
+            connections: 2_000,
+            report_ms: 300.0,
+            report_noise: 0.1,
+        }
+    }
+}
+
+/// The origin.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Origin {
+    /// Fetches a second.
+    pub capacity: f64,
+    /// The mean time of a fetch.
+    pub work_ms: f64,
+    /// How long a fetch may wait at the most; beyond it is turned away.
+    pub queue_s: f64,
+    /// How much slower each fetch is when all the queue is full.
+    pub thrash: f64,
+    /// Sent so many times its capacity for three seconds, it stops for three seconds.
+    pub fall_times: f64,
+}
+
+impl Default for Origin {
+    fn default() -> Origin {
+        Origin { capacity: 400.0, work_ms: 100.0, queue_s: 1.0, thrash: 0.0, fall_times: 2.5 }
+    }
+}
+
+/// Discovery.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Discovery {
+    /// Calls a second that it can answer, in turn.
+    pub calls_per_s: f64,
+    /// A call that would wait longer fails.
+    pub timeout_s: f64,
+    /// Seconds from a change to its telling.
+    pub notice_s: f64,
+}
+
+impl Default for Discovery {
+    fn default() -> Discovery {
+        Discovery { calls_per_s: 500.0, timeout_s: 2.0, notice_s: 0.5 }
+    }
+}
+
+/// The network when nothing is wrong with it: one way, added to what loopback takes.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Net {
+    /// Within a zone.
+    pub same_ms: f64,
+    /// Between zones.
+    pub cross_ms: f64,
+}
+
+impl Default for Net {
+    fn default() -> Net {
+        Net { same_ms: 0.2, cross_ms: 5.0 }
+    }
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum What {
+    /// A link says nothing.
+    Cut,
+    /// A link's connections are reset, and new ones too.
+    Reset,
+    /// A share of what a link carries is lost; on TCP it comes late by the resend.
+    Lose,
+    /// What a link carries comes late.
+    Delay,
+    /// A share of the packets comes twice.
+    Repeat,
+    /// A share of the packets comes after later ones.
+    Reorder,
+    /// A share of what a link carries has wrong bytes.
+    Spoil,
+    /// Processes get SIGKILL.
+    Kill,
+    /// Processes get SIGTERM.
+    Term,
+    /// Processes get SIGSTOP, and SIGCONT at the end.
+    Freeze,
+    /// Processes are killed and started again, a share at a time.
+    Roll,
+    /// Hosts say nothing.
+    Silent,
+    /// Hosts take longer.
+    Slow,
+    /// Hosts fail a share of their commands.
+    Failing,
+    /// Hosts drain, and are back at the end.
+    Drain,
+    /// Hosts end, and are back at the end.
+    Gone,
+    /// Hosts start anew at once.
+    Restart,
+    /// Hosts are replaced by others at the same addresses.
+    Replace,
+    /// Hosts are silent and well in turn.
+    Flap,
+    /// The origin takes longer.
+    OriginSlow,
+    /// Discovery refuses calls, and its watches end.
+    DiscoveryDown,
+    /// Discovery tells each balancer later, by a time of its own.
+    ListLate,
+}
+
+/// Which way a link's fault goes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum Direction {
+    /// Both.
+    #[default]
+    Both,
+    /// From the first group to the second.
+    OneWay,
+}
+
+/// One fault.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// From when on, in seconds.
+    pub at: f64,
+    /// For how long, in seconds; left out, to the end.
+    #[serde(rename = "for", default, skip_serializing_if = "Option::is_none")]
+    pub lasts: Option<f64>,
+    /// What it is.
+    pub what: What,
+    /// On links: the two groups.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub between: Option<[String; 2]>,
+    /// On links: which way.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub direction: Option<Direction>,
+    /// On processes and hosts: the group.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub who: Option<String>,
+    /// The share lost, repeated, reordered, spoilt or failed; of a roll, the share at a time.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub share: Option<f64>,
+    /// Of a delay: how much later.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ms: Option<f64>,
+    /// Of a delay: how much that varies, either way.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub jitter: Option<f64>,
+    /// How many times as long.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub times: Option<f64>,
+    /// Of a killed process: after how many seconds it is started again; left out, never.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub back: Option<f64>,
+    /// Of a roll or a flapping host: seconds from one step to the next.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub every: Option<f64>,
+    /// Of late lists: the latest.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub seconds: Option<f64>,
+}
+
+/// One thing wrong with a file, as its reader is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// The line, where it can be told.
+    pub line: Option<usize>,
+    /// The field.
+    pub field: String,
+    /// What is wrong and what would be right.
+    pub what: String,
+}
+
+impl std::fmt::Display for Problem {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        if let Some(line) = self.line {
+            write!(f, "line {line}: ")?;
+        }
+        if !self.field.is_empty() {
+            write!(f, "{}: ", self.field)?;
+        }
+        f.write_str(&self.what)
+    }
+}
+
+/// Reads a file's text with these values set over it (`load.rate=300`), and checks it.
+///
+/// # Errors
+/// All that is wrong, at least one problem.
+pub fn read(text: &str, set: &[String]) -> Result<Experiment, Vec<Problem>> {
+    let mut experiment: Experiment = toml::from_str(text).map_err(|e| vec![parse_problem(text, &e)])?;
+    if !set.is_empty() {
+        let plain = |what: String| vec![Problem { line: None, field: String::new(), what }];
+        let mut table: toml::Table = toml::from_str(text).map_err(|e| plain(e.message().to_owned()))?;
+        for one in set {
+            override_value(&mut table, one).map_err(plain)?;
+        }
+        experiment =
+            table.try_into().map_err(|e: toml::de::Error| plain(format!("--set: {}", e.message())))?;
+    }
+    let problems = check::check(&experiment, text);
+    if problems.is_empty() {
+        Ok(experiment)
+    } else {
+        Err(problems)
+    }
+}
+
+/// Sets one value, given as `path=value`, in a file's table.
+fn override_value(table: &mut toml::Table, text: &str) -> Result<(), String> {
+    let (path, value) =
+        text.split_once('=').ok_or(format!("--set {text}: write it as path=value, as in load.rate=300"))?;
+    // What is no value of TOML is a plain word.
+    let value = toml::from_str::<toml::Table>(&format!("x = {value}"))
+        .ok()
+        .and_then(|mut table| table.remove("x"))
+        .unwrap_or_else(|| toml::Value::String(value.to_owned()));
+    let mut names: Vec<&str> = path.trim().split('.').collect();
+    let last = names.pop().unwrap_or_default();
+    let mut table = table;
+    for name in names {
+        let inner = table.entry(name).or_insert_with(|| toml::Value::Table(toml::Table::new()));
+        table = inner.as_table_mut().ok_or(format!("--set {text}: {name} is no table"))?;
+    }
+    // A rate given as 300 stays a number with a fraction where the file has one.
+    let value = match (table.get(last), value) {
+        (Some(toml::Value::Float(_)), toml::Value::Integer(whole)) => toml::Value::Float(whole as f64),
+        (_, value) => value,
+    };
+    table.insert(last.to_owned(), value);
+    Ok(())
+}
+
+fn parse_problem(text: &str, error: &toml::de::Error) -> Problem {
+    let line = error.span().map(|span| text[..span.start.min(text.len())].matches('\n').count() + 1);
+    Problem { line, field: String::new(), what: error.message().replace('\n', " ") }
+}
+
+fn one() -> u64 {
+    1
+}
+
+fn one_zone() -> usize {
+    1
+}
+
+fn one_core() -> Vec<f64> {
+    vec![1.0]
+}
+
+fn program() -> String {
+    "target/release/juniperladder".into()
+}
+
+fn zipf() -> f64 {
+    0.9
+}
+
+fn one_times() -> f64 {
+    1.0
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+
+    pub const SOUND: &str = "name = \"t\"\nseconds = 40\n[fleet]\nbalancers = 10\nhosts = 6\nzones = 3\n\
+                             [load]\nrate = 100\nkeys = 200\n";
+
+    #[test]
+    fn a_file_is_read_and_values_are_set_over_it() {
+        let set = ["load.rate=300", "seed=7", "fleet.program=x/y", "origin.capacity=55"].map(String::from);
+        let e = read(SOUND, &set).unwrap();
+        assert_eq!(
+            (e.load.rate, e.seed, e.fleet.program.as_str(), e.origin.capacity),
+            (300.0, 7, "x/y", 55.0)
+        );
+        assert_eq!(read(SOUND, &[]).unwrap().fleet.weights, [1.0]);
+        assert!(read(SOUND, &["rate".into()]).unwrap_err()[0].what.contains("path=value"));
+    }
+
+    #[test]
+    fn an_unknown_field_is_told_with_its_line() {
+        let text = SOUND.replace("rate = 100", "rats = 100");
+        let problem = &read(&text, &[]).unwrap_err()[0];
+        assert_eq!(problem.line, Some(8));
+        assert!(problem.what.contains("rats") && problem.what.contains("rate"), "{problem}");
+        let problem = &read(SOUND, &["load.rats=1".into()]).unwrap_err()[0];
+        assert!(problem.what.contains("rats"), "{problem}");
+    }
+}
--- /dev/null
+++ b/world/src/host.rs
@@ -0,0 +1,293 @@
+//! A cache host: cores, slots, a waiting room, work with noise, a cold start, keys kept to a size, load reports.
+
+use std::collections::{HashMap, VecDeque};
+use std::num::NonZeroUsize;
+
+use lru::LruCache;
+use rand::Rng;
+use rand_distr::{Distribution, Exp1};
+
+use crate::chance::Chance;
+use crate::experiment::Hosts;
+use crate::{us_of_ms, Us, SECOND};
+
+/// How long a miss counts as a fetch that is out, where nobody stores the key.
+const FETCHING: Us = 3 * SECOND;
+
+/// How a host answers a read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The key is kept.
+    Hit,
+    /// It is not; whether another fetch of it is out.
+    Miss {
+        /// Another fetch is out.
+        fetching: bool,
+    },
+    /// Turned away; it never ran.
+    Busy,
+    /// It failed.
+    Failed,
+}
+
+/// What becomes of a command that has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Outcome {
+    /// The answer.
+    pub answer: Answer,
+    /// When it goes out.
+    pub at: Us,
+    /// Whether the host was not warm yet when it came.
+    pub cold: bool,
+}
+
+/// A load report.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Commands served in the last second.
+    pub served_per_s: f64,
+    /// Commands that wait for a core.
+    pub waiting: f64,
+}
+
+/// One cache host, through its restarts.
+#[derive(Debug)]
+pub struct Host {
+    figures: Hosts,
+    /// Cores; its weight in the list.
+    pub cores: f64,
+    /// How often it has started anew.
+    pub incarnation: u32,
+    /// When it last started; none, long ago.
+    pub started: Option<Us>,
+    /// Draining or gone: what comes new is turned away.
+    pub closed: bool,
+    slow: f64,
+    failing: f64,
+    /// When each core is free.
+    free: Vec<Us>,
+    /// When what waits begins, in order.
+    begins: VecDeque<Us>,
+    /// When what has begun or waits is done.
+    ends: VecDeque<Us>,
+    kept: LruCache<u64, ()>,
+    fetching: HashMap<u64, Us>,
+    /// What came in the last second, for the push that a cold host bears.
+    recent: VecDeque<Us>,
+    fallen: bool,
+    report: Report,
+    reported: Us,
+}
+
+impl Host {
+    /// A host that has run for long and keeps `keys` keys at the most; it keeps none yet.
+    pub fn new(figures: Hosts, cores: f64, keys: usize) -> Host {
+        Host {
+            figures,
+            cores,
+            incarnation: 0,
+            started: None,
+            closed: false,
+            slow: 1.0,
+            failing: 0.0,
+            free: vec![0; (cores.ceil() as usize).max(1)],
+            begins: VecDeque::new(),
+            ends: VecDeque::new(),
+            kept: LruCache::new(NonZeroUsize::new(keys).unwrap_or(NonZeroUsize::MIN)),
+            fetching: HashMap::new(),
+            recent: VecDeque::new(),
+            fallen: false,
+            report: Report::default(),
+            reported: 0,
+        }
+    }
+
+    /// Starts anew, cold and empty; what it had in hand is lost.
+    pub fn restart(&mut self, now: Us) {
+        let (cores, keys) = (self.cores, self.kept.cap().get());
+        let (slow, failing) = (self.slow, self.failing);
+        let incarnation = self.incarnation + 1;
+        *self =
+            Host { incarnation, started: Some(now), slow, failing, ..Host::new(self.figures, cores, keys) };
+        self.free.fill(now);
+    }
+
+    /// From now on it takes so many times as long.
+    pub fn slow(&mut self, times: f64) {
+        self.slow = times;
+    }
+
+    /// From now on it fails this share of its commands.
+    pub fn fail(&mut self, share: f64) {
+        self.failing = share;
+    }
+
+    /// The part of its capacity that it has.
+    pub fn warmth(&self, now: Us) -> f64 {
+        let Some(started) = self.started else { return 1.0 };
+        let part = (now.saturating_sub(started)) as f64 / (self.figures.cold_s * 1e6).max(1.0);
+        (self.figures.cold_from + (1.0 - self.figures.cold_from) * part).min(1.0)
+    }
+
+    /// Hits a second that it can serve now.
+    pub fn capacity(&self, now: Us) -> f64 {
+        self.cores * 1e3 / self.figures.work_ms / self.slow * self.warmth(now)
+    }
+
+    /// Whether it was pushed over while it was cold, and lies there.
+    pub fn fallen(&self) -> bool {
+        self.fallen
+    }
+
+    /// A read has come, whole.
+    pub fn begin(&mut self, now: Us, key: u64, chance: &mut Chance) -> Outcome {
+        let warmth = self.warmth(now);
+        let cold = warmth < 1.0;
+        self.pushed(now, cold);
+        let turned_away = |answer| Outcome { answer, at: now, cold };
+        if self.closed || self.fallen {
+            return turned_away(Answer::Busy);
+        }
+        while self.begins.front().is_some_and(|at| *at <= now) {
+            self.begins.pop_front();
+        }
+        while self.ends.front().is_some_and(|at| *at <= now) {
+            self.ends.pop_front();
+        }
+        let room = (self.cores * self.figures.slots as f64) as usize + self.figures.queue;
+        if self.ends.len() >= room {
+            return turned_away(Answer::Busy);
+        }
+        if chance.random::<f64>() < self.failing {
+            return turned_away(Answer::Failed);
+        }
+        let answer = if self.kept.get(&key).is_some() {
+            Answer::Hit
+        } else {
+            let out = self.fetching.get(&key).is_some_and(|since| now < since + FETCHING);
+            self.fetching.insert(key, now);
+            Answer::Miss { fetching: out }
+        };
+        let part = if answer == Answer::Hit { 1.0 } else { self.figures.miss };
+        let noise: f64 = Exp1.sample(chance);
+        // Half of the work is always there, the other half varies.
+        let work = us_of_ms(self.figures.work_ms * part * (0.5 + 0.5 * noise.min(8.0)) * self.slow / warmth);
+        let Some(core) = self.free.iter_mut().min() else { return turned_away(Answer::Busy) };
+        let begin = (*core).max(now);
+        // A part of a core does its work slower.
+        let whole = self.cores.ceil().max(1.0) / self.cores;
+        *core = begin + (work as f64 * whole) as Us;
+        let at = *core;
+        if begin > now {
+            self.begins.push_back(begin);
+        }
+        self.ends.push_back(at);
+        Outcome { answer, at, cold }
+    }
+
+    /// Watches the push on a cold host: over a second with more than it bears, it falls.
+    fn pushed(&mut self, now: Us, cold: bool) {
+        if !cold {
+            self.recent.clear();
+            return;
+        }
+        self.recent.push_back(now);
+        while self.recent.front().is_some_and(|at| at + SECOND <= now) {
+            self.recent.pop_front();
+        }
+        let bears = self.capacity(now) * self.figures.fall_times;
+        let for_long = self.started.is_some_and(|started| started + SECOND <= now);
+        if for_long && self.recent.len() as f64 > bears {
+            self.fallen = true;
+        }
+    }
+
+    /// The origin's answer has come here: the key is kept from now on.
+    pub fn store(&mut self, key: u64) {
+        self.fetching.remove(&key);
+        if !self.closed {
+            self.kept.put(key, ());
+        }
+        if self.fetching.len() > 4 * self.kept.cap().get() {
+            self.fetching.clear();
+        }
+    }
+
+    /// A write has voided the copy.
+    pub fn void(&mut self, key: u64) {
+        self.kept.pop(&key);
+    }
+
+    /// The load report that an answer carries: late and noisy.
+    pub fn report(&mut self, now: Us, chance: &mut Chance) -> Report {
+        if now >= self.reported + us_of_ms(self.figures.report_ms) {
+            let mut noisy =
+                |value: f64| value * (1.0 + self.figures.report_noise * (2.0 * chance.random::<f64>() - 1.0));
+            let served = self.ends.iter().filter(|at| **at <= now + SECOND).count();
+            let waiting = self.begins.iter().filter(|at| **at > now).count();
+            self.report = Report { served_per_s: noisy(served as f64), waiting: noisy(waiting as f64) };
+            self.reported = now;
+        }
+        self.report
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::chance::{chance, Purpose};
+
+    fn host() -> (Host, Chance) {
+        (Host::new(Hosts::default(), 1.0, 3), chance(1, Purpose::Machines))
+    }
+
+    #[test]
+    fn keys_are_kept_to_a_size_voided_and_lost_with_a_restart() {
+        let (mut host, mut chance) = host();
+        let mut ask = |host: &mut Host, now, key| host.begin(now, key, &mut chance).answer;
+        assert_eq!(ask(&mut host, 0, 1), Answer::Miss { fetching: false });
+        assert_eq!(ask(&mut host, 1, 1), Answer::Miss { fetching: true });
+        host.store(1);
+        assert_eq!(ask(&mut host, 2, 1), Answer::Hit);
+        (2..5).for_each(|key| host.store(key));
+        assert_eq!(ask(&mut host, 3, 1), Answer::Miss { fetching: false }, "three are kept");
+        assert_eq!(ask(&mut host, 4, 4), Answer::Hit);
+        host.void(4);
+        assert_eq!(ask(&mut host, 5, 4), Answer::Miss { fetching: false });
+        host.restart(6);
+        assert_eq!((host.incarnation, ask(&mut host, 7, 3)), (1, Answer::Miss { fetching: false }));
+    }
+
+    #[test]
+    fn a_core_does_one_thing_at_a_time_and_the_room_is_bounded() {
+        let (mut host, mut chance) = host();
+        host.store(1);
+        let first = host.begin(0, 1, &mut chance).at;
+        let second = host.begin(0, 1, &mut chance).at;
+        assert!(first >= 10_000 && second >= first + 10_000);
+        let answers: Vec<Answer> = (0..300).map(|_| host.begin(0, 1, &mut chance).answer).collect();
+        assert_eq!(
+            answers.iter().filter(|a| **a == Answer::Hit).count(),
+            206,
+            "8 slots and 200 places, 2 taken"
+        );
+        assert!(host.report(SECOND, &mut chance).waiting > 100.0);
+        host.closed = true;
+        assert_eq!(host.begin(100 * SECOND, 1, &mut chance).answer, Answer::Busy);
+    }
+
+    /// 50 a second when warm, 17.5 at the start, four times which it bears.
+    #[test]
+    fn a_cold_host_falls_when_pushed_and_else_warms_up() {
+        for (rate, falls) in [(60, false), (120, true)] {
+            let (mut host, mut chance) = host();
+            host.restart(SECOND);
+            assert!((host.capacity(SECOND) - 17.5).abs() < 0.01 && host.warmth(4 * SECOND) < 1.0);
+            for n in 0..rate * 2 {
+                host.begin(SECOND + n * SECOND / rate, 1, &mut chance);
+            }
+            assert_eq!(host.fallen(), falls, "{rate} a second");
+            assert_eq!(host.warmth(7 * SECOND), 1.0);
+        }
+    }
+}
--- /dev/null
+++ b/world/src/judge.rs
@@ -0,0 +1,273 @@
+//! The judge: reads a run's ledger and counts every breach of the four rules, and the fleet's figures.
+//!
+//! Nothing here trusts what a balancer says of itself: what a limit used is counted at the origin and at the hosts,
+//! what was lost at the clients.
+
+pub mod limits;
+pub mod rules;
+pub mod series;
+pub mod spread;
+pub mod verdicts;
+
+#[cfg(test)]
+pub(crate) mod hand;
+
+use std::collections::HashMap;
+
+use crate::experiment::Experiment;
+use crate::ledger::{Command, Ended, Ledger};
+use crate::load::WARMING;
+use crate::summary::{Latency, Summary};
+use crate::{us, Us, SECOND};
+
+/// Whether a command may run again once it may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// As often as one likes.
+    Safe,
+    /// With its idempotency key, for so long after the first attempt that may have run.
+    Keyed(Us),
+    /// Never.
+    Unsafe,
+}
+
+/// A class of command.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Class {
+    /// Its name on the wire.
+    pub name: &'static str,
+    /// An answer within this time earns its worth.
+    pub aim: Us,
+    /// The longest that a client waits, over all its tries.
+    pub deadline: Us,
+    /// What one is worth.
+    pub worth: f64,
+    /// Whether it may run again.
+    pub effect: Effect,
+}
+
+/// What the judge goes by.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Terms {
+    /// The experiment's beginning: what comes before only fills the caches.
+    pub zero: Us,
+    /// The end of the load.
+    pub end: Us,
+    /// Reads and writes.
+    pub classes: [Class; 2],
+    /// The most attempts of a command.
+    pub attempts: usize,
+    /// Sends to a host end so soon after its drain was told.
+    pub drain_grace: Us,
+    /// By so much each time limit grows.
+    pub slack: Us,
+    /// The hosts' weights.
+    pub weights: Vec<f64>,
+    /// Fetches a second at the origin.
+    pub capacity: f64,
+    /// Processes of the program.
+    pub balancers: usize,
+    /// From it follow the fair draws.
+    pub seed: u64,
+}
+
+impl Terms {
+    /// The terms of an experiment.
+    pub fn of(e: &Experiment) -> Terms {
+        let zero = us(WARMING);
+        let class = |name, aim, deadline, worth, effect| Class { name, aim, deadline, worth, effect };
+        Terms {
+            zero,
+            end: zero + us(e.seconds),
+            classes: [
+                class("read", 750_000, 1_500_000, 1.0, Effect::Safe),
+                class("put", 1_200_000, 3_000_000, 10.0, Effect::Keyed(6 * SECOND)),
+            ],
+            attempts: 3,
+            drain_grace: SECOND / 2,
+            slack: 50_000,
+            weights: (0..e.fleet.hosts).map(|n| e.fleet.weights[n % e.fleet.weights.len()]).collect(),
+            capacity: e.origin.capacity,
+            balancers: e.fleet.balancers,
+            seed: e.seed,
+        }
+    }
+
+    /// The class of reads or of writes.
+    pub fn class(&self, write: bool) -> &Class {
+        &self.classes[usize::from(write)]
+    }
+
+    /// Whether this time counts.
+    pub fn counts(&self, at: Us) -> bool {
+        (self.zero..self.end).contains(&at)
+    }
+}
+
+/// What the judge finds.
+#[derive(Clone, Debug)]
+pub struct Verdict {
+    /// The figures.
+    pub summary: Summary,
+    /// Each breach of a rule, with its story.
+    pub breaches: Vec<rules::Breach>,
+    /// The figures over time.
+    pub series: series::Series,
+}
+
+/// Judges a run. What the processes and the machine cost is filled in by the caller.
+pub fn judge(ledger: &Ledger, terms: &Terms) -> Verdict {
+    let breaches = rules::breaches(ledger, terms);
+    let mut summary = Summary::default();
+    let count = |rule| breaches.iter().filter(|b| b.rule == rule).count() as u64;
+    summary.rules.answers = count(rules::Rule::Answers);
+    summary.rules.attempts = count(rules::Rule::Attempts);
+    summary.rules.drains = count(rules::Rule::Drains);
+    summary.rules.cold = count(rules::Rule::Cold);
+    let mut late: Vec<Us> = Vec::new();
+    let mut latencies: Vec<Us> = Vec::new();
+    for command in ledger.commands.iter().filter(|c| terms.counts(c.planned)) {
+        summary.commands += 1;
+        late.push(command.sent.saturating_sub(command.planned));
+        match fate(command, terms) {
+            Fate::Served => {
+                summary.served += 1;
+                latencies.extend(command.ended.map(|at| at - command.sent));
+            }
+            Fate::Refused => summary.refused += 1,
+            Fate::Failed => summary.failed += 1,
+            Fate::Lost => summary.lost += 1,
+        }
+    }
+    summary.lag_p99_ms = percentile(&mut late, 0.99) as f64 / 1e3;
+    summary.latency_ms = Latency {
+        p50: percentile(&mut latencies, 0.5) as f64 / 1e3,
+        p99: percentile(&mut latencies, 0.99) as f64 / 1e3,
+        p999: percentile(&mut latencies, 0.999) as f64 / 1e3,
+    };
+    summary.service = service(ledger, terms);
+    summary.attempts_per_command = ledger.attempts.iter().filter(|a| terms.counts(a.begun)).count() as f64
+        / (summary.commands.max(1)) as f64;
+    summary.spread = spread::spread(ledger, terms);
+    let origin = limits::origin(ledger, terms);
+    summary.origin = origin.figures;
+    summary.limits.insert("origin".into(), origin.limit);
+    summary.verdicts = verdicts::verdicts(ledger, terms);
+    Verdict { summary, breaches, series: series::series(ledger, terms) }
+}
+
+/// How a command counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// Served before its deadline.
+    Served,
+    /// Refused.
+    Refused,
+    /// Failed, never taken, or its client left.
+    Failed,
+    /// Taken and never finally answered, or after the deadline.
+    Lost,
+}
+
+/// How this command counts.
+pub fn fate(command: &Command, terms: &Terms) -> Fate {
+    let late = command.ended.is_some_and(|at| at > command.deadline + terms.slack);
+    match command.end {
+        Ended::Silent | Ended::Closed | Ended::Wrong => Fate::Lost,
+        Ended::Served | Ended::Refused | Ended::Failed if late => Fate::Lost,
+        Ended::Served => Fate::Served,
+        Ended::Refused => Fate::Refused,
+        Ended::Failed | Ended::Untaken | Ended::Left => Fate::Failed,
+    }
+}
+
+/// Worth that was served within its aim over worth that was asked for; a client's tries count as one.
+fn service(ledger: &Ledger, terms: &Terms) -> f64 {
+    let (mut asked, mut served) = (0.0, 0.0);
+    let firsts = first_tries(ledger);
+    for command in &ledger.commands {
+        let Some(first) = firsts.get(&command.first).filter(|first| terms.counts(first.planned)) else {
+            continue;
+        };
+        let class = terms.class(command.write);
+        if command.id == command.first {
+            asked += class.worth;
+        }
+        let in_time = command.ended.is_some_and(|at| at <= first.sent + class.aim + terms.slack);
+        if command.end == Ended::Served && in_time {
+            served += class.worth;
+        }
+    }
+    if asked > 0.0 {
+        served / asked
+    } else {
+        1.0
+    }
+}
+
+/// The first tries by their ids.
+fn first_tries(ledger: &Ledger) -> HashMap<u64, &Command> {
+    ledger.commands.iter().filter(|c| c.id == c.first).map(|c| (c.id, c)).collect()
+}
+
+/// The value at this part of the sorted whole; 0 where there is none.
+pub(crate) fn percentile(values: &mut [Us], part: f64) -> Us {
+    values.sort_unstable();
+    let place = ((values.len() as f64 * part).ceil() as usize).clamp(1, values.len().max(1)) - 1;
+    values.get(place).copied().unwrap_or(0)
+}
+
+/// The same for numbers with a fraction.
+pub(crate) fn quantile(values: &mut [f64], part: f64) -> f64 {
+    values.sort_unstable_by(f64::total_cmp);
+    let place = ((values.len() as f64 * part).ceil() as usize).clamp(1, values.len().max(1)) - 1;
+    values.get(place).copied().unwrap_or(0.0)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::hand::{served, terms, Hand};
+    use super::*;
+
+    #[test]
+    fn commands_count_by_how_their_clients_saw_them_end() {
+        let mut hand = Hand::default();
+        for end in
+            [Ended::Served, Ended::Refused, Ended::Failed, Ended::Untaken, Ended::Silent, Ended::Closed]
+        {
+            hand.command(Command { end, ..served(10.0) });
+        }
+        let deadline = served(10.0).deadline;
+        hand.command(Command { ended: Some(deadline + 50_000), ..served(10.0) });
+        hand.command(Command { ended: Some(deadline + 50_001), ..served(10.0) });
+        hand.command(Command { planned: 0, ..served(10.0) });
+        let summary = judge(&hand.ledger, &terms()).summary;
+        let counts = (summary.commands, summary.served, summary.refused, summary.failed, summary.lost);
+        assert_eq!(counts, (8, 2, 1, 2, 3), "one that came while the caches filled does not count");
+    }
+
+    #[test]
+    fn a_retry_serves_its_first_try_while_the_aim_lasts() {
+        let mut hand = Hand::default();
+        let first = hand.command(Command { end: Ended::Refused, ..served(10.0) });
+        let sent = served(10.0).sent;
+        let again = Command { first, sent: sent + 300_000, ended: Some(sent + 800_000), ..served(10.3) };
+        hand.retry(again.clone());
+        assert_eq!(judge(&hand.ledger, &terms()).summary.service, 1.0);
+        hand.ledger.commands[1].ended = Some(sent + 800_001);
+        assert_eq!(judge(&hand.ledger, &terms()).summary.service, 0.0);
+    }
+
+    #[test]
+    fn lag_is_that_of_the_sends_behind_their_plan() {
+        let mut hand = Hand::default();
+        for n in 0..100 {
+            let one = served(10.0);
+            let late = if n < 2 { 30_000 } else { 1_000 };
+            hand.command(Command { planned: one.sent - late, ..one });
+        }
+        assert_eq!(judge(&hand.ledger, &terms()).summary.lag_p99_ms, 30.0);
+        hand.ledger.commands[0].planned += 29_000;
+        assert_eq!(judge(&hand.ledger, &terms()).summary.lag_p99_ms, 1.0);
+    }
+}
--- /dev/null
+++ b/world/src/judge/hand.rs
@@ -0,0 +1,77 @@
+//! Ledgers made by hand for the judge's tests.
+
+use super::{Class, Effect, Terms};
+use crate::ledger::{At, Attempt, Became, Command, Ended, Ledger};
+use crate::{us, SECOND};
+
+/// Terms of a run with four hosts, the last of twice the weight, and an origin of ten a second.
+pub fn terms() -> Terms {
+    let class = |name, effect| Class { name, aim: 750_000, deadline: 1_500_000, worth: 1.0, effect };
+    Terms {
+        zero: 5 * SECOND,
+        end: 35 * SECOND,
+        classes: [class("read", Effect::Safe), class("put", Effect::Keyed(6 * SECOND))],
+        attempts: 3,
+        drain_grace: SECOND / 2,
+        slack: 50_000,
+        weights: vec![1.0, 1.0, 1.0, 2.0],
+        capacity: 10.0,
+        balancers: 4,
+        seed: 1,
+    }
+}
+
+/// A read sent at this second and served 100 ms later.
+pub fn served(at: f64) -> Command {
+    let sent = us(at);
+    Command {
+        id: 0,
+        first: 0,
+        balancer: 0,
+        key: 1,
+        write: false,
+        planned: sent,
+        sent,
+        deadline: sent + 1_000_000,
+        ended: Some(sent + 100_000),
+        end: Ended::Served,
+        more: 0,
+    }
+}
+
+/// An attempt at this second, answered 50 ms later.
+pub fn attempt(id: u64, at: At, second: f64) -> Attempt {
+    let begun = us(second);
+    Attempt {
+        id,
+        balancer: 0,
+        at,
+        first_byte: begun,
+        begun,
+        answered: Some(begun + 50_000),
+        became: Became::Served,
+        cold: false,
+    }
+}
+
+/// A ledger that is filled line by line.
+#[derive(Default)]
+pub struct Hand {
+    pub ledger: Ledger,
+}
+
+impl Hand {
+    /// Puts a first try in; gives its id.
+    pub fn command(&mut self, command: Command) -> u64 {
+        let id = self.ledger.commands.len() as u64 + 1;
+        self.ledger.commands.push(Command { id, first: id, ..command });
+        id
+    }
+
+    /// Puts a client's retry in.
+    pub fn retry(&mut self, command: Command) -> u64 {
+        let id = self.ledger.commands.len() as u64 + 1;
+        self.ledger.commands.push(Command { id, ..command });
+        id
+    }
+}
--- /dev/null
+++ b/world/src/judge/rules.rs
@@ -0,0 +1,314 @@
+//! The four rules: a final answer in time, attempts, drains, cold hosts. Each breach comes with its command's story.
+
+use std::collections::HashMap;
+
+use serde::Serialize;
+
+use super::{Effect, Terms};
+use crate::ledger::{Attempt, Command, Ended, Ill, Ledger, Told};
+use crate::{Us, SECOND};
+
+/// A rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rule {
+    /// Each command taken has one final answer before its deadline, made for it.
+    Answers,
+    /// At most three attempts, and again only as the class allows.
+    Attempts,
+    /// Nothing new to a host that was told to drain or to be gone.
+    Drains,
+    /// No cold host pushed over, no origin stopped by cold hosts' misses.
+    Cold,
+}
+
+/// One breach.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Breach {
+    /// The rule.
+    pub rule: Rule,
+    /// When, from the run's beginning.
+    pub at: Us,
+    /// What broke it.
+    pub what: String,
+    /// What happened to the command, line by line.
+    pub story: Vec<String>,
+}
+
+/// The part of cold hosts' misses in what stopped the origin from which on the stop breaks the rule.
+const MUCH: f64 = 0.5;
+
+/// All breaches, in the order of the ledger.
+pub fn breaches(ledger: &Ledger, terms: &Terms) -> Vec<Breach> {
+    let mut attempts: HashMap<u64, Vec<&Attempt>> = HashMap::new();
+    for attempt in &ledger.attempts {
+        attempts.entry(attempt.id).or_default().push(attempt);
+    }
+    let mut found = Vec::new();
+    for command in &ledger.commands {
+        let own = attempts.get(&command.id).map_or(&[][..], Vec::as_slice);
+        let wrongs = [answer(ledger, terms, command), tries(terms, command, own)];
+        for (rule, at, what) in wrongs.into_iter().flatten() {
+            found.push(Breach { rule, at, what, story: story(terms, command, own) });
+        }
+    }
+    drains(ledger, terms, &attempts, &mut found);
+    let plain = |at, what| Breach { rule: Rule::Cold, at, what, story: Vec::new() };
+    for (host, at) in &ledger.falls {
+        found.push(plain(*at, format!("host {host} was cold and was pushed over by all balancers together")));
+    }
+    for (at, cold) in ledger.stops.iter().filter(|(_, cold)| *cold >= MUCH) {
+        found.push(plain(
+            *at,
+            format!("the origin stopped, {:.0}% of what it was sent were cold hosts' misses", cold * 100.0),
+        ));
+    }
+    found
+}
+
+type Wrong = Option<(Rule, Us, String)>;
+
+/// One final answer, in time, made for the command.
+fn answer(ledger: &Ledger, terms: &Terms, command: &Command) -> Wrong {
+    let wrong = |at, what: String| Some((Rule::Answers, at, what));
+    if command.end == Ended::Wrong {
+        return wrong(command.ended?, "it was served with what nobody made for it".into());
+    }
+    if command.more > 0 {
+        return wrong(command.ended?, format!("{} more lines came behind its answer", command.more));
+    }
+    // A process that a fault killed or froze cannot answer: that is told as lost, and breaks no rule.
+    let excused = ledger
+        .processes
+        .iter()
+        .any(|s| s.who == command.balancer && s.meets(command.sent, command.deadline + terms.slack));
+    if excused {
+        return None;
+    }
+    // What the rig itself was late by, in the second before, it cannot hold against the program.
+    let due = command.deadline + terms.slack;
+    let near = |at: &&(Us, Us)| at.0 + SECOND >= command.sent && at.0 <= due + SECOND;
+    let stall = ledger.stalls.iter().filter(near).map(|(_, by)| *by).max().unwrap_or(0);
+    match command.end {
+        Ended::Silent => wrong(due, "it was taken and had no final answer".into()),
+        Ended::Closed => wrong(command.ended?, "its connection ended without a whole answer".into()),
+        Ended::Served | Ended::Refused | Ended::Failed => {
+            let late = command.ended?.checked_sub(due + stall).filter(|late| *late > 0)?;
+            wrong(
+                command.ended?,
+                format!("its answer came {:.0} ms after its deadline", (late + stall) as f64 / 1e3),
+            )
+        }
+        Ended::Wrong | Ended::Untaken | Ended::Left => None,
+    }
+}
+
+/// At most so many attempts, and again only as the class allows.
+fn tries(terms: &Terms, command: &Command, own: &[&Attempt]) -> Wrong {
+    let wrong = |at, what: String| Some((Rule::Attempts, at, what));
+    if let Some(last) = own.get(terms.attempts) {
+        return wrong(last.begun, format!("{} attempts", own.len()));
+    }
+    let ran = own.iter().position(|attempt| attempt.may_have_run())?;
+    let again = own.get(ran + 1)?;
+    match terms.class(command.write).effect {
+        Effect::Safe => None,
+        Effect::Keyed(window) => {
+            let last = own.last()?;
+            (last.begun > own[ran].begun + window + terms.slack)
+                .then(|| (Rule::Attempts, last.begun, "it was sent again after its key's window".into()))
+        }
+        Effect::Unsafe => wrong(again.begun, "it was sent again though it may have run".into()),
+    }
+}
+
+/// Nothing new to a host later than its grace after its drain or end was told.
+fn drains(ledger: &Ledger, terms: &Terms, attempts: &HashMap<u64, Vec<&Attempt>>, found: &mut Vec<Breach>) {
+    let mut told: HashMap<(u32, u32), Vec<&Told>> = HashMap::new();
+    for one in &ledger.told {
+        told.entry((one.balancer, one.host)).or_default().push(one);
+    }
+    let commands: HashMap<u64, &Command> = ledger.commands.iter().map(|c| (c.id, c)).collect();
+    for attempt in &ledger.attempts {
+        let crate::ledger::At::Host(host) = attempt.at else { continue };
+        let Some(told) = told.get(&(attempt.balancer, host)) else { continue };
+        // A process that has started anew knows what was told since its start alone.
+        let born = ledger
+            .processes
+            .iter()
+            .filter(|s| s.who == attempt.balancer && s.ill == Ill::Dead)
+            .filter_map(|s| s.to.filter(|to| *to <= attempt.first_byte))
+            .max()
+            .unwrap_or(0);
+        // The drain that held last: told, and no return told since, up to the send.
+        let mut since = None;
+        for one in told.iter().filter(|one| one.at >= born && one.at <= attempt.first_byte) {
+            since = if one.in_service { None } else { since.or(Some(one.at)) };
+        }
+        let Some(since) = since else { continue };
+        if attempt.first_byte > since + terms.drain_grace + terms.slack {
+            let late = (attempt.first_byte - since) as f64 / 1e3;
+            let what = format!(
+                "balancer {} sent to host {host} {late:.0} ms after its drain was told",
+                attempt.balancer
+            );
+            let own = attempts.get(&attempt.id).map_or(&[][..], Vec::as_slice);
+            let story =
+                commands.get(&attempt.id).map(|command| story(terms, command, own)).unwrap_or_default();
+            found.push(Breach { rule: Rule::Drains, at: attempt.first_byte, what, story });
+        }
+    }
+}
+
+/// What happened to a command, line by line.
+pub fn story(terms: &Terms, command: &Command, own: &[&Attempt]) -> Vec<String> {
+    let second = |at: Us| (at as f64 - terms.zero as f64) / 1e6;
+    let kind = terms.class(command.write).name;
+    let mut lines = vec![(
+        command.sent,
+        format!(
+            "{:016x}: {kind} of key {} sent to balancer {}, wanted within {:.0} ms{}",
+            command.id,
+            command.key,
+            command.balancer,
+            (command.deadline - command.sent) as f64 / 1e3,
+            if command.first == command.id { "" } else { ", a client's retry" }
+        ),
+    )];
+    for attempt in own {
+        lines.push((
+            attempt.begun,
+            format!("received by {:?}{}", attempt.at, if attempt.cold { ", cold" } else { "" }),
+        ));
+        lines.extend(
+            attempt.answered.map(|at| (at, format!("{:?} answers: {:?}", attempt.at, attempt.became))),
+        );
+    }
+    lines.extend(command.ended.map(|at| (at, format!("its client sees: {:?}", command.end))));
+    lines.push((command.deadline, "its deadline".into()));
+    lines.sort_by_key(|(at, _)| *at);
+    lines.into_iter().map(|(at, line)| format!("{:9.3} s  {line}", second(at))).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::hand::{attempt, served, terms, Hand};
+    use super::*;
+    use crate::ledger::{At, Became, Span};
+    use crate::us;
+
+    fn rules(hand: &Hand) -> Vec<Rule> {
+        breaches(&hand.ledger, &terms()).iter().map(|b| b.rule).collect()
+    }
+
+    #[test]
+    fn an_answer_has_to_come_in_time_once_and_be_made_for_its_command() {
+        let sound = served(10.0);
+        let due = sound.deadline + 50_000;
+        let cases = [
+            (Command { ended: Some(due), ..sound.clone() }, false),
+            (Command { ended: Some(due + 1), ..sound.clone() }, true),
+            (Command { ended: Some(due + 1), end: Ended::Refused, ..sound.clone() }, true),
+            (Command { end: Ended::Silent, ended: None, ..sound.clone() }, true),
+            (Command { end: Ended::Closed, ..sound.clone() }, true),
+            (Command { end: Ended::Wrong, ..sound.clone() }, true),
+            (Command { more: 1, ..sound.clone() }, true),
+            (Command { end: Ended::Untaken, ..sound.clone() }, false),
+            (Command { end: Ended::Left, ..sound.clone() }, false),
+        ];
+        for (command, breaks) in cases {
+            let mut hand = Hand::default();
+            hand.command(command.clone());
+            assert_eq!(rules(&hand), vec![Rule::Answers; usize::from(breaks)], "{command:?}");
+        }
+    }
+
+    #[test]
+    fn a_process_that_is_dead_or_frozen_and_a_rig_that_is_late_excuse_an_answer() {
+        let mut hand = Hand::default();
+        hand.command(Command { end: Ended::Silent, ended: None, ..served(10.0) });
+        let dead = |who, from, to| Span { who, ill: Ill::Dead, from: us(from), to: Some(us(to)) };
+        for (span, breaks) in [
+            (dead(0, 10.9, 12.0), 0),
+            (dead(0, 11.1, 12.0), 1),
+            (dead(1, 10.0, 12.0), 1),
+            (dead(0, 5.0, 9.9), 1),
+        ] {
+            hand.ledger.processes = vec![span];
+            assert_eq!(rules(&hand).len(), breaks, "{:?}", hand.ledger.processes);
+        }
+        let mut hand = Hand::default();
+        hand.command(Command { ended: Some(us(11.1)), ..served(10.0) });
+        assert_eq!(rules(&hand), [Rule::Answers]);
+        hand.ledger.stalls = vec![(us(11.0), 49_000)];
+        assert_eq!(rules(&hand), [Rule::Answers]);
+        hand.ledger.stalls = vec![(us(11.0), 50_000)];
+        assert_eq!(rules(&hand), []);
+    }
+
+    #[test]
+    fn three_attempts_are_allowed_and_repeats_as_the_class_has_it() {
+        let played = |effect, write, attempts: &[(f64, Became)]| {
+            let mut hand = Hand::default();
+            let id = hand.command(Command { write, ..served(10.0) });
+            for (at, became) in attempts {
+                hand.ledger.attempts.push(Attempt { became: *became, ..attempt(id, At::Host(0), *at) });
+            }
+            let mut terms = terms();
+            terms.classes[1].effect = effect;
+            breaches(&hand.ledger, &terms).len()
+        };
+        use Became::{Busy, Failed, Miss, Served};
+        let (safe, keyed) = (Effect::Safe, Effect::Keyed(6 * SECOND));
+        assert_eq!(played(safe, false, &[(10.0, Failed), (10.1, Miss), (10.2, Served)]), 0);
+        assert_eq!(played(safe, false, &[(10.0, Busy), (10.1, Miss), (10.2, Busy), (10.3, Served)]), 1);
+        assert_eq!(played(keyed, true, &[(10.0, Failed), (16.05, Served)]), 0);
+        assert_eq!(played(keyed, true, &[(10.0, Failed), (16.06, Served)]), 1);
+        assert_eq!(played(keyed, true, &[(10.0, Busy), (16.06, Served)]), 0, "it never ran");
+        assert_eq!(played(Effect::Unsafe, true, &[(10.0, Busy), (10.1, Served)]), 0);
+        assert_eq!(played(Effect::Unsafe, true, &[(10.0, Became::Nothing), (10.1, Served)]), 1);
+    }
+
+    #[test]
+    fn a_drain_holds_from_its_grace_until_the_return_is_told() {
+        let mut hand = Hand::default();
+        let told = |at, in_service| Told { balancer: 0, host: 2, in_service, at: us(at) };
+        hand.ledger.told = vec![told(10.0, false), told(10.4, false), told(20.0, true)];
+        for (at, host, breaks) in
+            [(10.55, 2, 0), (10.56, 2, 1), (10.56, 1, 0), (19.99, 2, 1), (20.0, 2, 0), (9.0, 2, 0)]
+        {
+            hand.ledger.attempts = vec![attempt(1, At::Host(host), at)];
+            assert_eq!(rules(&hand), vec![Rule::Drains; breaks], "{at} {host}");
+        }
+        // Started anew at 12 s, the process was told nothing.
+        hand.ledger.attempts = vec![attempt(1, At::Host(2), 13.0)];
+        hand.ledger.processes = vec![Span { who: 0, ill: Ill::Dead, from: us(11.0), to: Some(us(12.0)) }];
+        assert_eq!(rules(&hand), []);
+    }
+
+    #[test]
+    fn cold_hosts_that_fall_and_their_misses_at_a_stopped_origin_break_the_rule() {
+        let mut hand = Hand::default();
+        hand.ledger.stops = vec![(us(9.0), 0.49)];
+        assert_eq!(rules(&hand), []);
+        hand.ledger.stops = vec![(us(9.0), 0.5)];
+        hand.ledger.falls = vec![(3, us(9.0))];
+        assert_eq!(rules(&hand), [Rule::Cold, Rule::Cold]);
+    }
+
+    #[test]
+    fn a_breach_tells_the_whole_story_in_order() {
+        let mut hand = Hand::default();
+        let id = hand.command(Command { end: Ended::Silent, ended: None, ..served(10.0) });
+        hand.ledger.attempts.push(Attempt { became: Became::Miss, ..attempt(id, At::Host(3), 10.1) });
+        let story = &breaches(&hand.ledger, &terms())[0].story;
+        let parts = [
+            "5.000 s  0000000000000001: read",
+            "5.100 s  received by Host(3)",
+            "answers: Miss",
+            "6.000 s  its deadline",
+        ];
+        assert_eq!(story.len(), 4, "{story:?}");
+        assert!(story.iter().zip(parts).all(|(line, part)| line.contains(part)), "{story:?}");
+    }
+}
--- /dev/null
+++ b/world/src/judge/series.rs
@@ -0,0 +1,91 @@
+//! The figures second by second, for tables and charts.
+
+use serde::Serialize;
+
+use super::{fate, limits, percentile, Fate, Terms};
+use crate::ledger::{At, Ledger};
+use crate::{Us, SECOND};
+
+/// One second of a run.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Second {
+    /// Its number, from the experiment's beginning.
+    pub second: u64,
+    /// Commands planned in it.
+    pub commands: u64,
+    /// Of those, served.
+    pub served: u64,
+    /// Of those, refused.
+    pub refused: u64,
+    /// Of those, failed.
+    pub failed: u64,
+    /// Of those, lost.
+    pub lost: u64,
+    /// The median of the times of those served.
+    pub p50_ms: f64,
+    /// The 99th percentile of them.
+    pub p99_ms: f64,
+    /// Attempts that hosts received.
+    pub attempts: u64,
+    /// Fetches that the origin received.
+    pub fetches: u64,
+    /// Fetches that were wanted.
+    pub demand: f64,
+}
+
+/// A run over time.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Series {
+    /// By second.
+    pub seconds: Vec<Second>,
+    /// For each host, what it began in each second over its fair part by weight.
+    pub hosts: Vec<Vec<f64>>,
+}
+
+/// The series of a run.
+pub fn series(ledger: &Ledger, terms: &Terms) -> Series {
+    let demand = limits::demand(ledger, terms);
+    let mut seconds: Vec<Second> = demand
+        .iter()
+        .enumerate()
+        .map(|(second, demand)| Second { second: second as u64, demand: *demand, ..Second::default() })
+        .collect();
+    let of = |at: Us| ((at - terms.zero) / SECOND) as usize;
+    let mut times: Vec<Vec<Us>> = vec![Vec::new(); seconds.len()];
+    for command in ledger.commands.iter().filter(|c| terms.counts(c.planned)) {
+        let second = of(command.planned);
+        let one = &mut seconds[second];
+        one.commands += 1;
+        match fate(command, terms) {
+            Fate::Served => {
+                one.served += 1;
+                times[second].extend(command.ended.map(|at| at - command.sent));
+            }
+            Fate::Refused => one.refused += 1,
+            Fate::Failed => one.failed += 1,
+            Fate::Lost => one.lost += 1,
+        }
+    }
+    for (second, times) in seconds.iter_mut().zip(&mut times) {
+        second.p50_ms = percentile(times, 0.5) as f64 / 1e3;
+        second.p99_ms = percentile(times, 0.99) as f64 / 1e3;
+    }
+    let mut hosts = vec![vec![0.0; seconds.len()]; terms.weights.len()];
+    for attempt in ledger.attempts.iter().filter(|a| terms.counts(a.begun)) {
+        let second = of(attempt.begun);
+        match attempt.at {
+            At::Host(host) => {
+                seconds[second].attempts += 1;
+                hosts[host as usize][second] += 1.0;
+            }
+            At::Origin => seconds[second].fetches += 1,
+        }
+    }
+    let sum: f64 = terms.weights.iter().sum();
+    for (host, counts) in hosts.iter_mut().enumerate() {
+        for (count, second) in counts.iter_mut().zip(&seconds) {
+            *count /= (second.attempts as f64 * terms.weights[host] / sum).max(1e-9);
+        }
+    }
+    Series { seconds, hosts }
+}
--- /dev/null
+++ b/world/src/judge/verdicts.rs
@@ -0,0 +1,147 @@
+//! How soon the whole fleet acts on a change at a host: from the change to the last send of each balancer that the
+//! change should have stopped, what was lost meanwhile, and when the host is used again.
+
+use std::collections::HashMap;
+
+use super::{percentile, Terms};
+use crate::ledger::{At, Became, Ill, Ledger, Span};
+use crate::summary::Verdicts;
+use crate::{Us, SECOND};
+
+/// A host is avoided once it gets less than this part of its fair part, second for second until it is back.
+const AVOIDED: f64 = 0.1;
+/// A host that is back is used again once it gets this part of its fair part in a second.
+const USED: f64 = 0.5;
+
+/// The figures of all changes that should have stopped sends: hosts that fell silent.
+pub fn verdicts(ledger: &Ledger, terms: &Terms) -> Verdicts {
+    let changes: Vec<&Span> = ledger
+        .hosts
+        .iter()
+        .filter(|s| {
+            s.ill == Ill::Silent && terms.counts(s.from) && s.to.is_none_or(|to| to > s.from + SECOND)
+        })
+        .collect();
+    let mut last: HashMap<(usize, u32), Us> = HashMap::new();
+    let mut lost = 0;
+    for attempt in &ledger.attempts {
+        let At::Host(host) = attempt.at else { continue };
+        lost += u64::from(attempt.became == Became::Nothing && terms.counts(attempt.begun));
+        for (number, change) in changes.iter().enumerate() {
+            if change.who == host
+                && attempt.begun > change.from
+                && change.to.is_none_or(|to| attempt.begun < to)
+            {
+                last.insert((number, attempt.balancer), attempt.begun - change.from);
+            }
+        }
+    }
+    let mut spread: Vec<Us> = last.into_values().collect();
+    let (mut avoided, mut again): (Vec<Us>, Vec<Us>) = (Vec::new(), Vec::new());
+    let rates = Rates::of(ledger, terms);
+    for change in &changes {
+        let end = change.to.unwrap_or(terms.end).min(terms.end);
+        avoided.extend(rates.avoided(change, end));
+        again.extend(change.to.and_then(|to| rates.used_again(change.who, to, terms)));
+    }
+    let ms = |us: Us| us as f64 / 1e3;
+    let some = |values: &mut Vec<Us>, part: f64| (!values.is_empty()).then(|| ms(percentile(values, part)));
+    Verdicts {
+        bound_ms: None,
+        spread_p50_ms: some(&mut spread, 0.5),
+        spread_p99_ms: some(&mut spread, 0.99),
+        stale_bound_ms: None,
+        stale_max_ms: None,
+        wrong: 0,
+        lost_sends: lost,
+        avoided_ms: some(&mut avoided, 1.0),
+        used_again_ms: some(&mut again, 1.0),
+    }
+}
+
+/// What each host began in each second, over its fair part.
+struct Rates {
+    zero: Us,
+    of: Vec<Vec<f64>>,
+}
+
+impl Rates {
+    fn of(ledger: &Ledger, terms: &Terms) -> Rates {
+        let seconds = (terms.end - terms.zero).div_ceil(SECOND) as usize;
+        let mut of = vec![vec![0.0; seconds]; terms.weights.len()];
+        let mut all = vec![0.0; seconds];
+        for attempt in ledger.attempts.iter().filter(|a| terms.counts(a.begun)) {
+            let At::Host(host) = attempt.at else { continue };
+            let second = ((attempt.begun - terms.zero) / SECOND) as usize;
+            of[host as usize][second] += 1.0;
+            all[second] += 1.0;
+        }
+        let sum: f64 = terms.weights.iter().sum();
+        for (host, counts) in of.iter_mut().enumerate() {
+            for (count, all) in counts.iter_mut().zip(&all) {
+                *count /= (all * terms.weights[host] / sum).max(1e-9);
+            }
+        }
+        Rates { zero: terms.zero, of }
+    }
+
+    /// How long after the change the host is avoided for good, to a second; never counts as its whole length.
+    fn avoided(&self, change: &Span, end: Us) -> Option<Us> {
+        let (from, to) = ((change.from - self.zero).div_ceil(SECOND), (end - self.zero) / SECOND);
+        let seconds = self.of.get(change.who as usize)?.get(from as usize..to as usize)?;
+        let used = seconds.iter().rposition(|rate| *rate >= AVOIDED).map_or(0, |place| place + 1);
+        Some(used as Us * SECOND)
+    }
+
+    /// How long after its return the host is used again; never counts as until the end.
+    fn used_again(&self, host: u32, to: Us, terms: &Terms) -> Option<Us> {
+        let from = to.checked_sub(self.zero)?.div_ceil(SECOND) as usize;
+        let seconds = self.of.get(host as usize)?.get(from..)?;
+        let used = seconds.iter().position(|rate| *rate >= USED);
+        Some(used.map_or(terms.end.saturating_sub(to), |place| (place as Us + 1) * SECOND))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::hand::{attempt, terms, Hand};
+    use super::*;
+    use crate::ledger::Attempt;
+    use crate::us;
+
+    /// Host 0 is silent from 10 to 20 s; the others get ten a second each.
+    fn hand(at_silent: &[(u32, f64)]) -> Hand {
+        let mut hand = Hand::default();
+        hand.ledger.hosts.push(Span { who: 0, ill: Ill::Silent, from: us(10.0), to: Some(us(20.0)) });
+        for n in 0..1200 {
+            hand.ledger.attempts.push(attempt(n, At::Host(n as u32 % 4), 5.0 + n as f64 / 40.0));
+        }
+        hand.ledger.attempts.retain(|a| a.at != At::Host(0) || !(us(10.0)..us(23.0)).contains(&a.begun));
+        for (balancer, at) in at_silent {
+            let became = Became::Nothing;
+            hand.ledger.attempts.push(Attempt {
+                balancer: *balancer,
+                became,
+                ..attempt(0, At::Host(0), *at)
+            });
+        }
+        hand
+    }
+
+    #[test]
+    fn the_last_send_of_each_balancer_counts_from_the_change() {
+        let seen = verdicts(&hand(&[(1, 10.2), (1, 10.5), (2, 12.0)]).ledger, &terms());
+        assert_eq!((seen.spread_p50_ms, seen.spread_p99_ms, seen.lost_sends), (Some(500.0), Some(2000.0), 3));
+        let none = verdicts(&hand(&[]).ledger, &terms());
+        assert_eq!((none.spread_p50_ms, none.lost_sends), (None, 0));
+    }
+
+    #[test]
+    fn a_host_is_avoided_and_used_again_by_its_part() {
+        let seen = verdicts(&hand(&[]).ledger, &terms());
+        assert_eq!((seen.avoided_ms, seen.used_again_ms), (Some(0.0), Some(4000.0)));
+        let sent: Vec<(u32, f64)> = (0..3).map(|n| (1, 12.3 + f64::from(n) / 10.0)).collect();
+        assert_eq!(verdicts(&hand(&sent).ledger, &terms()).avoided_ms, Some(3000.0));
+        assert_eq!(verdicts(&hand(&sent[..0]).ledger, &terms()).avoided_ms, Some(0.0));
+    }
+}
--- /dev/null
+++ b/world/src/ledger.rs
@@ -0,0 +1,201 @@
+//! What a run leaves: what clients sent and got, what hosts and the origin received and ran, what discovery told, and
+//! who was unwell when. The judge reads nothing else.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Us;
+
+/// How a try ended, as its client saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ended {
+    /// Served, with a value or a receipt that a host or the origin made for it.
+    Served,
+    /// Served with what nobody made for it.
+    Wrong,
+    /// Refused.
+    Refused,
+    /// Failed.
+    Failed,
+    /// Never taken: no balancer accepted it whole.
+    Untaken,
+    /// The client left before its time, and before an answer.
+    Left,
+    /// Taken, and no final answer.
+    Silent,
+    /// Taken, and the connection ended without a whole answer.
+    Closed,
+}
+
+/// One try of a client: a command, with an id of its own.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Command {
+    /// Its id.
+    pub id: u64,
+    /// The id of the client's first try; its own where it is that.
+    pub first: u64,
+    /// The balancer.
+    pub balancer: u32,
+    /// The key's number.
+    pub key: u64,
+    /// Whether it writes.
+    pub write: bool,
+    /// When it was planned to be sent.
+    pub planned: Us,
+    /// When its last byte was sent.
+    pub sent: Us,
+    /// When its client's time is over.
+    pub deadline: Us,
+    /// When its answer's last byte came, or its connection ended.
+    pub ended: Option<Us>,
+    /// How.
+    pub end: Ended,
+    /// Lines that came behind its answer and are nobody's.
+    pub more: u32,
+}
+
+/// Who received an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum At {
+    /// The cache host with this number.
+    Host(u32),
+    /// The origin.
+    Origin,
+}
+
+/// What became of an attempt at its host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Became {
+    /// A value or a receipt.
+    Served,
+    /// A miss.
+    Miss,
+    /// Turned away; it never ran.
+    Busy,
+    /// It failed; it may have run.
+    Failed,
+    /// Nothing was said; it may have run.
+    Nothing,
+}
+
+/// One attempt that a host or the origin received whole.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Attempt {
+    /// The command's id.
+    pub id: u64,
+    /// The balancer that sent it.
+    pub balancer: u32,
+    /// Who received it.
+    pub at: At,
+    /// Its first byte.
+    pub first_byte: Us,
+    /// Its last byte.
+    pub begun: Us,
+    /// When the answer went out.
+    pub answered: Option<Us>,
+    /// What became of it.
+    pub became: Became,
+    /// Whether its host was cold; at the origin, whether a cold host missed for it.
+    pub cold: bool,
+}
+
+impl Attempt {
+    /// Whether it may have run.
+    pub fn may_have_run(&self) -> bool {
+        !matches!(self.became, Became::Busy | Became::Miss)
+    }
+}
+
+/// Discovery has told a balancer of a host.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Told {
+    /// The balancer.
+    pub balancer: u32,
+    /// The host's number.
+    pub host: u32,
+    /// Whether the host is in service.
+    pub in_service: bool,
+    /// When.
+    pub at: Us,
+}
+
+/// Why somebody was not well for a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ill {
+    /// A host says nothing.
+    Silent,
+    /// A host is slow.
+    Slow,
+    /// A host fails some of its commands.
+    Failing,
+    /// A host drains or is gone.
+    Closed,
+    /// A host warms up.
+    Cold,
+    /// A host's links have a fault.
+    Links,
+    /// A process is dead.
+    Dead,
+    /// A process is frozen.
+    Frozen,
+}
+
+/// A time in which a host or a process was not well.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Span {
+    /// The host's or the process's number.
+    pub who: u32,
+    /// Why.
+    pub ill: Ill,
+    /// From when.
+    pub from: Us,
+    /// Until when; none, to the end of the run.
+    pub to: Option<Us>,
+}
+
+impl Span {
+    /// Whether it holds at any time from `from` to `to`.
+    pub fn meets(&self, from: Us, to: Us) -> bool {
+        self.from <= to && self.to.is_none_or(|end| end >= from)
+    }
+}
+
+/// All of it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ledger {
+    /// Tries, in the order in which they were sent.
+    pub commands: Vec<Command>,
+    /// Attempts, in the order in which they were received.
+    pub attempts: Vec<Attempt>,
+    /// What discovery told whom.
+    pub told: Vec<Told>,
+    /// When hosts were not well.
+    pub hosts: Vec<Span>,
+    /// When processes were not well.
+    pub processes: Vec<Span>,
+    /// Cold hosts that fell over: who and when.
+    pub falls: Vec<(u32, Us)>,
+    /// Times at which the origin stopped, and the share of cold hosts' misses in what it had been sent.
+    pub stops: Vec<(Us, f64)>,
+    /// How late the rig itself was: when, and by how much, where that was over a few milliseconds.
+    pub stalls: Vec<(Us, Us)>,
+}
+
+impl Ledger {
+    /// Somebody is not well from now on, until [`Ledger::well`] says so.
+    pub fn ill(spans: &mut Vec<Span>, who: usize, ill: Ill, from: Us) {
+        let open = |span: &&Span| span.who == who as u32 && span.ill == ill && span.to.is_none();
+        if spans.iter().find(open).is_none() {
+            spans.push(Span { who: who as u32, ill, from, to: None });
+        }
+    }
+
+    /// Somebody is well again.
+    pub fn well(spans: &mut [Span], who: usize, ill: Ill, to: Us) {
+        let open = |span: &&mut Span| span.who == who as u32 && span.ill == ill && span.to.is_none();
+        spans.iter_mut().filter(open).for_each(|span| span.to = Some(to));
+    }
+}
--- /dev/null
+++ b/world/src/links.rs
@@ -0,0 +1,169 @@
+//! Links between a balancer and whoever it talks with, and what is wrong with them at a moment.
+
+use crate::experiment::{Direction, Experiment, Fault, What};
+use crate::group::{zone_of, Members};
+use crate::{us_of_ms, Us};
+
+/// One end of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum End {
+    /// A process of the program.
+    Balancer(usize),
+    /// A cache host.
+    Host(usize),
+    /// The origin.
+    Origin,
+    /// Discovery.
+    Discovery,
+}
+
+/// What is wrong with one direction of a link; the default is a sound one.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LinkState {
+    /// It says nothing.
+    pub cut: bool,
+    /// Its connections are reset.
+    pub reset: bool,
+    /// The share lost.
+    pub lose: f64,
+    /// What it carries comes so much later.
+    pub delay: Us,
+    /// And up to so much more or less.
+    pub jitter: Us,
+    /// The share that comes twice.
+    pub repeat: f64,
+    /// The share that comes after later ones.
+    pub reorder: f64,
+    /// The share with wrong bytes.
+    pub spoil: f64,
+}
+
+#[derive(Clone, Debug)]
+struct LinkFault {
+    fault: usize,
+    from: Members,
+    to: Members,
+    both: bool,
+    what: What,
+    share: f64,
+    delay: Us,
+    jitter: Us,
+    on: bool,
+}
+
+/// All links of a run, with the faults that are on.
+#[derive(Clone, Debug, Default)]
+pub struct Links {
+    faults: Vec<LinkFault>,
+}
+
+impl Links {
+    /// Takes a link's fault in; it is off.
+    pub fn add(&mut self, number: usize, fault: &Fault, from: Members, to: Members) {
+        self.faults.push(LinkFault {
+            fault: number,
+            from,
+            to,
+            both: fault.direction.unwrap_or_default() == Direction::Both,
+            what: fault.what,
+            share: fault.share.unwrap_or(1.0),
+            delay: us_of_ms(fault.ms.unwrap_or(0.0)),
+            jitter: us_of_ms(fault.jitter.unwrap_or(0.0)),
+            on: false,
+        });
+    }
+
+    /// Turns the fault with this number on or off.
+    pub fn turn(&mut self, number: usize, on: bool) {
+        self.faults.iter_mut().filter(|f| f.fault == number).for_each(|f| f.on = on);
+    }
+
+    /// What is wrong with the way from one end to the other now.
+    pub fn state(&self, from: End, to: End) -> LinkState {
+        let mut state = LinkState::default();
+        for fault in self.faults.iter().filter(|f| f.on) {
+            let there = holds(&fault.from, from) && holds(&fault.to, to);
+            let back = fault.both && holds(&fault.from, to) && holds(&fault.to, from);
+            if !there && !back {
+                continue;
+            }
+            // Two losses on one link are independent of each other.
+            let and = |old: f64| 1.0 - (1.0 - old) * (1.0 - fault.share);
+            match fault.what {
+                What::Cut => state.cut = true,
+                What::Reset => state.reset = true,
+                What::Lose => state.lose = and(state.lose),
+                What::Delay => {
+                    state.delay += fault.delay;
+                    state.jitter += fault.jitter;
+                }
+                What::Repeat => state.repeat = and(state.repeat),
+                What::Reorder => state.reorder = and(state.reorder),
+                What::Spoil => state.spoil = and(state.spoil),
+                _ => {}
+            }
+        }
+        state
+    }
+
+    /// The side of each balancer: balancers of one side are told apart by no link's fault and by no zone, so that they
+    /// may share the doors through which they reach the hosts. Sides are numbered from 0.
+    pub fn sides(&self, e: &Experiment) -> Vec<usize> {
+        let mut seen: Vec<(usize, Vec<bool>)> = Vec::new();
+        (0..e.fleet.balancers)
+            .map(|n| {
+                let groups = self.faults.iter().flat_map(|f| [&f.from, &f.to]);
+                let mark = (zone_of(n, &e.fleet), groups.map(|g| holds(g, End::Balancer(n))).collect());
+                seen.iter().position(|other| *other == mark).unwrap_or_else(|| {
+                    seen.push(mark);
+                    seen.len() - 1
+                })
+            })
+            .collect()
+    }
+}
+
+fn holds(group: &Members, end: End) -> bool {
+    match end {
+        End::Balancer(n) => group.balancers.binary_search(&n).is_ok(),
+        End::Host(n) => group.hosts.binary_search(&n).is_ok(),
+        End::Origin => group.origin,
+        End::Discovery => group.discovery,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::experiment::{read, tests::SOUND};
+    use crate::schedule::schedule;
+
+    #[test]
+    fn faults_hold_on_their_links_and_in_their_direction_alone() {
+        let text = "[[fault]]\nat = 1\nfor = 2\nwhat = \"cut\"\nbetween = [\"balancers:0-4\", \"hosts:1\"]\n\
+            direction = \"one-way\"\n[[fault]]\nat = 1\nwhat = \"lose\"\nbetween = [\"zone:0\", \"zone:1\"]\nshare = 0.5\n";
+        let e = read(&format!("{SOUND}{text}"), &[]).unwrap();
+        let mut links = schedule(&e).links;
+        assert_eq!(
+            links.state(End::Balancer(0), End::Host(1)),
+            LinkState::default(),
+            "off until it is turned on"
+        );
+        links.turn(0, true);
+        assert!(links.state(End::Balancer(4), End::Host(1)).cut);
+        assert!(!links.state(End::Host(1), End::Balancer(4)).cut, "one way");
+        assert!(
+            !links.state(End::Balancer(5), End::Host(1)).cut
+                && !links.state(End::Balancer(4), End::Host(2)).cut
+        );
+        links.turn(1, true);
+        assert_eq!(links.state(End::Host(1), End::Balancer(3)).lose, 0.5, "both ways, zone 1 to zone 0");
+        assert_eq!(links.state(End::Host(0), End::Balancer(3)).lose, 0.0);
+        links.turn(0, false);
+        assert!(!links.state(End::Balancer(4), End::Host(1)).cut);
+        // Zones 0, 1 and 2, each on both sides of the cut; the second fault tells nobody apart that the zones do not.
+        let sides = links.sides(&e);
+        assert_eq!(sides.iter().max(), Some(&5));
+        assert!(sides[0] == sides[3] && sides[0] != sides[6] && sides[0] != sides[1]);
+    }
+}
--- /dev/null
+++ b/world/src/load.rs
@@ -0,0 +1,148 @@
+//! The load, drawn ahead: when each command comes, at which balancer, for which key. It does not wait for answers.
+
+use rand::Rng;
+use rand_distr::{Distribution, Zipf};
+
+use crate::chance::{chance, spread, Chance, Purpose};
+use crate::experiment::{Experiment, Load};
+use crate::{us, Us, SECOND};
+
+/// A client's first try.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Arrival {
+    /// When, from the beginning of the warming up.
+    pub at: Us,
+    /// The balancer that it comes to.
+    pub balancer: u32,
+    /// The key's number.
+    pub key: u64,
+    /// Whether it writes.
+    pub write: bool,
+    /// The share of the time that a try may take which its client waits.
+    pub patience: f64,
+}
+
+/// The seconds of load before the experiment's beginning in which the caches fill. The origin bears all of it then, so
+/// that what hosts keep is what the program's own placement made of the load.
+pub const WARMING: f64 = 6.0;
+
+/// The name of a key on the wire.
+pub fn key_name(key: u64) -> String {
+    format!("{:016x}", spread(key))
+}
+
+/// Draws all first tries of a run, in order.
+pub fn draw(e: &Experiment) -> Vec<Arrival> {
+    let load = &e.load;
+    let mut chance = chance(e.seed, Purpose::Load);
+    let warming = us(WARMING);
+    let end = warming + us(e.seconds);
+    let most = load.rate * load.ramp.max(1.0) * load.burst.iter().map(|b| b.times).fold(1.0, f64::max);
+    let zipf = Zipf::new(load.keys as f64, load.zipf).ok();
+    let mut keys: Vec<u64> = (0..load.keys).collect();
+    let (mut drifted, mut at, mut all) = (0, 0.0, Vec::new());
+    loop {
+        at += -(1.0 - chance.random::<f64>()).ln() / most;
+        let now = us(at);
+        if now >= end {
+            return all;
+        }
+        while drifted < now / SECOND {
+            drift(&mut keys, load.drift, &mut chance);
+            drifted += 1;
+        }
+        let since = at - WARMING;
+        if chance.random::<f64>() * most >= rate(load, since, e.seconds) {
+            continue;
+        }
+        let rank = zipf.as_ref().map_or(1.0, |zipf| zipf.sample(&mut chance));
+        let mut key = keys[(rank as usize).clamp(1, keys.len()) - 1];
+        let mut left: f64 = chance.random();
+        for (place, _) in load.hot.iter().enumerate().filter(|(_, hot)| since >= hot.at) {
+            left -= load.hot[place].share;
+            if left < 0.0 {
+                // Keys beyond the common ones: nobody asked for them before.
+                key = load.keys + place as u64;
+                break;
+            }
+        }
+        let write = chance.random::<f64>() < load.writes;
+        let patience = 0.5 + 0.3 * chance.random::<f64>();
+        let impatient = chance.random::<f64>() < e.clients.impatient;
+        all.push(Arrival {
+            at: now,
+            balancer: balancer(e, &mut chance),
+            key,
+            write,
+            patience: if impatient { 0.1 } else { patience },
+        });
+    }
+}
+
+/// Commands a second at this time of the experiment.
+fn rate(load: &Load, since: f64, seconds: f64) -> f64 {
+    let ramp = 1.0 + (load.ramp - 1.0) * (since / seconds).clamp(0.0, 1.0);
+    let within = load.burst.iter().filter(|b| (b.at..b.at + b.lasts).contains(&since));
+    load.rate * ramp * within.map(|b| b.times).product::<f64>()
+}
+
+/// The balancer of a first try; the first ones are those with most of an uneven load.
+fn balancer(e: &Experiment, chance: &mut Chance) -> u32 {
+    let count = e.fleet.balancers;
+    let Some(uneven) = e.load.uneven else { return chance.random_range(0..count) as u32 };
+    let many = ((count as f64 * uneven.at).round() as usize).clamp(1, count);
+    if chance.random::<f64>() < uneven.share || many == count {
+        chance.random_range(0..many) as u32
+    } else {
+        chance.random_range(many..count) as u32
+    }
+}
+
+/// So many keys change places with others.
+fn drift(keys: &mut [u64], share: f64, chance: &mut Chance) {
+    for _ in 0..(keys.len() as f64 * share) as usize {
+        let (a, b) = (chance.random_range(0..keys.len()), chance.random_range(0..keys.len()));
+        keys.swap(a, b);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::experiment::{read, tests::SOUND};
+
+    fn drawn(more: &str) -> Vec<Arrival> {
+        draw(&read(&format!("{SOUND}{more}"), &[]).unwrap())
+    }
+
+    #[test]
+    fn the_load_is_as_asked_and_the_same_for_a_seed() {
+        let all =
+            drawn("writes = 0.1\nuneven = { share = 0.8, at = 0.2 }\nhot = [{ at = 20.0, share = 0.5 }]\n");
+        let again =
+            drawn("writes = 0.1\nuneven = { share = 0.8, at = 0.2 }\nhot = [{ at = 20.0, share = 0.5 }]\n");
+        assert_eq!(all, again);
+        let part = |of: &dyn Fn(&&Arrival) -> bool| all.iter().filter(of).count() as f64 / all.len() as f64;
+        assert!((all.len() as f64 / 4600.0 - 1.0).abs() < 0.1, "{}", all.len());
+        assert!((part(&|a| a.write) - 0.1).abs() < 0.03);
+        assert!((part(&|a| a.balancer < 2) - 0.8).abs() < 0.03);
+        let hot = all.iter().filter(|a| a.key == 200).count() as f64;
+        let late = all.iter().filter(|a| a.at >= 26 * SECOND).count() as f64;
+        assert!((hot / late - 0.5).abs() < 0.05 && all.iter().all(|a| a.key != 200 || a.at >= 26 * SECOND));
+        let first = all.iter().filter(|a| a.key == 0).count();
+        let tenth = all.iter().filter(|a| a.key == 9).count();
+        assert!(first > 3 * tenth, "Zipf: {first} and {tenth}");
+    }
+
+    #[test]
+    fn bursts_and_ramps_change_the_rate_when_they_should() {
+        let all = drawn("burst = [{ at = 10, for = 5, times = 3 }]\nramp = 2.0\n");
+        let rate = |from: u64, to: u64| {
+            let within = |a: &&Arrival| (from * SECOND..to * SECOND).contains(&a.at);
+            all.iter().filter(within).count() as f64 / (to - from) as f64
+        };
+        assert!((rate(0, 6) / 100.0 - 1.0).abs() < 0.15, "no ramp while warming up");
+        assert!((rate(16, 21) / (100.0 * 3.0 * 1.31) - 1.0).abs() < 0.15, "{}", rate(16, 21));
+        assert!((rate(40, 46) / 192.0 - 1.0).abs() < 0.15);
+    }
+}
--- /dev/null
+++ b/world/src/origin.rs
@@ -0,0 +1,179 @@
+//! The origin: slow, takes far less than all commands, stops when it is sent far too much.
+
+use std::collections::{HashMap, VecDeque};
+
+use rand_distr::{Distribution, Exp1};
+
+use crate::chance::Chance;
+use crate::experiment::Origin as Figures;
+use crate::{us, us_of_ms, Us, SECOND};
+
+/// Sent too much for so long, it stops for as long.
+const FALL: Us = 3 * SECOND;
+/// For how long a repeat of a keyed write is known.
+const REPEATS: Us = 6 * SECOND;
+
+/// What becomes of a fetch or a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It runs and is answered then.
+    Runs {
+        /// When the answer goes out.
+        at: Us,
+        /// Whether it is a write that has run before, which runs no more.
+        repeat: bool,
+    },
+    /// Turned away; it never ran.
+    Busy,
+    /// The origin has stopped: nothing is answered, connections end.
+    Stopped,
+}
+
+/// The origin.
+#[derive(Debug)]
+pub struct Origin {
+    figures: Figures,
+    slow: f64,
+    /// When each worker is free.
+    free: Vec<Us>,
+    /// What came lately, and whether each was a miss of a cold host.
+    recent: VecDeque<(Us, bool)>,
+    stopped_until: Us,
+    /// Writes by idempotency key, and when they ran.
+    ran: HashMap<u64, Us>,
+    /// Each stop: when, and the share of misses of cold hosts in what was sent.
+    pub stops: Vec<(Us, f64)>,
+    /// Nothing is too much: the caches are filling before the experiment begins.
+    pub unbounded: bool,
+}
+
+impl Origin {
+    /// An origin at rest.
+    pub fn new(figures: Figures) -> Origin {
+        let workers = (figures.capacity * figures.work_ms / 1e3).round().max(1.0) as usize;
+        Origin {
+            figures,
+            slow: 1.0,
+            free: vec![0; workers],
+            recent: VecDeque::new(),
+            stopped_until: 0,
+            ran: HashMap::new(),
+            stops: Vec::new(),
+            unbounded: false,
+        }
+    }
+
+    /// From now on it takes so many times as long.
+    pub fn slow(&mut self, times: f64) {
+        self.slow = times;
+    }
+
+    /// Something has come, whole: `write` has the idempotency key of a write, `cold` says that it is the miss of a
+    /// cold host, and nobody waits for it after `until`.
+    pub fn begin(
+        &mut self,
+        now: Us,
+        write: Option<u64>,
+        cold: bool,
+        until: Us,
+        chance: &mut Chance,
+    ) -> Outcome {
+        let noise: f64 = Exp1.sample(chance);
+        let work = self.figures.work_ms * (0.5 + 0.5 * noise.min(8.0));
+        if let Some(key) = write {
+            self.ran.retain(|_, at| *at + REPEATS > now);
+            if self.ran.contains_key(&key) {
+                return Outcome::Runs { at: now + us_of_ms(1.0), repeat: true };
+            }
+        }
+        if self.unbounded {
+            let at = now + us_of_ms(work);
+            self.ran.extend(write.map(|key| (key, now)));
+            return Outcome::Runs { at, repeat: false };
+        }
+        if now < self.stopped_until {
+            return Outcome::Stopped;
+        }
+        self.sent(now, cold);
+        if now < self.stopped_until {
+            return Outcome::Stopped;
+        }
+        let Some(worker) = self.free.iter_mut().min() else { return Outcome::Busy };
+        let begin = (*worker).max(now);
+        // It drops at once what nobody would wait for until its turn.
+        if begin >= until || begin > now + us(self.figures.queue_s) {
+            return Outcome::Busy;
+        }
+        let full = (begin - now) as f64 / us(self.figures.queue_s).max(1) as f64;
+        *worker = begin + us_of_ms(work * self.slow * (1.0 + self.figures.thrash * full));
+        let at = *worker;
+        self.ran.extend(write.map(|key| (key, now)));
+        Outcome::Runs { at, repeat: false }
+    }
+
+    /// Counts what is sent; far too much for three seconds stops it.
+    fn sent(&mut self, now: Us, cold: bool) {
+        self.recent.push_back((now, cold));
+        while self.recent.front().is_some_and(|(at, _)| at + FALL <= now) {
+            self.recent.pop_front();
+        }
+        let bears = self.figures.capacity / self.slow * self.figures.fall_times * 3.0;
+        if self.recent.len() as f64 > bears {
+            let cold = self.recent.iter().filter(|(_, cold)| *cold).count() as f64 / self.recent.len() as f64;
+            self.stops.push((now, cold));
+            self.stopped_until = now + FALL;
+            self.recent.clear();
+            self.free.fill(now + FALL);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::chance::{chance, Purpose};
+
+    fn played(rate: u64, seconds: u64, slow: f64) -> (Origin, Vec<Outcome>) {
+        let mut origin = Origin::new(Figures { capacity: 100.0, ..Figures::default() });
+        let mut chance = chance(1, Purpose::Machines);
+        origin.slow(slow);
+        let all = (0..rate * seconds)
+            .map(|n| {
+                let now = n * SECOND / rate;
+                origin.begin(now, None, n % 4 == 0, now + SECOND, &mut chance)
+            })
+            .collect();
+        (origin, all)
+    }
+
+    fn runs(all: &[Outcome]) -> usize {
+        all.iter().filter(|o| matches!(o, Outcome::Runs { .. })).count()
+    }
+
+    #[test]
+    fn it_runs_what_it_can_and_turns_the_rest_away() {
+        assert_eq!(runs(&played(60, 10, 1.0).1), 600);
+        let (origin, all) = played(200, 10, 1.0);
+        assert!((900..1_200).contains(&runs(&all)), "{}", runs(&all));
+        assert!(origin.stops.is_empty() && all.contains(&Outcome::Busy));
+        assert!(runs(&played(200, 10, 4.0).1) < 350, "slower, it runs less");
+    }
+
+    #[test]
+    fn far_too_much_stops_it_and_the_cold_share_is_told() {
+        let (origin, all) = played(300, 4, 1.0);
+        assert_eq!(origin.stops.len(), 1);
+        assert!((origin.stops[0].1 - 0.25).abs() < 0.01 && all.contains(&Outcome::Stopped));
+    }
+
+    #[test]
+    fn a_repeat_of_a_keyed_write_runs_once() {
+        let (mut origin, _) = played(1, 1, 1.0);
+        let mut chance = chance(1, Purpose::Machines);
+        let mut write = |now| match origin.begin(now, Some(7), false, now + SECOND, &mut chance) {
+            Outcome::Runs { repeat, .. } => repeat,
+            other => panic!("{other:?}"),
+        };
+        assert_eq!([write(0), write(SECOND), write(7 * SECOND)], [false, true, false]);
+    }
+}
--- /dev/null
+++ b/world/src/schedule.rs
@@ -0,0 +1,176 @@
+//! An experiment's faults as values on a schedule: what happens when, to whom.
+
+use rand::seq::SliceRandom;
+
+use crate::chance::{chance, spread, Purpose};
+use crate::experiment::{Experiment, Fault, What};
+use crate::group::{members, Members};
+use crate::links::Links;
+use crate::{us, Us};
+
+/// One change of the world.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// The links of this fault go wrong, or are well again.
+    Links(bool),
+    /// Processes are killed.
+    Kill(Vec<usize>),
+    /// Processes are told to end.
+    Term(Vec<usize>),
+    /// Processes start again, as soon as they have ended.
+    Start(Vec<usize>),
+    /// Processes stop where they are.
+    Freeze(Vec<usize>),
+    /// Processes go on.
+    Thaw(Vec<usize>),
+    /// Hosts say nothing, or speak again.
+    Silent(Vec<usize>, bool),
+    /// Hosts take so many times as long.
+    Slow(Vec<usize>, f64),
+    /// Hosts fail this share of their commands.
+    Failing(Vec<usize>, f64),
+    /// Hosts drain.
+    Drain(Vec<usize>),
+    /// Hosts end.
+    Gone(Vec<usize>),
+    /// Hosts start anew, cold and empty.
+    Restart(Vec<usize>),
+    /// Other hosts start at the addresses of these.
+    Replace(Vec<usize>),
+    /// The origin takes so many times as long.
+    OriginSlow(f64),
+    /// Discovery is down, or up again.
+    DiscoveryDown(bool),
+    /// Discovery tells each balancer later, up to this.
+    ListLate(Us),
+}
+
+/// A change at its time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// When, from the beginning of the load.
+    pub at: Us,
+    /// The fault that it belongs to.
+    pub fault: usize,
+    /// What changes.
+    pub change: Change,
+}
+
+/// What an experiment's faults come to.
+#[derive(Clone, Debug, Default)]
+pub struct Schedule {
+    /// All changes, in order.
+    pub steps: Vec<Step>,
+    /// The links with their faults, all off.
+    pub links: Links,
+}
+
+/// Compiles a checked experiment's faults. The same seed gives the same targets.
+pub fn schedule(e: &Experiment) -> Schedule {
+    let mut chance = chance(e.seed, Purpose::Groups);
+    let mut all = Schedule::default();
+    for (number, fault) in e.fault.iter().enumerate() {
+        // A checked file has groups that name somebody.
+        let mut group = |text: &String| members(text, &e.fleet, &mut chance).unwrap_or_default();
+        if let Some([first, second]) = &fault.between {
+            let (from, to) = (group(first), group(second));
+            all.links.add(number, fault, from, to);
+        }
+        let who = fault.who.as_ref().map(group).unwrap_or_default();
+        for (at, change) in changes(e, number, fault, who) {
+            all.steps.push(Step { at, fault: number, change });
+        }
+    }
+    all.steps.sort_by_key(|step| step.at);
+    all
+}
+
+fn changes(e: &Experiment, number: usize, fault: &Fault, who: Members) -> Vec<(Us, Change)> {
+    let from = us(fault.at);
+    let until = fault.lasts.map(|lasts| from + us(lasts));
+    let (hosts, balancers) = (who.hosts, who.balancers);
+    let (share, times) = (fault.share.unwrap_or(1.0), fault.times.unwrap_or(1.0));
+    let pair = |begin: Change, end: Change| {
+        let mut both = vec![(from, begin)];
+        both.extend(until.map(|at| (at, end)));
+        both
+    };
+    match fault.what {
+        What::Cut | What::Reset | What::Lose | What::Delay | What::Repeat | What::Reorder | What::Spoil => {
+            pair(Change::Links(true), Change::Links(false))
+        }
+        What::Kill | What::Term => {
+            let end = if fault.what == What::Kill { Change::Kill } else { Change::Term };
+            let mut both = vec![(from, end(balancers.clone()))];
+            both.extend(fault.back.map(|back| (from + us(back), Change::Start(balancers))));
+            both
+        }
+        What::Freeze => pair(Change::Freeze(balancers.clone()), Change::Thaw(balancers)),
+        What::Roll => {
+            let mut order = balancers;
+            order.shuffle(&mut chance(spread(e.seed ^ number as u64), Purpose::Groups));
+            let many = ((order.len() as f64 * share).round() as usize).max(1);
+            let every = us(fault.every.unwrap_or(1.0));
+            let parts = order.chunks(many).enumerate();
+            parts
+                .flat_map(|(place, part)| {
+                    let at = from + place as Us * every;
+                    [(at, Change::Term(part.to_vec())), (at, Change::Start(part.to_vec()))]
+                })
+                .collect()
+        }
+        What::Silent => pair(Change::Silent(hosts.clone(), true), Change::Silent(hosts, false)),
+        What::Slow => pair(Change::Slow(hosts.clone(), times), Change::Slow(hosts, 1.0)),
+        What::Failing => pair(Change::Failing(hosts.clone(), share), Change::Failing(hosts, 0.0)),
+        What::Drain => pair(Change::Drain(hosts.clone()), Change::Restart(hosts)),
+        What::Gone => pair(Change::Gone(hosts.clone()), Change::Restart(hosts)),
+        What::Restart => vec![(from, Change::Restart(hosts))],
+        What::Replace => vec![(from, Change::Replace(hosts))],
+        What::Flap => {
+            let (every, end) = (us(fault.every.unwrap_or(1.0)), until.unwrap_or(us(e.seconds)));
+            let mut steps: Vec<_> = (0..)
+                .map(|n: Us| (from + n * every, Change::Silent(hosts.clone(), n.is_multiple_of(2))))
+                .take_while(|(at, _)| *at < end)
+                .collect();
+            steps.push((end, Change::Silent(hosts, false)));
+            steps
+        }
+        What::OriginSlow => pair(Change::OriginSlow(times), Change::OriginSlow(1.0)),
+        What::DiscoveryDown => pair(Change::DiscoveryDown(true), Change::DiscoveryDown(false)),
+        What::ListLate => pair(Change::ListLate(us(fault.seconds.unwrap_or(0.0))), Change::ListLate(0)),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::experiment::{read, tests::SOUND};
+    use crate::SECOND;
+
+    #[test]
+    fn faults_become_changes_in_order_and_the_same_for_a_seed() {
+        let text = "[[fault]]\nat = 9\nfor = 2\nwhat = \"drain\"\nwho = \"hosts:1\"\n\
+            [[fault]]\nat = 3\nwhat = \"roll\"\nwho = \"balancers\"\nshare = 0.4\nevery = 2\n\
+            [[fault]]\nat = 1\nfor = 2.5\nwhat = \"flap\"\nwho = \"hosts:30%\"\nevery = 1\n";
+        let e = read(&format!("{SOUND}{text}"), &[]).unwrap();
+        let steps = schedule(&e).steps;
+        assert_eq!(steps, schedule(&e).steps);
+        let at: Vec<Us> = steps.iter().map(|step| step.at / 100_000).collect();
+        assert_eq!(at, [10, 20, 30, 30, 30, 35, 50, 50, 70, 70, 90, 110]);
+        let ended: Vec<usize> = steps
+            .iter()
+            .filter_map(|step| match &step.change {
+                Change::Term(who) => Some(who.clone()),
+                _ => None,
+            })
+            .flatten()
+            .collect();
+        let mut sorted = ended.clone();
+        sorted.sort_unstable();
+        assert_eq!(sorted, (0..10).collect::<Vec<_>>(), "a roll ends each once");
+        assert_eq!(steps.last().unwrap().change, Change::Restart(vec![1]));
+        assert!(
+            matches!(&steps[5], Step { at, change: Change::Silent(_, false), .. } if *at == 3 * SECOND + SECOND / 2)
+        );
+    }
+}
--- /dev/null
+++ b/world/src/summary.rs
@@ -0,0 +1,178 @@
+//! `summary.json`: the names that stay, and how each figure is meant.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// The summary of a run.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The experiment's name.
+    pub name: String,
+    /// Its seed.
+    pub seed: u64,
+    /// The processes.
+    pub processes: Processes,
+    /// Tries of clients.
+    pub commands: u64,
+    /// Of those, served before their deadline.
+    pub served: u64,
+    /// Of those, refused.
+    pub refused: u64,
+    /// Of those, failed, never taken, or left by their client.
+    pub failed: u64,
+    /// Of those, taken and never finally answered, or after the deadline.
+    pub lost: u64,
+    /// Worth served within its aim over worth asked for, a client's tries counted as one.
+    pub service: f64,
+    /// Attempts that hosts and the origin received, a try.
+    pub attempts_per_command: f64,
+    /// Times of those served.
+    pub latency_ms: Latency,
+    /// Breaches.
+    pub rules: Rules,
+    /// The rig's sends behind their plan; over 20 the run is late.
+    pub lag_p99_ms: f64,
+    /// What it cost.
+    pub cpu: Cpu,
+    /// The origin.
+    pub origin: OriginFigures,
+    /// How evenly hosts were used.
+    pub spread: Spread,
+    /// Limits of the whole fleet, by name.
+    pub limits: BTreeMap<String, Limit>,
+    /// How soon the fleet acted on changes at hosts.
+    pub verdicts: Verdicts,
+    /// Talk between balancers.
+    pub peers: Peers,
+}
+
+/// The processes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Processes {
+    /// Started, restarts included.
+    pub started: u64,
+    /// Ended without being told to.
+    pub crashed: u64,
+}
+
+/// Times of the commands served.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Latency {
+    /// Median.
+    pub p50: f64,
+    /// 99th percentile.
+    pub p99: f64,
+    /// 99.9th percentile.
+    pub p999: f64,
+}
+
+/// Breaches of the four rules.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rules {
+    /// One final answer before the deadline.
+    pub answers: u64,
+    /// Attempts.
+    pub attempts: u64,
+    /// Drains.
+    pub drains: u64,
+    /// Cold hosts.
+    pub cold: u64,
+}
+
+impl Rules {
+    /// All of them.
+    pub fn sum(&self) -> u64 {
+        self.answers + self.attempts + self.drains + self.cold
+    }
+}
+
+/// What a run cost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Cpu {
+    /// Processor time of all balancers over all commands.
+    pub balancer_ms_per_command: f64,
+    /// Processor time of the rig.
+    pub rig_s: f64,
+}
+
+/// The origin.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct OriginFigures {
+    /// Most fetches in any second over the capacity.
+    pub peak: f64,
+    /// Answers in time over the capacity while demand was above it; none where it never was.
+    pub useful: Option<f64>,
+    /// Fetches in all.
+    pub fetches: u64,
+}
+
+/// How evenly hosts were used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Spread {
+    /// The 95th percentile over windows of the greatest load.
+    pub peak: f64,
+    /// The 5th percentile of the smallest.
+    pub least: f64,
+    /// Host-windows with nothing begun where 5 or more were due.
+    pub idle: u64,
+    /// The most begun at one host in any 100 ms over what is due in 100 ms.
+    pub herd: f64,
+    /// The same as `peak` for fair draws.
+    pub fair_peak: f64,
+    /// The same as `least` for fair draws.
+    pub fair_least: f64,
+    /// The same as `herd` for fair draws.
+    pub fair_herd: f64,
+    /// Windows that counted.
+    pub windows: u64,
+}
+
+/// A limit of the whole fleet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Limit {
+    /// The whole.
+    pub whole: f64,
+    /// What the program states, as a multiple of the whole; none without talk.
+    pub bound: Option<f64>,
+    /// The most used in any second over the whole.
+    pub peak: f64,
+    /// Used over the whole while demand was above it; none where it never was.
+    pub r#use: Option<f64>,
+    /// Seconds in which more than the whole was used.
+    pub seconds_over: u64,
+}
+
+/// How soon the fleet acted on changes at hosts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Verdicts {
+    /// What the program states; none without talk.
+    pub bound_ms: Option<f64>,
+    /// From a change to the last send of a balancer that it should have stopped, median.
+    pub spread_p50_ms: Option<f64>,
+    /// The 99th percentile.
+    pub spread_p99_ms: Option<f64>,
+    /// The stated age up to which a verdict acts.
+    pub stale_bound_ms: Option<f64>,
+    /// The oldest that acted.
+    pub stale_max_ms: Option<f64>,
+    /// Sound hosts passed by on others' word.
+    pub wrong: u64,
+    /// Attempts at silent hosts.
+    pub lost_sends: u64,
+    /// From a host's silence until it gets under a tenth of its part for good, the longest.
+    pub avoided_ms: Option<f64>,
+    /// From its return until it gets half of its part, the longest.
+    pub used_again_ms: Option<f64>,
+}
+
+/// Talk between balancers, a member.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Peers {
+    /// Packets out.
+    pub packets_per_s: f64,
+    /// Bytes out.
+    pub bytes_per_s: f64,
+    /// The longest time in which a connected member's view was wrong.
+    pub members_max_wrong_s: Option<f64>,
+}
