--- a/fleet/src/clients.rs
+++ b/fleet/src/clients.rs
@@ -228,6 +228,9 @@
                 }
                 // The close crossed the command: once more on a new connection.
                 Ok(None) if was_kept && self.rig.now() <= sent + CROSSED => {}
+                Ok(None) if self.rig.now() <= sent + CROSSED => {
+                    return Went::without(Ended::Shut, Some(self.rig.now()))
+                }
                 Ok(None) => return Went::without(Ended::Closed, Some(self.rig.now())),
                 Err(_) if one.leaves.is_some() => return Went::without(Ended::Left, None),
                 Err(_) => return Went::without(Ended::Silent, None),
--- a/fleet/src/hosts.rs
+++ b/fleet/src/hosts.rs
@@ -67,6 +67,8 @@
     life: u32,
     coming: VecDeque<Coming>,
     going: VecDeque<Going>,
+    /// Whether something that came on it was spoilt: from then on nothing on it is sure.
+    spoilt: bool,
     /// When the first byte of what is not yet a whole command came.
     first_byte: Option<Us>,
 }
@@ -83,7 +85,8 @@
     fn new(rig: Rc<Rig>, host: usize, side: usize) -> Lane {
         let balancer = End::Balancer(rig.sides[side]);
         let life = rig.lives[host].get();
-        Lane { rig, host, balancer, life, coming: VecDeque::new(), going: VecDeque::new(), first_byte: None }
+        let (coming, going) = (VecDeque::new(), VecDeque::new());
+        Lane { rig, host, balancer, life, coming, going, spoilt: false, first_byte: None }
     }
 
     async fn serve(mut self, mut stream: TcpStream) {
@@ -117,11 +120,14 @@
             }
             while !back.cut && self.going.front().is_some_and(|going| going.due <= now) {
                 let Some(mut going) = self.going.pop_front() else { break };
-                if self.rig.happens(back.spoil) {
+                let spoilt = self.rig.happens(back.spoil);
+                if spoilt {
                     self.rig.spoil(&mut going.line);
                 }
                 if let Some(place) = going.attempt {
-                    self.rig.ledger.borrow_mut().attempts[place].answered = Some(now);
+                    let attempt = &mut self.rig.ledger.borrow_mut().attempts[place];
+                    attempt.answered = Some(now);
+                    attempt.spoilt |= spoilt;
                 }
                 write.write_all(&going.line).await.map_err(|_| Over::Closed)?;
             }
@@ -138,6 +144,7 @@
                     }
                     if self.rig.happens(there.spoil) {
                         self.rig.spoil(&mut input);
+                        self.spoilt = true;
                     }
                     self.take(&mut commands, &mut input);
                 }
@@ -200,6 +207,7 @@
             answered: None,
             became,
             cold,
+            spoilt: self.spoilt,
         }
     }
 
--- /dev/null
+++ b/fleet/src/keeper.rs
@@ -0,0 +1,88 @@
+//! The keeper: a process that outlives a rig that is killed outright, and ends what the rig had started.
+//!
+//! Handles that end their processes when they are dropped do so at every end of the rig but SIGKILL. The keeper reads
+//! the numbers of the rig's processes from a pipe; when the pipe closes it ends those that still run, told apart from
+//! later processes of the same number by the time at which they started.
+
+use std::collections::HashMap;
+use std::io::{BufRead, Write};
+use std::path::Path;
+use std::process::{Child, ChildStdin, Command, Stdio};
+
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+
+/// The rig's side of the keeper.
+pub struct Keeper {
+    pipe: Option<ChildStdin>,
+    process: Child,
+}
+
+impl Keeper {
+    /// Starts `program keep`, which has to call [`keep`].
+    ///
+    /// # Errors
+    /// What kept it from starting.
+    pub fn start(program: &Path) -> std::io::Result<Keeper> {
+        let mut command = Command::new(program);
+        let mut process = command.arg("keep").stdin(Stdio::piped()).stdout(Stdio::null()).spawn()?;
+        Ok(Keeper { pipe: process.stdin.take(), process })
+    }
+
+    /// A process has been started.
+    pub fn born(&mut self, pid: i32) {
+        if let Some(pipe) = &mut self.pipe {
+            // A keeper that is gone keeps nothing; the handles still do.
+            let _ = writeln!(pipe, "{pid} {}", started(pid).unwrap_or(0));
+        }
+    }
+}
+
+impl Drop for Keeper {
+    fn drop(&mut self) {
+        drop(self.pipe.take());
+        let _ = self.process.wait();
+    }
+}
+
+/// The keeper's own side: reads until the pipe closes, then ends what still runs.
+pub fn keep(pipe: impl BufRead) {
+    let mut born: HashMap<i32, u64> = HashMap::new();
+    for line in pipe.lines().map_while(Result::ok) {
+        let mut words = line.split(' ').map(str::parse::<u64>);
+        if let (Some(Ok(pid)), Some(Ok(started))) = (words.next(), words.next()) {
+            born.insert(pid as i32, started);
+        }
+    }
+    for (pid, since) in born {
+        if started(pid) == Some(since) {
+            let _ = kill(Pid::from_raw(pid), Signal::SIGKILL);
+        }
+    }
+}
+
+/// When a process started, in the kernel's ticks; none where there is none.
+fn started(pid: i32) -> Option<u64> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    // The name may hold spaces and brackets; the fields after it do not. The start is the 22nd of all.
+    stat.rsplit_once(')')?.1.split_whitespace().nth(19)?.parse().ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Cursor;
+
+    #[test]
+    fn what_still_runs_is_ended_and_a_later_process_of_the_number_is_not() {
+        let sleeper = || Command::new("sleep").arg("60").spawn().unwrap();
+        let (mut ours, mut other) = (sleeper(), sleeper());
+        let (pid, not) = (ours.id() as i32, other.id() as i32);
+        let text = format!("{pid} {}\n{not} 1\nnonsense\n", started(pid).unwrap());
+        keep(Cursor::new(text));
+        assert!(!ours.wait().unwrap().success());
+        assert!(other.try_wait().unwrap().is_none(), "it started at another time than the one named");
+        other.kill().unwrap();
+        other.wait().unwrap();
+    }
+}
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 mod discovery;
 mod doors;
 mod hosts;
+pub mod keeper;
 mod origin;
 pub mod peers;
 mod play;
--- a/fleet/src/origin.rs
+++ b/fleet/src/origin.rs
@@ -91,6 +91,7 @@
         answered: None,
         became: Became::Nothing,
         cold,
+        spoilt: false,
     };
     let response = match outcome {
         Outcome::Stopped => {
--- a/fleet/src/play.rs
+++ b/fleet/src/play.rs
@@ -10,7 +10,7 @@
 use juniperladder_world::experiment::Experiment;
 use juniperladder_world::judge::Terms;
 use juniperladder_world::ledger::{Ill, Ledger, Span};
-use juniperladder_world::load::{draw, WARMING};
+use juniperladder_world::load::draw;
 use juniperladder_world::schedule::{schedule, Change, Step};
 use juniperladder_world::{us, Us};
 use nix::sys::resource::{getrusage, UsageWho};
@@ -22,6 +22,7 @@
 use crate::clients::Clients;
 use crate::discovery::{self, Addresses};
 use crate::doors::Door;
+use crate::keeper::Keeper;
 use crate::processes::Processes;
 use crate::rig::{host_id, Rig};
 use crate::{hosts, origin, room, Problem};
@@ -36,6 +37,8 @@
     pub out: &'a Path,
     /// Told as the run goes on.
     pub progress: &'a mut dyn FnMut(Progress),
+    /// Ends the processes should the rig be killed outright.
+    pub keeper: Option<Keeper>,
     /// The run ends with what it has once this is set.
     pub stop: tokio::sync::watch::Receiver<bool>,
 }
@@ -83,7 +86,8 @@
     let runtime = runtime.map_err(|e| Problem::NotAllowed(format!("cannot start: {e}")))?;
     LocalSet::new().block_on(&runtime, async {
         let rig = Rig::new(experiment.clone(), plan.links.clone());
-        Run::prepare(rig, options.out)?.play(plan.steps, options).await
+        let mut options = options;
+        Run::prepare(rig, options.out, options.keeper.take())?.play(plan.steps, options).await
     })
 }
 
@@ -97,7 +101,7 @@
 }
 
 impl Run {
-    fn prepare(rig: Rc<Rig>, out: &Path) -> Result<Run, Problem> {
+    fn prepare(rig: Rc<Rig>, out: &Path, keeper: Option<Keeper>) -> Result<Run, Problem> {
         let wrong = |e: std::io::Error| Problem::NotAllowed(format!("no door can be opened: {e}"));
         let machines = rig.hosts.len() + 1;
         let sides = rig.sides.len();
@@ -122,7 +126,7 @@
                 discovery::accept(rig, balancer, addresses, listener).await;
             });
         }
-        let processes = Processes::prepare(&rig, out, &told, &addresses)?;
+        let processes = Processes::prepare(&rig, out, &told, &addresses, keeper)?;
         let listeners = (0..machines).map(|_| Vec::new()).collect();
         let mut run = Run { rig, processes, doors, listeners };
         for machine in 0..machines {
@@ -155,7 +159,7 @@
     }
 
     async fn play(mut self, steps: Vec<Step>, options: Options<'_>) -> Result<Played, Problem> {
-        let Options { out: _, progress, mut stop } = options;
+        let Options { progress, mut stop, .. } = options;
         let experiment = self.rig.experiment.clone();
         self.processes.start_all(|ready| progress(Progress::Ready(ready))).await?;
         let beat = spawn_local(beat(Rc::clone(&self.rig)));
@@ -166,7 +170,7 @@
         load.iter_mut().for_each(|arrival| arrival.at += begun);
         let clients = Clients::new(Rc::clone(&self.rig), terms, self.processes.addresses());
         let sending = spawn_local(Rc::clone(&clients).send(Rc::new(load)));
-        let zero = begun + us(WARMING);
+        let zero = begun + us(experiment.load.warm);
         let end = zero + us(experiment.seconds);
         let mut steps = steps.into_iter().peekable();
         let mut warm = false;
--- a/fleet/src/processes.rs
+++ b/fleet/src/processes.rs
@@ -27,6 +27,7 @@
 
 use crate::discovery::{kind_name, list, zone_name, Addresses};
 use crate::doors::Door;
+use crate::keeper::Keeper;
 use crate::rig::Rig;
 use crate::Problem;
 
@@ -54,6 +55,7 @@
     rig: Rc<Rig>,
     all: Vec<Rc<Process>>,
     program: PathBuf,
+    keeper: RefCell<Option<Keeper>>,
     /// Those that ended without being told to: who and how, with the last log lines.
     pub crashes: RefCell<Vec<String>>,
 }
@@ -65,6 +67,7 @@
         out: &Path,
         discovery: &[SocketAddr],
         addresses: &[Addresses],
+        keeper: Option<Keeper>,
     ) -> Result<Rc<Processes>, Problem> {
         let e = &rig.experiment;
         let broken = |what: &str, e: std::io::Error| Problem::NotAllowed(format!("{what}: {e}"));
@@ -94,7 +97,8 @@
                 ended: watch::channel(0).0,
             }));
         }
-        let processes = Processes { rig: Rc::clone(rig), all, program, crashes: RefCell::default() };
+        let (rig, keeper) = (Rc::clone(rig), RefCell::new(keeper));
+        let processes = Processes { rig, all, program, keeper, crashes: RefCell::default() };
         for number in 0..processes.all.len() {
             processes.configure(number, discovery[number], &addresses[number])?;
         }
@@ -112,7 +116,7 @@
             "listen": process.door.address().to_string(),
             "discovery": discovery.to_string(),
             "seed": format!("{:016x}", spread(spread(e.seed) ^ number as u64)),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": list(rig, first, true, &known, addresses),
             "settings": settings(e, number),
         });
@@ -160,6 +164,9 @@
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).kill_on_drop(true);
         let child = command.spawn().map_err(|e| problem(format!("{}: {e}", self.program.display())))?;
         process.pid.set(child.id().map_or(0, |pid| pid as i32));
+        if let Some(keeper) = &mut *self.keeper.borrow_mut() {
+            keeper.born(process.pid.get());
+        }
         process.told.set(false);
         process.starts.set(process.starts.get() + 1);
         spawn_local(Rc::clone(self).wait(number, child));
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -48,6 +48,9 @@
         /// The run's folder
         folder: PathBuf,
     },
+    /// Ends the processes named on standard input once it closes; the laboratory starts this itself
+    #[command(hide = true)]
+    Keep,
     /// Plays a small whole fleet with one fault, about 20 s, and says where the report is
     Demo {
         /// The folder for what it leaves
@@ -83,6 +86,7 @@
         Command::Schema => commands::schema(),
         Command::Compare { before, after } => compare::compare(&before, &after),
         Command::Report { folder } => report::again(&folder),
+        Command::Keep => commands::keep_processes(),
         Command::Demo { out } => commands::demo(&out),
     };
     ExitCode::from(code)
--- a/world/src/check.rs
+++ b/world/src/check.rs
@@ -33,6 +33,7 @@
     found.need(whole(e.load.writes), "load", "writes", "is a share from 0 to 1");
     found.need(whole(e.load.drift), "load", "drift", "is a share from 0 to 1");
     found.need(over(e.load.ramp), "load", "ramp", "is a number over 0");
+    found.need((0.0..=600.0).contains(&e.load.warm), "load", "warm", "lies from 0 to 600 s");
     let uneven = e.load.uneven;
     found.need(uneven.is_none_or(|u| whole(u.share)), "load", "uneven", "has a share from 0 to 1");
     found.need(
--- a/world/src/experiment.rs
+++ b/world/src/experiment.rs
@@ -97,6 +97,10 @@
     /// The share of the keys that change places in popularity each second.
     #[serde(default)]
     pub drift: f64,
+    /// Seconds of load before the experiment's beginning, in which the caches fill. The origin bears all of it then, so
+    /// that what hosts keep is what the program's own placement made of the load. Nothing of them counts but breaches.
+    #[serde(default = "warm")]
+    pub warm: f64,
 }
 
 /// A share of the load at a share of the balancers.
@@ -450,6 +454,10 @@
     "target/release/juniperladder".into()
 }
 
+fn warm() -> f64 {
+    8.0
+}
+
 fn zipf() -> f64 {
     0.9
 }
--- a/world/src/judge/hand.rs
+++ b/world/src/judge/hand.rs
@@ -51,6 +51,7 @@
         answered: Some(begun + 50_000),
         became: Became::Served,
         cold: false,
+        spoilt: false,
     }
 }
 
--- a/world/src/judge/rules.rs
+++ b/world/src/judge/rules.rs
@@ -38,6 +38,9 @@
 /// The part of cold hosts' misses in what stopped the origin from which on the stop breaks the rule.
 const MUCH: f64 = 0.5;
 
+/// A platform's balancers may shut the door on so many of their commands: one in 200. Beyond, these are lost.
+const SHUT: usize = 200;
+
 /// All breaches, in the order of the ledger.
 pub fn breaches(ledger: &Ledger, terms: &Terms) -> Vec<Breach> {
     let mut attempts: HashMap<u64, Vec<&Attempt>> = HashMap::new();
@@ -45,9 +48,14 @@
         attempts.entry(attempt.id).or_default().push(attempt);
     }
     let mut found = Vec::new();
+    let mut shut = ledger.commands.len() / SHUT;
     for command in &ledger.commands {
+        if command.end == Ended::Shut && shut > 0 {
+            shut -= 1;
+            continue;
+        }
         let own = attempts.get(&command.id).map_or(&[][..], Vec::as_slice);
-        let wrongs = [answer(ledger, terms, command), tries(terms, command, own)];
+        let wrongs = [answer(ledger, terms, command, own), tries(terms, command, own)];
         for (rule, at, what) in wrongs.into_iter().flatten() {
             found.push(Breach { rule, at, what, story: story(terms, command, own) });
         }
@@ -69,8 +77,12 @@
 type Wrong = Option<(Rule, Us, String)>;
 
 /// One final answer, in time, made for the command.
-fn answer(ledger: &Ledger, terms: &Terms, command: &Command) -> Wrong {
+fn answer(ledger: &Ledger, terms: &Terms, command: &Command, own: &[&Attempt]) -> Wrong {
     let wrong = |at, what: String| Some((Rule::Answers, at, what));
+    // A byte that a link spoilt within a value looks like any other to whoever passes it on.
+    if command.end == Ended::Wrong && own.iter().any(|attempt| attempt.spoilt) {
+        return None;
+    }
     if command.end == Ended::Wrong {
         return wrong(command.ended?, "it was served with what nobody made for it".into());
     }
@@ -92,6 +104,9 @@
     match command.end {
         Ended::Silent => wrong(due, "it was taken and had no final answer".into()),
         Ended::Closed => wrong(command.ended?, "its connection ended without a whole answer".into()),
+        Ended::Shut => {
+            wrong(command.ended?, format!("it was shut out at the door, beyond one command in {SHUT}"))
+        }
         Ended::Served | Ended::Refused | Ended::Failed => {
             let late = command.ended?.checked_sub(due + stall).filter(|late| *late > 0)?;
             wrong(
@@ -223,6 +238,32 @@
         }
     }
 
+    #[test]
+    fn a_value_that_a_link_spoilt_is_not_held_against_who_passed_it_on() {
+        let mut hand = Hand::default();
+        let id = hand.command(Command { end: Ended::Wrong, ..served(10.0) });
+        hand.ledger.attempts.push(Attempt { spoilt: true, ..attempt(id, At::Host(0), 10.0) });
+        assert_eq!(rules(&hand), []);
+        hand.ledger.attempts[0].spoilt = false;
+        assert_eq!(rules(&hand), [Rule::Answers]);
+    }
+
+    #[test]
+    fn one_command_in_two_hundred_may_be_shut_out_at_the_door() {
+        let mut hand = Hand::default();
+        for _ in 0..398 {
+            hand.command(served(10.0));
+        }
+        hand.command(Command { end: Ended::Shut, ..served(10.0) });
+        hand.command(Command { end: Ended::Shut, ..served(10.0) });
+        assert_eq!(rules(&hand), []);
+        hand.ledger.commands.pop();
+        assert_eq!(rules(&hand), [], "one of 399");
+        hand.command(Command { end: Ended::Shut, ..served(10.0) });
+        hand.command(Command { end: Ended::Shut, ..served(10.0) });
+        assert_eq!(rules(&hand), [Rule::Answers], "three of 401");
+    }
+
     #[test]
     fn a_process_that_is_dead_or_frozen_and_a_rig_that_is_late_excuse_an_answer() {
         let mut hand = Hand::default();
--- a/world/src/ledger.rs
+++ b/world/src/ledger.rs
@@ -25,6 +25,8 @@
     Silent,
     /// Taken, and the connection ended without a whole answer.
     Closed,
+    /// Its new connection was closed at once with no answer: at the door, as where a balancer has no seat left.
+    Shut,
 }
 
 /// One try of a client: a command, with an id of its own.
@@ -99,6 +101,8 @@
     pub became: Became,
     /// Whether its host was cold; at the origin, whether a cold host missed for it.
     pub cold: bool,
+    /// Whether a link's fault spoilt it or its answer on the way.
+    pub spoilt: bool,
 }
 
 impl Attempt {
