Add cluster/: membership, and shares of a fleet's limit by escrow that never exceed the whole

The whole is cut into units (one command in any second), owned by position and lent pairwise under leases that the borrower counts from its question and the owner locks from its receipt. The sum of what all begin in any second never exceeds the whole; a member that hears nobody has its own part. Not in the daemon yet.

--- /dev/null
+++ b/cluster/src/lib.rs
@@ -0,0 +1,24 @@
+//! What balancers that may talk agree on: who is there ([`membership`]) and who may use which part of a limit that holds
+//! for all of them together ([`shares`]). Both are state machines without I/O and without a clock: they are fed packets
+//! and times and drained of packets; `node/` carries those by UDP.
+//!
+//! What each guarantees stands on its page; the argument is in `docs/design/cluster.md`.
+
+pub mod cluster;
+pub mod membership;
+pub mod packet;
+pub mod shares;
+
+pub use cluster::{Cluster, Figures, Plan};
+
+/// Microseconds on the caller's clock, which never goes back.
+pub type Us = u64;
+
+/// A second.
+pub const SECOND: Us = 1_000_000;
+
+/// The longest packet, out and in.
+pub const LONGEST: usize = 1_200;
+
+/// The most members of a fleet.
+pub const MOST_MEMBERS: usize = 512;
--- /dev/null
+++ b/cluster/src/shares.rs
@@ -0,0 +1,348 @@
+//! Shares of a limit that holds for all balancers together: escrow with leases.
+//!
+//! # Guarantee
+//!
+//! A limit of `whole` commands a second is cut into `whole` *units*. A unit is the right to one command in any second.
+//! Each unit has an owner, by position in the fleet; the owner uses it or lends it. Whatever is lost, late, repeated or
+//! in disorder, whoever is cut off, killed, started anew without memory or frozen: **in no second do all holders together
+//! begin more than `whole` commands**, as long as clocks run within the stated drift of each other and no two processes
+//! live at one position.
+//!
+//! # Why
+//!
+//! A unit is at any moment in one place: usable by its owner, usable by one borrower, or locked. A borrower counts its
+//! lease from when it *sent* the request that was granted; the owner locks the unit from when it *received* it, for the
+//! lease, the drift and one window more. So when the owner has it again, the borrower's last use is a window old. What is
+//! given back early, or lent, leaves only while its holder's uses in the last window fit into what it keeps. A process
+//! that starts uses and lends nothing of its own until all that an earlier life of it may have lent or used has lapsed.
+//! Hence a holder's uses in the last window never exceed its usable units and those that lapsed from it within the window
+//! (which their owner still locks), and the sum over all holders never exceeds `whole`.
+//!
+//! # What it does not need
+//!
+//! No keeper, no agreement, no count of who is alive: a part of the fleet that is cut off has what its own members own,
+//! and a member that hears nobody has its own part, as if the limit were split by count.
+
+mod lending;
+#[cfg(test)]
+mod tests;
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Us, SECOND};
+use lending::{Borrowed, Loan};
+
+/// How long a borrower asks before it asks the same lender again that gave it nothing.
+const ASK_AGAIN: Us = 600_000;
+/// Between two rounds of asking, doubled up to the longest while a round brings nothing, and how many are asked in one.
+const ASK_EVERY: Us = 100_000;
+const ASK_SELDOM: Us = 800_000;
+const ASKED: usize = 2;
+/// How long what is not needed any more is kept, in case it is needed again.
+const KEEP: Us = SECOND;
+/// Renewals within a lease; one that is not answered is repeated sooner.
+const RENEWALS: u64 = 3;
+/// Between two times at which an owner asks back what it has lent.
+const RECALL_AGAIN: Us = 200_000;
+/// The most lenders of one borrower.
+const LENDERS: usize = 64;
+/// Over how long the demand is averaged.
+const DEMAND: f64 = 1.5e6;
+
+/// A limit's terms, the same at every member.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Commands a second, of all together.
+    pub whole: u32,
+    /// Among how many positions the whole is divided.
+    pub holders: u32,
+    /// How long a loan holds after it was last asked for.
+    pub lease: Us,
+    /// By which part clocks may run faster or slower than each other.
+    pub drift: f64,
+}
+
+impl Terms {
+    /// The units that belong to a position: they sum up to the whole; a position beyond the holders owns none.
+    pub fn own(&self, position: u32) -> u32 {
+        let (whole, holders) = (u64::from(self.whole), u64::from(self.holders.max(1)));
+        let up_to = |n: u64| whole * n / holders;
+        let position = u64::from(position);
+        if position >= holders {
+            return 0;
+        }
+        (up_to(position + 1) - up_to(position)) as u32
+    }
+
+    /// The window of a unit: a second, by whichever clock.
+    pub fn window(&self) -> Us {
+        self.beyond(SECOND)
+    }
+
+    /// A span that is over by every clock once it is over by one.
+    fn beyond(&self, span: Us) -> Us {
+        (span as f64 * (1.0 + 2.0 * self.drift)).ceil() as Us
+    }
+
+    /// From its receipt, how long an owner locks what it has lent.
+    pub fn lock(&self) -> Us {
+        self.beyond(self.lease) + self.beyond(self.window())
+    }
+}
+
+/// A borrower tells a lender how many units of it are wanted or still held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hold {
+    /// The borrower's life: a process that starts anew has another.
+    pub life: u64,
+    /// When it was sent, by the borrower's clock.
+    pub sent: Us,
+    /// How many.
+    pub units: u32,
+}
+
+/// A lender's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lent {
+    /// The borrower's life, as asked.
+    pub life: u64,
+    /// The time in the question, as asked: the lease counts from then.
+    pub sent: Us,
+    /// How many are lent.
+    pub units: u32,
+    /// How many more the lender could lend.
+    pub spare: u32,
+}
+
+/// What goes between two members about one limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// A borrower's.
+    Hold(Hold),
+    /// A lender's.
+    Lent(Lent),
+}
+
+/// What operators see of a limit at one member.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// The whole, of all members.
+    pub whole: u32,
+    /// What belongs to this member.
+    pub own: u32,
+    /// What it may use now.
+    pub held: u32,
+    /// What it has used in the last second.
+    pub used: u32,
+    /// What it has lent, or has locked for a while after.
+    pub lent: u32,
+    /// What it has borrowed.
+    pub borrowed: u32,
+    /// What it lately needed.
+    pub wanted: u32,
+    /// Microseconds since a lender or borrower was last heard; none, never.
+    pub contact: Option<Us>,
+    /// Microseconds spent with less than was wanted.
+    pub short: Us,
+    /// Commands that found no unit free, all told.
+    pub denied: u64,
+}
+
+/// One member's part of one limit.
+#[derive(Debug)]
+pub struct Shares {
+    terms: Terms,
+    life: u64,
+    own: u32,
+    /// From when on what is its own may be used: all that an earlier life may have lent has lapsed by then.
+    from: Us,
+    lent: Vec<Loan>,
+    borrowed: Vec<Borrowed>,
+    /// The uses of the last window, in order.
+    uses: VecDeque<Us>,
+    rate: f64,
+    counted: Us,
+    asked: Us,
+    ask_every: Us,
+    held_then: u32,
+    recall: Us,
+    surplus: Option<Us>,
+    contact: Option<Us>,
+    short: Us,
+    ticked: Us,
+    denied: u64,
+    out: Vec<(SocketAddr, Message)>,
+    /// Broken on purpose, in a test.
+    #[cfg(test)]
+    flaw: Option<lending::Flaw>,
+}
+
+impl Shares {
+    /// The part of the member at this position, which starts its life now. `life` is another in each life.
+    pub fn new(terms: Terms, position: u32, life: u64, now: Us) -> Shares {
+        Shares {
+            terms,
+            life,
+            own: terms.own(position),
+            from: now + terms.lock(),
+            lent: Vec::new(),
+            borrowed: Vec::new(),
+            uses: VecDeque::new(),
+            rate: 0.0,
+            counted: now,
+            asked: 0,
+            ask_every: ASK_EVERY,
+            held_then: 0,
+            recall: 0,
+            surplus: None,
+            contact: None,
+            short: 0,
+            ticked: now,
+            denied: 0,
+            out: Vec::new(),
+            #[cfg(test)]
+            flaw: None,
+        }
+    }
+
+    /// How long a command has to wait for a unit; zero, one may begin now. Without any unit it is a window: something
+    /// may be lent by then.
+    pub fn wait(&mut self, now: Us) -> Us {
+        let (used, held) = (self.used(now), self.held(now) as usize);
+        if used < held {
+            return 0;
+        }
+        let window = self.terms.window();
+        match held {
+            0 => window,
+            // As many have to be over as are too many, and one.
+            _ => (self.uses[used - held] + window).saturating_sub(now).max(1),
+        }
+    }
+
+    /// A command begins. The caller has asked [`Shares::wait`] at the same time.
+    pub fn took(&mut self, now: Us) {
+        self.demand(now);
+        self.uses.push_back(now);
+    }
+
+    /// A command that needed a unit was given up for want of one.
+    pub fn denied(&mut self, now: Us) {
+        self.demand(now);
+        self.denied += 1;
+    }
+
+    fn demand(&mut self, now: Us) {
+        self.settle(now);
+        self.rate += 1.0 / DEMAND;
+    }
+
+    /// Lets the average of the demand fall with time.
+    fn settle(&mut self, now: Us) {
+        self.rate *= (-(now.saturating_sub(self.counted) as f64) / DEMAND).exp();
+        self.counted = now;
+    }
+
+    /// Commands begun within the last window.
+    fn used(&mut self, now: Us) -> usize {
+        let window = self.terms.window();
+        while self.uses.front().is_some_and(|at| at + window <= now) {
+            self.uses.pop_front();
+        }
+        self.uses.len()
+    }
+
+    /// Units that belong to this member and may be used by it now.
+    fn own_usable(&self, now: Us) -> u32 {
+        if now < self.from {
+            return 0;
+        }
+        self.own.saturating_sub(self.lent_out(now))
+    }
+
+    /// Units that are lent or locked.
+    fn lent_out(&self, now: Us) -> u32 {
+        self.lent.iter().filter(|loan| loan.until > now).map(|loan| loan.units).sum()
+    }
+
+    /// Units that are borrowed under a live lease.
+    fn borrowed_usable(&self, now: Us) -> u32 {
+        self.borrowed.iter().map(|one| one.usable(now)).sum()
+    }
+
+    /// Units that this member may use now.
+    pub fn held(&self, now: Us) -> u32 {
+        self.own_usable(now) + self.borrowed_usable(now)
+    }
+
+    /// What this member lately needed, in units.
+    fn wanted(&self) -> u32 {
+        (self.rate * 1e6 * 1.05 + 0.3) as u32
+    }
+
+    /// What goes out.
+    pub fn drain(&mut self) -> std::vec::Drain<'_, (SocketAddr, Message)> {
+        self.out.drain(..)
+    }
+
+    /// What operators see.
+    pub fn figures(&mut self, now: Us, whole: u32) -> Figures {
+        self.settle(now);
+        Figures {
+            whole,
+            own: self.own,
+            held: self.held(now),
+            used: self.used(now) as u32,
+            lent: self.lent_out(now),
+            borrowed: self.borrowed_usable(now),
+            wanted: self.wanted(),
+            contact: self.contact.map(|at| now.saturating_sub(at)),
+            short: self.short,
+            denied: self.denied,
+        }
+    }
+
+    /// A message has come from a member.
+    pub fn heard(&mut self, now: Us, from: SocketAddr, message: Message) {
+        self.contact = Some(now);
+        match message {
+            Message::Hold(hold) => self.asked_for(now, from, hold),
+            Message::Lent(lent) => self.answered(now, from, lent),
+        }
+    }
+
+    /// This member leaves: what it has borrowed is given back where its uses of the last window allow it.
+    pub fn leave(&mut self, now: Us) {
+        self.own = 0;
+        self.give_all_back(now);
+    }
+
+    /// Does what is due: renews, asks, gives back. To be called every 50 ms or so; `peer` draws a member to ask.
+    pub fn tick(&mut self, now: Us, mut peer: impl FnMut() -> Option<SocketAddr>) {
+        self.settle(now);
+        self.lent.retain(|loan| loan.until > now);
+        let (wanted, held) = (self.wanted(), self.held(now));
+        if held < wanted {
+            self.short += now.saturating_sub(self.ticked);
+        }
+        self.ticked = now;
+        self.surplus = if held > wanted { self.surplus.or(Some(now)) } else { None };
+        if self.surplus.is_some_and(|since| since + KEEP <= now) {
+            self.give_back(now, held - wanted);
+        }
+        if held < wanted && now >= self.asked + self.ask_every {
+            // Where there was nothing to be had, there soon is none again.
+            let more = held > self.held_then;
+            self.ask_every = if more { ASK_EVERY } else { (2 * self.ask_every).min(ASK_SELDOM) };
+            (self.asked, self.held_then) = (now, held);
+            self.ask(now, wanted - held, &mut peer);
+        }
+        if held >= wanted {
+            self.ask_every = ASK_EVERY;
+        }
+        self.renew(now);
+    }
+}
--- /dev/null
+++ b/cluster/src/shares/lending.rs
@@ -0,0 +1,262 @@
+//! Both sides of a loan: what the owner locks, and what the borrower may take as its own.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use super::{Hold, Lent, Message, Shares, ASKED, ASK_AGAIN, LENDERS, RECALL_AGAIN, RENEWALS};
+use crate::Us;
+
+/// Questions of a borrower that are remembered: those of one lease, and more than enough of them.
+const QUESTIONS: usize = 32;
+
+/// After how long a question that was not answered is asked again, and given up.
+const UNANSWERED: Us = 200_000;
+const GIVEN_UP: Us = 1_000_000;
+
+/// The owner's side of a loan.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Loan {
+    to: SocketAddr,
+    life: u64,
+    /// The newest question of this borrower.
+    sent: Us,
+    pub(super) units: u32,
+    /// Until then they are not the owner's to use.
+    pub(super) until: Us,
+}
+
+/// The borrower's side.
+#[derive(Clone, Debug)]
+pub(super) struct Borrowed {
+    from: SocketAddr,
+    /// What may be used while the lease lives.
+    units: u32,
+    /// What is to be held: more than `units` while it is asked for, less while it is given back.
+    want: u32,
+    until: Us,
+    /// The newest question that was answered.
+    heard: Us,
+    /// The questions of the last lease: when, and for how many.
+    asked: VecDeque<(Us, u32)>,
+    /// How many more the lender said it could lend.
+    spare: u32,
+}
+
+impl Borrowed {
+    /// What may be used now.
+    pub(super) fn usable(&self, now: Us) -> u32 {
+        if now < self.until {
+            self.units.min(self.want)
+        } else {
+            0
+        }
+    }
+
+    /// Since when a question has waited for its answer.
+    fn unanswered(&self) -> Option<Us> {
+        self.asked.iter().map(|(at, _)| *at).find(|at| *at > self.heard)
+    }
+
+    fn last_asked(&self) -> Us {
+        self.asked.back().map_or(0, |(at, _)| *at)
+    }
+}
+
+impl Shares {
+    /// What may leave now: not needed here, and the uses of the last window fit into what stays.
+    pub(super) fn lendable(&mut self, now: Us) -> u32 {
+        let own = self.own_usable(now);
+        let keep = self.wanted().max(1).min(own);
+        let free = (self.held(now) as usize).saturating_sub(self.used(now)) as u32;
+        (own - keep).min(free)
+    }
+
+    /// A borrower says how many it wants or still holds.
+    pub(super) fn asked_for(&mut self, now: Us, from: SocketAddr, hold: Hold) {
+        let lendable = self.lendable(now);
+        let same = |loan: &Loan| loan.to == from && (loan.life == hold.life || self.is(Flaw::OldLifeObeyed));
+        let place = self.lent.iter().position(|loan| same(loan) && loan.until > now);
+        let mut loan = match place {
+            // What was sent before the newest question is old: it must neither give back nor take.
+            Some(place) if self.is_old(&self.lent[place], &hold) => return,
+            Some(place) => self.lent.swap_remove(place),
+            None => Loan { to: from, life: hold.life, sent: 0, units: 0, until: 0 },
+        };
+        let before = loan.units;
+        loan.units =
+            if hold.units <= before { hold.units } else { before + lendable.min(hold.units - before) };
+        (loan.life, loan.sent) = (hold.life, hold.sent);
+        loan.until = now + self.terms.lock();
+        let units = loan.units - self.recalled(now).min(loan.units);
+        if loan.units > 0 {
+            self.lent.push(loan);
+        }
+        let spare = self.lendable(now);
+        let answer = Lent { life: hold.life, sent: hold.sent, units, spare };
+        self.out.push((from, Message::Lent(answer)));
+    }
+
+    fn is_old(&self, loan: &Loan, hold: &Hold) -> bool {
+        hold.sent <= loan.sent && loan.life == hold.life && !self.is(Flaw::OrderNotKept)
+    }
+
+    /// How many an owner that is short itself asks back now: the answer names so many fewer, and they stay locked until
+    /// the borrower has said that it holds no more. Not of all borrowers at once.
+    fn recalled(&mut self, now: Us) -> u32 {
+        let short = self.wanted().saturating_sub(self.held(now));
+        if short == 0 || now < self.recall + RECALL_AGAIN {
+            return 0;
+        }
+        self.recall = now;
+        short
+    }
+
+    /// A lender has answered.
+    pub(super) fn answered(&mut self, now: Us, from: SocketAddr, lent: Lent) {
+        let lease = self.terms.lease;
+        let from_receipt = self.is(Flaw::LeaseFromReceipt);
+        let Some(one) = self.borrowed.iter_mut().find(|one| one.from == from) else { return };
+        let known = one.asked.iter().any(|(at, _)| *at == lent.sent);
+        if lent.life != self.life || lent.sent <= one.heard || !known {
+            return;
+        }
+        (one.heard, one.spare) = (lent.sent, lent.spare);
+        let until = if from_receipt { now + lease } else { lent.sent + lease };
+        if until <= now {
+            return;
+        }
+        // What was asked for since bounds it: the lender may have heard that by now and freed the rest.
+        let since = one.asked.iter().filter(|(at, _)| *at >= lent.sent).map(|(_, units)| *units).min();
+        one.units = lent.units.min(since.unwrap_or(0));
+        one.until = until;
+        one.want = one.want.min(lent.units);
+    }
+
+    /// Asks for more: those who said that they have some, then others as they are drawn.
+    pub(super) fn ask(&mut self, now: Us, mut short: u32, peer: &mut impl FnMut() -> Option<SocketAddr>) {
+        let mut known: Vec<usize> =
+            (0..self.borrowed.len()).filter(|at| self.borrowed[*at].spare > 0).collect();
+        known.sort_unstable_by_key(|at| std::cmp::Reverse(self.borrowed[*at].spare));
+        let mut asked = 0;
+        for at in known {
+            if asked == ASKED || short == 0 {
+                return;
+            }
+            let more = self.borrowed[at].spare.min(short);
+            self.borrowed[at].spare = 0;
+            self.question(now, at, more);
+            (asked, short) = (asked + 1, short - more);
+        }
+        for _ in 0..2 * ASKED {
+            if asked == ASKED || short == 0 {
+                return;
+            }
+            let Some(from) = peer() else { return };
+            let at = self.borrowed.iter().position(|one| one.from == from);
+            if at.is_some_and(|at| now < self.borrowed[at].last_asked() + ASK_AGAIN) {
+                continue;
+            }
+            if at.is_none() && self.borrowed.len() >= LENDERS {
+                return;
+            }
+            let at = at.unwrap_or_else(|| {
+                let asked = VecDeque::new();
+                self.borrowed.push(Borrowed { from, units: 0, want: 0, until: 0, heard: 0, asked, spare: 0 });
+                self.borrowed.len() - 1
+            });
+            self.question(now, at, short);
+            asked += 1;
+        }
+    }
+
+    /// Asks one lender for so many more than are held of it.
+    fn question(&mut self, now: Us, at: usize, more: u32) {
+        let one = &mut self.borrowed[at];
+        one.want = one.usable(now) + more;
+        self.tell(now, at);
+    }
+
+    /// Tells a lender what is wanted of it. Less than it has been told is told only when the uses of the last window fit
+    /// into what is left: the lender frees the rest at once.
+    fn tell(&mut self, now: Us, at: usize) {
+        let fits = self.used(now) <= self.held(now) as usize;
+        let life = self.life;
+        let one = &mut self.borrowed[at];
+        let before = one.asked.iter().map(|(_, units)| *units).max().unwrap_or(0).max(one.units);
+        if one.want < before && !fits {
+            return;
+        }
+        // Two questions of one moment could not be told apart.
+        let sent = now.max(one.last_asked() + 1);
+        one.asked.push_back((sent, one.want));
+        if one.asked.len() > QUESTIONS {
+            one.asked.pop_front();
+        }
+        // What it has been told is given back is the lender's from now on, whatever is wanted of it later.
+        one.units = one.units.min(one.want);
+        self.out.push((one.from, Message::Hold(Hold { life, sent, units: one.want })));
+    }
+
+    /// Gives everything back that can be given back now; the rest lapses.
+    pub(super) fn give_all_back(&mut self, now: Us) {
+        self.borrowed.iter_mut().for_each(|one| one.want = 0);
+        (0..self.borrowed.len()).for_each(|at| self.tell(now, at));
+    }
+
+    /// Wants so many less of its lenders, the smallest loans first: fewer lenders are fewer packets.
+    pub(super) fn give_back(&mut self, now: Us, mut surplus: u32) {
+        self.borrowed.sort_unstable_by_key(|one| one.usable(now));
+        for at in 0..self.borrowed.len() {
+            let one = &mut self.borrowed[at];
+            let less = one.usable(now).min(surplus);
+            if less > 0 {
+                one.want = one.usable(now) - less;
+                surplus -= less;
+            }
+        }
+    }
+
+    /// Renews what is held, asks again where no answer came, and says what is given back.
+    pub(super) fn renew(&mut self, now: Us) {
+        let (every, window) = (self.terms.lease / RENEWALS, self.terms.window());
+        for at in 0..self.borrowed.len() {
+            let one = &mut self.borrowed[at];
+            let live = now < one.until && one.units > 0;
+            let since = one.unanswered();
+            if !live && since.is_none_or(|since| now >= since + GIVEN_UP) {
+                // What was asked for and not given is not wanted of this lender any more.
+                (one.units, one.want) = (0, 0);
+            }
+            let told = one.asked.back().map_or(0, |(_, units)| *units);
+            let wait = if since.is_some() { UNANSWERED } else { every };
+            let again = (live || one.want > 0) && now >= one.last_asked() + wait;
+            if one.want < told || again {
+                self.tell(now, at);
+            }
+        }
+        // A lender is forgotten once nothing that was borrowed of it was used within the window.
+        self.borrowed.retain(|one| now < one.until + window || now < one.last_asked() + window);
+    }
+
+    /// Whether a machine is broken on purpose, in a test.
+    #[cfg(test)]
+    fn is(&self, flaw: Flaw) -> bool {
+        self.flaw == Some(flaw)
+    }
+
+    #[cfg(not(test))]
+    fn is(&self, _flaw: Flaw) -> bool {
+        false
+    }
+}
+
+/// The ways in which tests break a machine on purpose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Flaw {
+    /// A lease counts from its receipt.
+    LeaseFromReceipt,
+    /// An older question takes and gives back like a newer one.
+    OrderNotKept,
+    /// A new life's question stands for the old one's.
+    OldLifeObeyed,
+}
--- /dev/null
+++ b/cluster/src/shares/tests.rs
@@ -0,0 +1,440 @@
+//! Fleets in virtual time: drawn networks, kills, freezes and clocks, the bound asserted at each command that begins.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddr};
+
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::lending::Flaw;
+use super::*;
+
+/// What happens in a fleet's time.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Tick(usize, u32),
+    Packet(usize, usize, u32),
+    /// A command of a member, which waits until then.
+    Command(usize, Us),
+    Kill(usize),
+    Start(usize),
+    Freeze(usize, Us),
+    Thaw(usize),
+    /// From now on the network is cut so: who is on which side, and what gets from the first to the second.
+    Cut(u64, bool),
+}
+
+/// How long a command waits for a unit, as a read does at the origin.
+const WAITS: Us = 200_000;
+
+/// How bad a fleet's world is.
+#[derive(Clone, Copy, Debug)]
+struct World {
+    members: usize,
+    holders: u32,
+    whole: u32,
+    seconds: u64,
+    /// Commands a second of all members, and the share of the first fifth of them.
+    rate: f64,
+    uneven: f64,
+    loss: f64,
+    repeat: f64,
+    /// The longest usual delay, and the share of packets that come up to eight seconds late.
+    delay: Us,
+    late: f64,
+    drift: f64,
+    kills: usize,
+    freezes: usize,
+    cuts: usize,
+    flaw: Option<Flaw>,
+    /// A process uses what is its own at once when it starts.
+    hasty: bool,
+}
+
+struct One {
+    shares: Option<Shares>,
+    life: u32,
+    frozen: bool,
+    /// By which factor its clock runs, and what it shows at the beginning.
+    clock: f64,
+    offset: Us,
+    waiting: Vec<Due>,
+}
+
+/// What a fleet did.
+#[derive(Debug, Default)]
+struct Played {
+    begun: Vec<(Us, usize)>,
+    denied: u64,
+    packets: u64,
+    /// The most begun in any second.
+    most: usize,
+}
+
+struct Fleet {
+    world: World,
+    chance: ChaCha8Rng,
+    now: Us,
+    due: BinaryHeap<Reverse<(Us, u64, Due)>>,
+    count: u64,
+    packets: Vec<Option<Message>>,
+    all: Vec<One>,
+    side: u64,
+    one_way: bool,
+    near: VecDeque<Us>,
+    played: Played,
+}
+
+fn address(number: usize) -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 1_000 + number as u16).into()
+}
+
+fn terms(world: &World) -> Terms {
+    Terms { whole: world.whole, holders: world.holders, lease: 2 * SECOND, drift: 0.001 }
+}
+
+fn play(seed: u64, world: World) -> Played {
+    let mut chance = ChaCha8Rng::seed_from_u64(seed);
+    let all = (0..world.members)
+        .map(|_| One {
+            shares: None,
+            life: 0,
+            frozen: false,
+            clock: 1.0 + world.drift * (2.0 * chance.random::<f64>() - 1.0),
+            offset: chance.random_range(0..1_000 * SECOND),
+            waiting: Vec::new(),
+        })
+        .collect();
+    let mut fleet = Fleet {
+        world,
+        chance,
+        now: 0,
+        due: BinaryHeap::new(),
+        count: 0,
+        packets: Vec::new(),
+        all,
+        side: 0,
+        one_way: false,
+        near: VecDeque::new(),
+        played: Played::default(),
+    };
+    fleet.run();
+    fleet.played
+}
+
+impl Fleet {
+    fn at(&mut self, at: Us, due: Due) {
+        self.count += 1;
+        self.due.push(Reverse((at, self.count, due)));
+    }
+
+    fn draw(&mut self, most: Us) -> Us {
+        self.chance.random_range(0..most.max(1))
+    }
+
+    fn run(&mut self) {
+        let world = self.world;
+        let end = world.seconds * SECOND;
+        for one in 0..world.members {
+            self.start(one);
+        }
+        for _ in 0..world.kills {
+            let (at, who) = (self.draw(end), self.chance.random_range(0..world.members));
+            self.at(at, Due::Kill(who));
+        }
+        for _ in 0..world.freezes {
+            let (at, who, long) =
+                (self.draw(end), self.chance.random_range(0..world.members), self.draw(6 * SECOND));
+            self.at(at, Due::Freeze(who, long));
+        }
+        for _ in 0..world.cuts {
+            let (at, side, one_way) = (self.draw(end), self.chance.next_u64(), self.chance.random::<bool>());
+            self.at(at, Due::Cut(side, one_way));
+            let heal = at + self.draw(5 * SECOND);
+            self.at(heal, Due::Cut(0, false));
+        }
+        let mut at = 0.0;
+        while at < end as f64 {
+            at += -(1.0 - self.chance.random::<f64>()).ln() / world.rate * 1e6;
+            let first = (world.members / 5).max(1);
+            let many = if self.chance.random::<f64>() < world.uneven { 0..first } else { 0..world.members };
+            let who = self.chance.random_range(many);
+            self.at(at as Us, Due::Command(who, at as Us + WAITS));
+        }
+        while let Some(Reverse((at, _, due))) = self.due.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.make(due);
+        }
+    }
+
+    fn clock(&self, who: usize) -> Us {
+        let one = &self.all[who];
+        one.offset + (self.now as f64 * one.clock) as Us
+    }
+
+    fn start(&mut self, who: usize) {
+        let now = self.clock(who);
+        let position = who as u32;
+        let one = &mut self.all[who];
+        one.life += 1;
+        let mut shares = Shares::new(terms(&self.world), position, u64::from(one.life), now);
+        shares.flaw = self.world.flaw;
+        if self.world.hasty || one.life == 1 {
+            // The first of all lives has nothing before it.
+            shares.from = now;
+        }
+        one.shares = Some(shares);
+        let (life, at) = (one.life, self.now + self.chance.random_range(0..50_000));
+        self.at(at, Due::Tick(who, life));
+    }
+
+    fn make(&mut self, due: Due) {
+        let who = match due {
+            Due::Tick(who, _) | Due::Packet(_, who, _) | Due::Command(who, _) => Some(who),
+            _ => None,
+        };
+        if let Some(who) = who.filter(|who| self.all[*who].frozen) {
+            self.all[who].waiting.push(due);
+            return;
+        }
+        match due {
+            Due::Tick(who, life) if self.all[who].life == life && self.all[who].shares.is_some() => {
+                let now = self.clock(who);
+                let (chance, count) = (&mut self.chance, self.world.members);
+                let draw = || Some(chance.random_range(0..count)).filter(|peer| *peer != who).map(address);
+                if let Some(shares) = &mut self.all[who].shares {
+                    shares.tick(now, draw);
+                }
+                self.send(who);
+                let next = self.now + 45_000 + self.draw(10_000);
+                self.at(next, Due::Tick(who, life));
+            }
+            Due::Tick(..) => {}
+            Due::Packet(from, to, packet) => {
+                let now = self.clock(to);
+                let message = self.packets[packet as usize];
+                if let (Some(shares), Some(message)) = (&mut self.all[to].shares, message) {
+                    shares.heard(now, address(from), message);
+                }
+                self.send(to);
+            }
+            Due::Command(who, until) => self.command(who, until),
+            Due::Kill(who) => {
+                if self.all[who].shares.take().is_some() {
+                    self.all[who].waiting.clear();
+                    self.all[who].frozen = false;
+                    let back = self.now + self.draw(2 * SECOND);
+                    self.at(back, Due::Start(who));
+                }
+            }
+            Due::Start(who) => self.start(who),
+            Due::Freeze(who, long) => {
+                self.all[who].frozen = true;
+                self.at(self.now + long, Due::Thaw(who));
+            }
+            Due::Thaw(who) => {
+                self.all[who].frozen = false;
+                for due in std::mem::take(&mut self.all[who].waiting) {
+                    self.make(due);
+                }
+            }
+            Due::Cut(side, one_way) => (self.side, self.one_way) = (side, one_way),
+        }
+    }
+
+    /// A command wants to begin: the bound is asserted here, at each of them, by the fleet's own time.
+    fn command(&mut self, who: usize, until: Us) {
+        let now = self.clock(who);
+        let Some(shares) = &mut self.all[who].shares else { return };
+        let wait = shares.wait(now).min(20_000);
+        if wait > 0 && self.now + wait < until {
+            self.at(self.now + wait, Due::Command(who, until));
+            return;
+        }
+        if wait > 0 {
+            shares.denied(now);
+            self.played.denied += 1;
+            return;
+        }
+        shares.took(now);
+        self.near.push_back(self.now);
+        while self.near.front().is_some_and(|at| at + SECOND <= self.now) {
+            self.near.pop_front();
+        }
+        self.played.begun.push((self.now, who));
+        self.played.most = self.played.most.max(self.near.len());
+    }
+
+    fn send(&mut self, who: usize) {
+        let Some(shares) = &mut self.all[who].shares else { return };
+        let out: Vec<_> = shares.drain().collect();
+        for (to, message) in out {
+            let to = usize::from(to.port()) - 1_000;
+            self.played.packets += 1;
+            let sides = [who, to].map(|n| self.side >> (n % 64) & 1);
+            let cut = if self.one_way { sides == [0, 1] } else { sides[0] != sides[1] };
+            if cut || self.chance.random::<f64>() < self.world.loss {
+                continue;
+            }
+            let copies = 1 + usize::from(self.chance.random::<f64>() < self.world.repeat);
+            for _ in 0..copies {
+                let late = self.chance.random::<f64>() < self.world.late;
+                // Late ones half by little more than a lease bears, half by far more.
+                let most = if self.chance.random::<bool>() { 8 * SECOND } else { 2 * SECOND };
+                let at = self.now + 500 + self.draw(if late { most } else { self.world.delay });
+                self.packets.push(Some(message));
+                let packet = self.packets.len() as u32 - 1;
+                self.at(at, Due::Packet(who, to, packet));
+            }
+        }
+    }
+}
+
+const CALM: World = World {
+    members: 10,
+    holders: 10,
+    whole: 40,
+    seconds: 20,
+    rate: 80.0,
+    uneven: 0.0,
+    loss: 0.0,
+    repeat: 0.0,
+    delay: 5_000,
+    late: 0.0,
+    drift: 0.0,
+    kills: 0,
+    freezes: 0,
+    cuts: 0,
+    flaw: None,
+    hasty: false,
+};
+
+/// A world as bad as the terms allow for, drawn.
+fn drawn(seed: u64) -> World {
+    let mut chance = ChaCha8Rng::seed_from_u64(seed);
+    let members = chance.random_range(2..9);
+    let mut up_to = |most: f64| most * chance.random::<f64>();
+    let (rate, uneven) = (up_to(150.0) + 10.0, up_to(1.0));
+    let (loss, repeat, late) = (up_to(0.5), up_to(0.2), up_to(0.4));
+    let (delay, drift) = (up_to(300_000.0) as Us + 1, up_to(0.001));
+    World {
+        members,
+        holders: chance.random_range(1..2 * members as u32),
+        whole: chance.random_range(1..60),
+        seconds: 14,
+        rate,
+        uneven,
+        loss,
+        repeat,
+        late,
+        delay,
+        drift,
+        kills: chance.random_range(0..8),
+        freezes: chance.random_range(0..5),
+        cuts: chance.random_range(0..4),
+        ..CALM
+    }
+}
+
+/// Seeds of the schedules that are drawn in each run of the tests.
+const SCHEDULES: u64 = 2_000;
+
+#[test]
+fn the_whole_is_never_exceeded_whatever_fails() {
+    let mut used = 0;
+    for seed in 0..SCHEDULES {
+        let world = drawn(seed);
+        let played = play(seed, world);
+        assert!(
+            played.most <= world.whole as usize,
+            "seed {seed}: {} of {}: {world:?}",
+            played.most,
+            world.whole
+        );
+        used += played.begun.len();
+    }
+    assert!(used > 100_000, "the limits have to have been used: {used}");
+}
+
+/// Each machine that is broken on purpose is caught by the same schedules.
+#[test]
+fn machines_that_are_broken_on_purpose_are_caught() {
+    let flaws = [Flaw::LeaseFromReceipt, Flaw::OrderNotKept, Flaw::OldLifeObeyed].map(Some);
+    for (flaw, hasty) in flaws.into_iter().map(|flaw| (flaw, false)).chain([(None, true)]) {
+        let caught = (0..10 * SCHEDULES).find(|seed| {
+            let world = World { flaw, hasty, ..drawn(*seed) };
+            play(*seed, world).most > world.whole as usize
+        });
+        println!("{flaw:?}, hasty {hasty}: caught by {caught:?}");
+        assert!(caught.is_some(), "{flaw:?}, hasty {hasty}: not caught");
+    }
+}
+
+fn share_used(played: &Played, world: &World, from: u64, to: u64) -> f64 {
+    let within = played.begun.iter().filter(|(at, _)| (from * SECOND..to * SECOND).contains(at)).count();
+    within as f64 / (f64::from(world.whole) * (to - from) as f64)
+}
+
+/// Four fifths of the demand at a fifth of the members, twice the whole in all.
+#[test]
+fn shares_follow_an_uneven_demand() {
+    let world = World { members: 50, holders: 50, whole: 200, rate: 400.0, uneven: 0.75, ..CALM };
+    let played = play(1, world);
+    let used = share_used(&played, &world, 4, 20);
+    println!("{used} {}", played.packets as f64 / 20.0 / 50.0);
+    assert!(used > 0.85, "{used}");
+    let lossy = World { loss: 0.3, repeat: 0.05, delay: 50_000, ..world };
+    let used = share_used(&play(1, lossy), &lossy, 4, 20);
+    assert!(used > 0.8, "with loss: {used}");
+}
+
+#[test]
+fn a_member_that_hears_nobody_has_its_own_part() {
+    let world = World { loss: 1.0, whole: 40, rate: 200.0, ..CALM };
+    let played = play(1, world);
+    for who in 0..10 {
+        let own = played.begun.iter().filter(|(_, by)| *by == who).count() as f64 / 20.0;
+        assert!((3.5..=4.0).contains(&own), "{who}: {own} a second of 4");
+    }
+}
+
+#[test]
+fn positions_divide_the_whole_and_none_beyond_the_holders_owns_any() {
+    for (whole, holders) in [(400, 300), (7, 3), (3, 7), (1, 1), (600, 100)] {
+        let terms = Terms { whole, holders, lease: SECOND, drift: 0.0 };
+        let owned: Vec<u32> = (0..2 * holders).map(|position| terms.own(position)).collect();
+        assert_eq!(owned.iter().sum::<u32>(), whole);
+        let (least, most) = (owned[..holders as usize].iter().min(), owned.iter().max());
+        assert!(
+            most.unwrap() - least.unwrap() <= 1 && owned[holders as usize..].iter().all(|units| *units == 0)
+        );
+    }
+}
+
+/// Prints the use of a whole that is half of the demand, four fifths of which come to a fifth of the members, and what
+/// that costs; by hand: `cargo test --release -p juniperladder-cluster curves -- --ignored --nocapture`.
+#[test]
+#[ignore = "a table, by hand"]
+fn curves() {
+    println!(
+        "{:>8} {:>6} {:>5}  {:>22}  packets a second a member",
+        "members", "whole", "loss", "use, three seeds"
+    );
+    for (members, whole) in [(10, 40), (50, 200), (100, 300), (100, 600), (300, 600), (500, 1_000)] {
+        for loss in [0.0, 0.3] {
+            let rate = 2.0 * f64::from(whole);
+            let holders = members as u32;
+            let world = World { members, holders, whole, rate, uneven: 0.75, loss, delay: 25_000, ..CALM };
+            let played: Vec<Played> = (1..4).map(|seed| play(seed, world)).collect();
+            let used: Vec<String> =
+                played.iter().map(|p| format!("{:.3}", share_used(p, &world, 4, 20))).collect();
+            assert!(played.iter().all(|p| p.most <= whole as usize));
+            let packets = played[0].packets as f64 / world.seconds as f64 / members as f64;
+            println!("{members:>8} {whole:>6} {loss:>5}  {:>22}  {packets:.1}", used.join(" "));
+        }
+    }
+}
