Hold the origin's limit for the whole fleet by an operators' file, carried by UDP; off in run

Need: a limit that holds for all balancers together has to be known to the decisions and carried between processes, and must cost nothing where balancers may not talk.

The decision module asks a Part (src/interface.rs) before it sends to the origin; without one nothing changes. node/ reads the operators' file (--operator or NODE_OPERATOR; unknown fields and wrong values are told with line, field and remedy), binds the peers' UDP address, carries cluster/'s packets and tells members and shares through DUMP.

--- a/cluster/src/shares.rs
+++ b/cluster/src/shares.rs
@@ -45,6 +45,8 @@
 const KEEP: Us = SECOND;
 /// Renewals within a lease; one that is not answered is repeated sooner.
 const RENEWALS: u64 = 3;
+/// How long a command waits at first where there is no unit at all.
+const MOMENT: Us = 50_000;
 /// Between two times at which an owner asks back what it has lent.
 const RECALL_AGAIN: Us = 200_000;
 /// The most lenders of one borrower.
@@ -208,8 +210,8 @@
         }
     }
 
-    /// How long a command has to wait for a unit; zero, one may begin now. Without any unit it is a window: something
-    /// may be lent by then.
+    /// How long a command has to wait for a unit; zero, one may begin now. Without any unit it is a moment: something may
+    /// be lent by then.
     pub fn wait(&mut self, now: Us) -> Us {
         let (used, held) = (self.used(now), self.held(now) as usize);
         if used < held {
@@ -217,7 +219,7 @@
         }
         let window = self.terms.window();
         match held {
-            0 => window,
+            0 => MOMENT,
             // As many have to be over as are too many, and one.
             _ => (self.uses[used - held] + window).saturating_sub(now).max(1),
         }
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use juniperladder::{
-    Action, Balancer, Entry, Event, ListKind, Micros, Outcome, Request, RequestId, ServerId, Settings, State,
-    Status,
+    Action, Balancer, Entry, Event, ListKind, Micros, Outcome, Part, Request, RequestId, ServerId, Settings,
+    State, Status,
 };
 use rustc_hash::FxHashMap;
 use slog::{info, Logger};
@@ -204,6 +204,11 @@
         })
     }
 
+    /// From now on sends to the origin keep to this part of a limit of the whole fleet.
+    pub fn limit_origin(&self, part: Box<dyn Part>) {
+        self.inner.borrow_mut().balancer.limit_origin(part);
+    }
+
     /// The program's counters.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- a/exchange/src/operators.rs
+++ b/exchange/src/operators.rs
@@ -50,8 +50,8 @@
         self.inner.borrow().bans.names()
     }
 
-    /// The figures in the Prometheus text format, one class a label, then the line `--`.
-    pub fn figures(&self, classes: &[String]) -> String {
+    /// The figures in the Prometheus text format, one class a label, then `more` and the line `--`.
+    pub fn figures(&self, classes: &[String], more: &str) -> String {
         let in_progress = self.in_progress() as u64;
         let inner = self.inner.borrow();
         let mut text = String::new();
@@ -84,6 +84,7 @@
         for (name, kind, value) in gauges {
             let _ = writeln!(text, "# TYPE app_{name} {kind}\napp_{name} {value}");
         }
+        text.push_str(more);
         text.push_str("--\n");
         text
     }
@@ -188,7 +189,7 @@
                     assert_eq!(sent_there(exchange, recorder, 40).await, 0, "{kind:?} {hosts:?}");
                     exchange.offline(NAME).expect("a second call is the same");
                     if exchange.inner.borrow().bans.listed().any(|host| host.entry.server == HOST) {
-                        assert!(exchange.figures(&[]).contains("skipped_cache_hosts 1\n"));
+                        assert!(exchange.figures(&[], "").contains("skipped_cache_hosts 1\n"));
                     }
                 }
                 // One is replaced: what it knew by hand goes on in its successor.
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 mod doors;
 mod hosts;
 pub mod keeper;
+mod operator;
 mod origin;
 pub mod peers;
 mod play;
--- /dev/null
+++ b/fleet/src/operator.rs
@@ -0,0 +1,89 @@
+//! The operators' file of each process: the experiment's, with the process's own peers' address and the seeds filled in,
+//! and the origin's capacity as the whole of its limit where the file leaves that open.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+
+use juniperladder_world::experiment::Experiment;
+use toml::{Table, Value};
+
+use crate::peers::Relay;
+use crate::Problem;
+
+/// What the file states of its limits where it says nothing: the daemon's own default.
+const SPREAD_MS: f64 = 50.0;
+/// Members that each process calls first.
+const SEEDS: usize = 3;
+
+/// The operators' file of an experiment.
+pub struct Operator {
+    table: Table,
+    relay: Rc<Relay>,
+}
+
+impl Operator {
+    /// Reads the file that the experiment names, if it names one.
+    pub fn read(e: &Experiment) -> Result<Option<Table>, Problem> {
+        let Some(path) = &e.fleet.operator else { return Ok(None) };
+        let wrong = |what: String| Problem::NotAllowed(format!("fleet.operator: {path}: {what}"));
+        let text = std::fs::read_to_string(path).map_err(|e| wrong(e.to_string()))?;
+        toml::from_str(&text).map(Some).map_err(|e| wrong(e.message().to_owned()))
+    }
+
+    /// The file, with the relay that stands for the processes.
+    pub fn new(table: Table, relay: Rc<Relay>) -> Operator {
+        Operator { table, relay }
+    }
+
+    /// What the program states of the origin's limit, as a multiple of the whole.
+    pub fn bound(table: &Table) -> f64 {
+        let spread = table.get("limits").and_then(|limits| limits.get("spread_ms"));
+        let ms = spread.and_then(|ms| ms.as_float().or(ms.as_integer().map(|ms| ms as f64)));
+        1.0 + ms.unwrap_or(SPREAD_MS) / 1e3
+    }
+
+    /// The whole of the origin's limit.
+    pub fn whole(table: &Table, e: &Experiment) -> f64 {
+        let given = table
+            .get("limits")
+            .and_then(|limits| limits.get("origin"))
+            .and_then(|origin| origin.get("per_s"));
+        given.and_then(Value::as_integer).map_or(e.origin.capacity.floor(), |per_s| per_s as f64)
+    }
+
+    /// The copy for one process.
+    pub fn copy(&self, e: &Experiment, number: usize) -> std::io::Result<String> {
+        let known = self.relay.address(number)?;
+        // An address of its own on loopback, at the port that the relay holds for it: no other run has that port.
+        let run = std::process::id() as u8 % 250 + 1;
+        let own = Ipv4Addr::new(127, run, (number >> 8) as u8, number as u8);
+        let listen = SocketAddr::new(IpAddr::V4(own), known.port());
+        self.relay.is_at(number, listen);
+        let count = e.fleet.balancers;
+        let seeds: Vec<Value> = (0..SEEDS.min(count))
+            .map(|seed| Ok(Value::String(self.relay.address(seed * count / SEEDS.min(count))?.to_string())))
+            .collect::<std::io::Result<_>>()?;
+        let table = within(self.table.clone(), "peers", |peers| {
+            peers.insert("listen".into(), Value::String(listen.to_string()));
+            peers.insert("address".into(), Value::String(known.to_string()));
+            peers.insert("seeds".into(), Value::Array(seeds));
+        });
+        let whole = Value::Integer(Operator::whole(&self.table, e) as i64);
+        let table = within(table, "limits", |limits| {
+            *limits =
+                within(std::mem::take(limits), "origin", |origin| drop(origin.insert("per_s".into(), whole)));
+        });
+        Ok(table.to_string())
+    }
+}
+
+/// Changes a table within a table, which is made where it is not there.
+fn within(mut table: Table, name: &str, change: impl FnOnce(&mut Table)) -> Table {
+    let mut one = match table.remove(name) {
+        Some(Value::Table(one)) => one,
+        _ => Table::new(),
+    };
+    change(&mut one);
+    table.insert(name.into(), Value::Table(one));
+    table
+}
--- a/fleet/src/play.rs
+++ b/fleet/src/play.rs
@@ -23,6 +23,8 @@
 use crate::discovery::{self, Addresses};
 use crate::doors::Door;
 use crate::keeper::Keeper;
+use crate::operator::Operator;
+use crate::peers::{Relay, Sent};
 use crate::processes::Processes;
 use crate::rig::{host_id, Rig};
 use crate::{hosts, origin, room, Problem};
@@ -64,6 +66,12 @@
     pub balancers_cpu_s: f64,
     /// Processor time of the rig, in seconds.
     pub rig_cpu_s: f64,
+    /// Packets and bytes that a balancer sent to others in a second, on average; none without talk.
+    pub talk: Option<(f64, f64)>,
+    /// The whole of the origin's limit; none without talk.
+    pub whole: Option<f64>,
+    /// What the program states of the origin's limit, as a multiple of the whole; none without talk.
+    pub bound: Option<f64>,
     /// Whether it was stopped before its end.
     pub stopped: bool,
     /// When it ended: the end of the load, or when it was stopped.
@@ -78,19 +86,30 @@
     let plan = schedule(experiment);
     let sides = plan.links.sides(experiment).iter().max().map_or(1, |most| most + 1);
     room::check(experiment, sides)?;
-    if experiment.fleet.operator.is_some() {
-        let text = "fleet.operator: the program has no talk between balancers yet; leave the field out";
-        return Err(Problem::NotAllowed(text.into()));
-    }
+    let operator = Operator::read(experiment)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| Problem::NotAllowed(format!("cannot start: {e}")))?;
     LocalSet::new().block_on(&runtime, async {
         let rig = Rig::new(experiment.clone(), plan.links.clone());
         let mut options = options;
-        Run::prepare(rig, options.out, options.keeper.take())?.play(plan.steps, options).await
+        let bound = operator.as_ref().map(Operator::bound);
+        let whole = operator.as_ref().map(|table| Operator::whole(table, experiment));
+        let relay = match &operator {
+            Some(_) => Some(Relay::new(Rc::clone(&rig), experiment.fleet.balancers).await.map_err(no_door)?),
+            None => None,
+        };
+        let operator = operator.zip(relay.clone()).map(|(table, relay)| Operator::new(table, relay));
+        let run = Run::prepare(rig, options.out, operator, options.keeper.take())?;
+        let mut played = run.play(plan.steps, relay.clone(), options).await?;
+        (played.whole, played.bound) = (whole, bound);
+        Ok(played)
     })
 }
 
+fn no_door(e: std::io::Error) -> Problem {
+    Problem::NotAllowed(format!("no door can be opened: {e}"))
+}
+
 struct Run {
     rig: Rc<Rig>,
     processes: Rc<Processes>,
@@ -101,8 +120,13 @@
 }
 
 impl Run {
-    fn prepare(rig: Rc<Rig>, out: &Path, keeper: Option<Keeper>) -> Result<Run, Problem> {
-        let wrong = |e: std::io::Error| Problem::NotAllowed(format!("no door can be opened: {e}"));
+    fn prepare(
+        rig: Rc<Rig>,
+        out: &Path,
+        operator: Option<Operator>,
+        keeper: Option<Keeper>,
+    ) -> Result<Run, Problem> {
+        let wrong = no_door;
         let machines = rig.hosts.len() + 1;
         let sides = rig.sides.len();
         let doors: Vec<Vec<Door>> = (0..machines)
@@ -126,7 +150,7 @@
                 discovery::accept(rig, balancer, addresses, listener).await;
             });
         }
-        let processes = Processes::prepare(&rig, out, &told, &addresses, keeper)?;
+        let processes = Processes::prepare(&rig, out, &told, &addresses, operator, keeper)?;
         let listeners = (0..machines).map(|_| Vec::new()).collect();
         let mut run = Run { rig, processes, doors, listeners };
         for machine in 0..machines {
@@ -158,7 +182,12 @@
         self.rig.lives[host].set(self.rig.lives[host].get() + 1);
     }
 
-    async fn play(mut self, steps: Vec<Step>, options: Options<'_>) -> Result<Played, Problem> {
+    async fn play(
+        mut self,
+        steps: Vec<Step>,
+        relay: Option<Rc<Relay>>,
+        options: Options<'_>,
+    ) -> Result<Played, Problem> {
         let Options { progress, mut stop, .. } = options;
         let experiment = self.rig.experiment.clone();
         self.processes.start_all(|ready| progress(Progress::Ready(ready))).await?;
@@ -174,11 +203,13 @@
         let end = zero + us(experiment.seconds);
         let mut steps = steps.into_iter().peekable();
         let mut warm = false;
+        let mut talked = sent(&relay);
         self.rig.origin.borrow_mut().unbounded = true;
         let stopped = loop {
             let now = self.rig.now();
             if !warm && now >= zero {
                 warm = true;
+                talked = sent(&relay);
                 self.rig.origin.borrow_mut().unbounded = false;
             }
             while let Some(step) = steps.next_if(|step| zero + step.at <= now) {
@@ -198,6 +229,10 @@
         };
         let load_end = self.rig.now().min(end);
         sending.abort();
+        let span = load_end.saturating_sub(zero).max(1) as f64 / 1e6 * experiment.fleet.balancers as f64;
+        let talk = sent(&relay).zip(talked).map(|(end, begin)| {
+            ((end.packets - begin.packets) as f64 / span, (end.bytes - begin.bytes) as f64 / span)
+        });
         // What is out has its time; nothing new begins.
         for _ in 0..60 {
             if clients.out() == 0 || stopped {
@@ -223,6 +258,9 @@
             crashes,
             balancers_cpu_s: cpu(UsageWho::RUSAGE_CHILDREN),
             rig_cpu_s: cpu(UsageWho::RUSAGE_SELF),
+            talk,
+            whole: None,
+            bound: None,
             stopped,
             end: load_end - begun,
         })
@@ -333,6 +371,15 @@
     }
 }
 
+/// What all balancers together have sent to each other.
+fn sent(relay: &Option<Rc<Relay>>) -> Option<Sent> {
+    let all = relay.as_ref()?.sent();
+    Some(all.iter().fold(Sent::default(), |sum, one| Sent {
+        packets: sum.packets + one.packets,
+        bytes: sum.bytes + one.bytes,
+    }))
+}
+
 /// Notes when the rig itself is late.
 async fn beat(rig: Rc<Rig>) {
     loop {
--- a/fleet/src/processes.rs
+++ b/fleet/src/processes.rs
@@ -28,6 +28,7 @@
 use crate::discovery::{kind_name, list, zone_name, Addresses};
 use crate::doors::Door;
 use crate::keeper::Keeper;
+use crate::operator::Operator;
 use crate::rig::Rig;
 use crate::Problem;
 
@@ -50,11 +51,19 @@
     ended: watch::Sender<u64>,
 }
 
+impl Process {
+    /// Its copy of the operators' file.
+    fn operator(&self) -> PathBuf {
+        self.folder.join("operator.toml")
+    }
+}
+
 /// All processes of the program.
 pub struct Processes {
     rig: Rc<Rig>,
     all: Vec<Rc<Process>>,
     program: PathBuf,
+    operator: Option<Operator>,
     keeper: RefCell<Option<Keeper>>,
     /// Those that ended without being told to: who and how, with the last log lines.
     pub crashes: RefCell<Vec<String>>,
@@ -67,6 +76,7 @@
         out: &Path,
         discovery: &[SocketAddr],
         addresses: &[Addresses],
+        operator: Option<Operator>,
         keeper: Option<Keeper>,
     ) -> Result<Rc<Processes>, Problem> {
         let e = &rig.experiment;
@@ -98,7 +108,7 @@
             }));
         }
         let (rig, keeper) = (Rc::clone(rig), RefCell::new(keeper));
-        let processes = Processes { rig, all, program, keeper, crashes: RefCell::default() };
+        let processes = Processes { rig, all, program, operator, keeper, crashes: RefCell::default() };
         for number in 0..processes.all.len() {
             processes.configure(number, discovery[number], &addresses[number])?;
         }
@@ -120,8 +130,12 @@
             "known": list(rig, first, true, &known, addresses),
             "settings": settings(e, number),
         });
-        std::fs::write(&process.config, config.to_string())
-            .map_err(|e| Problem::NotAllowed(format!("{}: {e}", process.config.display())))
+        let wrong = |e: std::io::Error| Problem::NotAllowed(format!("{}: {e}", process.folder.display()));
+        if let Some(operator) = &self.operator {
+            let copy = operator.copy(e, number).map_err(wrong)?;
+            std::fs::write(process.operator(), copy).map_err(wrong)?;
+        }
+        std::fs::write(&process.config, config.to_string()).map_err(wrong)
     }
 
     /// Where the clients of each process connect.
@@ -161,6 +175,9 @@
         let log = log.map_err(|e| problem(format!("{}: {e}", process.log.display())))?;
         let mut command = Command::new(&self.program);
         command.env_clear().env("NODE_CONFIG", &process.config).env("TMPDIR", &process.folder);
+        if self.operator.is_some() {
+            command.env("NODE_OPERATOR", process.operator());
+        }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).kill_on_drop(true);
         let child = command.spawn().map_err(|e| problem(format!("{}: {e}", self.program.display())))?;
         process.pid.set(child.id().map_or(0, |pid| pid as i32));
--- a/lab/src/commands.rs
+++ b/lab/src/commands.rs
@@ -133,7 +133,8 @@
             return if matches!(problem, Problem::NotAllowed(_)) { NOT_ALLOWED } else { BROKEN };
         }
     };
-    let terms = Terms { end: run.end.max(Terms::of(experiment).zero + 1), ..Terms::of(experiment) };
+    let terms = Terms::of(experiment);
+    let terms = Terms { end: run.end.max(terms.zero + 1), whole: run.whole, bound: run.bound, ..terms };
     let verdict = judged(experiment, &run, &terms);
     let written = tables::write(out, experiment, &run.ledger, &terms, &verdict, &run.crashes);
     if let Err(e) = written.map_err(Into::into).and_then(|()| report::write(out)) {
@@ -152,6 +153,9 @@
     summary.processes.started = run.started;
     summary.processes.crashed = run.crashes.len() as u64;
     summary.cpu.balancer_ms_per_command = run.balancers_cpu_s * 1e3 / run.ledger.commands.len().max(1) as f64;
+    if let Some((packets, bytes)) = run.talk {
+        (summary.peers.packets_per_s, summary.peers.bytes_per_s) = (packets, bytes);
+    }
     summary.cpu.rig_s = run.rig_cpu_s;
     verdict
 }
@@ -226,6 +230,17 @@
         "origin: peak {:.2} of its capacity, {} fetches; lost sends {}; p50 {:.0} ms, p99 {:.0} ms",
         s.origin.peak, s.origin.fetches, s.verdicts.lost_sends, s.latency_ms.p50, s.latency_ms.p99
     );
+    for (name, limit) in s.limits.iter().filter(|(_, limit)| limit.bound.is_some()) {
+        println!(
+            "limit {name}: whole {:.0}, bound {:.2}, peak {:.3}, use {}; talk {:.1} packets, {:.0} bytes a second a member",
+            limit.whole,
+            limit.bound.unwrap_or_default(),
+            limit.peak,
+            limit.r#use.map_or("-".into(), |part| format!("{part:.3}")),
+            s.peers.packets_per_s,
+            s.peers.bytes_per_s
+        );
+    }
     println!(
         "rig: lag p99 {:.1} ms, {:.1} s of processor time; balancers {:.2} ms a command; {} processes started",
         s.lag_p99_ms, s.cpu.rig_s, s.cpu.balancer_ms_per_command, s.processes.started
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::ffi::OsString;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 use juniperladder::{Micros, Settings};
@@ -11,6 +12,7 @@
 use crate::bounds::Limits;
 use crate::clock::duration;
 use crate::name_table::{Catalog, Names};
+use crate::operator::Operator;
 
 /// Everything that the file says.
 #[derive(Debug)]
@@ -33,6 +35,10 @@
     pub known: Catalog,
     /// What the module is told.
     pub settings: Settings,
+    /// This balancer's place among all, where the settings name it.
+    pub position: Option<u32>,
+    /// The operators' file, read; none where none is named.
+    pub operator: Option<Operator>,
     /// The names that stand for the settings' numbers.
     pub names: Names,
     /// The classes' names, in the order of the settings.
@@ -73,13 +79,17 @@
 }
 
 impl Config {
-    /// Reads the file that the environment names. A problem is told in one line.
-    pub fn from_environment() -> Result<Config, String> {
+    /// Reads the file that the environment names, and the operators' file: the one given here, or the one that the
+    /// environment names. A problem is told in one line.
+    pub fn from_environment(operator: Option<OsString>) -> Result<Config, String> {
         let mut config = Config::read(std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?)?;
         // The operators' address in the environment wins over the file's; an empty one turns it off.
         if let Ok(text) = std::env::var("NODE_MGMT") {
             config.mgmt = operators_address(config.listen, &text)?;
         }
+        // An empty name is none, as a unit file leaves it that sets the variable to nothing.
+        let named = operator.or_else(|| std::env::var_os("NODE_OPERATOR")).filter(|path| !path.is_empty());
+        config.operator = named.map(|path| Operator::read(Path::new(&path))).transpose()?;
         Ok(config)
     }
 
@@ -102,6 +112,8 @@
         Ok(Config {
             mgmt: file.mgmt.map_or(Ok(None), |text| operators_address(listen, &text))?,
             file: None,
+            operator: None,
+            position: env.position,
             settings: env.settings(),
             listen,
             discovery: address("discovery", &file.discovery)?,
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod config;
 mod keeper;
 pub mod name_table;
+pub mod operator;
 pub mod operators;
 mod passing;
+pub mod peers;
 pub mod service;
 pub mod shutdown;
 pub mod state;
@@ -37,9 +39,10 @@
 /// How often the counters go to the log: a balancer that is killed tells nothing at its end.
 const TELL: Duration = Duration::from_secs(5);
 
-/// Runs a balancer as the environment describes it, until it is told to stop.
-pub fn run_from_environment() -> Result<(), String> {
-    serve(Config::from_environment()?)
+/// Runs a balancer as the environment describes it, until it is told to stop; `operator` names the operators' file
+/// where the command line does.
+pub fn run_from_environment(operator: Option<OsString>) -> Result<(), String> {
+    serve(Config::from_environment(operator)?)
 }
 
 /// Runs a balancer as this configuration describes it, until it is told to stop.
@@ -80,6 +83,7 @@
         origin: config.settings.mode.origin(),
     };
     let upstream = upstream::Upstream::new(limits, clock, Rc::clone(&counters), log.clone());
+    let balancers = config.settings.balancers;
     let exchange = exchange::Exchange::new(
         config.settings,
         config.seed,
@@ -89,6 +93,19 @@
         log.clone(),
     );
     upstream.attach(&exchange);
+    let peers = match &config.operator {
+        Some(operator) => {
+            let (position, seed) = (config.position, config.seed);
+            let peers = peers::Peers::start(operator, position, balancers, seed, clock, log.clone())?;
+            if let Some(part) = peers.origin() {
+                exchange.limit_origin(part);
+            }
+            let talk = Rc::clone(&peers);
+            spawn_local(async move { talk.run().await });
+            Some(peers)
+        }
+        None => None,
+    };
     let mut table = name_table::NameTable::new(config.names);
     let (_, hosts) = table.take(config.known, &log);
     exchange.listed(ListKind::Restored, &hosts);
@@ -120,6 +137,7 @@
             classes,
             Rc::clone(&shutdown),
             &config.name,
+            peers.clone(),
             log.clone(),
         );
         let address = listener.local_addr().unwrap_or(mgmt);
@@ -153,6 +171,7 @@
     info!(log, "stopping");
     shutdown.run(longest).await;
     exchange.idle().await;
+    peers.iter().for_each(|peers| peers.leave());
     info!(log, "stopped"; "counters" => counters.to_string());
     Ok(())
 }
--- a/node/src/operators.rs
+++ b/node/src/operators.rs
@@ -18,6 +18,7 @@
 
 use crate::exchange::Exchange;
 use crate::keeper::Keeper;
+use crate::peers::Peers;
 use crate::shutdown::Shutdown;
 
 /// How long a caller may take to bring its whole line.
@@ -35,6 +36,7 @@
     classes: Vec<String>,
     shutdown: Rc<Shutdown>,
     keeper: Rc<Keeper>,
+    peers: Option<Rc<Peers>>,
     callers: Cell<usize>,
     log: Logger,
 }
@@ -47,10 +49,11 @@
         classes: Vec<String>,
         shutdown: Rc<Shutdown>,
         name: &str,
+        peers: Option<Rc<Peers>>,
         log: Logger,
     ) -> (Rc<Operators>, bool) {
         let file = std::env::temp_dir().join(format!("juniperladder-{}.bans", crate::state::safe(name)));
-        Operators::over(exchange, classes, shutdown, file, log)
+        Operators::over(exchange, classes, shutdown, file, peers, log)
     }
 
     fn over(
@@ -58,13 +61,15 @@
         classes: Vec<String>,
         shutdown: Rc<Shutdown>,
         file: PathBuf,
+        peers: Option<Rc<Peers>>,
         log: Logger,
     ) -> (Rc<Operators>, bool) {
         let (keeper, successor) = Keeper::new(Rc::clone(&exchange), file, log.clone());
         // The file is there from the start, so that a successor knows that it replaces a process.
         let keeps = Rc::clone(&keeper);
         spawn_local(async move { keeps.run().await });
-        (Rc::new(Operators { exchange, classes, shutdown, keeper, callers: Cell::new(0), log }), successor)
+        let callers = Cell::new(0);
+        (Rc::new(Operators { exchange, classes, shutdown, keeper, peers, callers, log }), successor)
     }
 
     /// Answers callers for as long as it is polled.
@@ -122,12 +127,18 @@
             Call::Health if self.shutdown.stopping() => nak("stopping: this process has been told to end"),
             Call::Health if self.exchange.ready() => ack("ready"),
             Call::Health => nak("not ready: no cache host is listed yet"),
-            Call::Dump => format!("{}{}", ack("figures follow"), self.exchange.figures(&self.classes)),
+            Call::Dump => format!("{}{}", ack("figures follow"), self.figures()),
             Call::Offline(name) => self.changed(self.exchange.offline(&name), &name, true).await,
             Call::Online(name) => self.changed(self.exchange.online(&name), &name, false).await,
         }
     }
 
+    /// The figures, those of the talk between balancers with them where there is any.
+    fn figures(&self) -> String {
+        let peers = self.peers.as_ref().map(|peers| peers.text());
+        self.exchange.figures(&self.classes, &peers.unwrap_or_default())
+    }
+
     /// The change holds here already; the answer waits a moment for it to be kept, too.
     async fn changed(&self, result: Result<(), &'static str>, name: &str, out: bool) -> String {
         if let Err(why) = result {
@@ -158,7 +169,8 @@
         let recorder = Rc::new(Recorder::default());
         let exchange = testing::exchange(testing::settings(1, Effect::Safe), recorder.clone(), 2);
         let classes = vec!["read".into()];
-        let (operators, _) = Operators::over(exchange, classes, Rc::default(), dir.join("n0.bans"), log());
+        let (operators, _) =
+            Operators::over(exchange, classes, Rc::default(), dir.join("n0.bans"), None, log());
         (operators, recorder)
     }
 
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -22,6 +22,8 @@
     pub limits: EnvLimits,
     membership_mode: String,
     orgs: Vec<Org>,
+    /// This instance's place among all, from 0.
+    pub position: Option<u32>,
     rules: EnvRules,
     tick: u64,
     weights: String,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -310,6 +310,17 @@
     pub fetching: bool,
 }
 
+/// This balancer's part of a limit that holds for all of them together. Whoever keeps it knows where it comes from;
+/// without one nothing but the balancer's own bounds holds.
+pub trait Part: std::fmt::Debug {
+    /// How long one more has to wait; zero, it may begin now.
+    fn wait(&mut self, now: Micros) -> Micros;
+    /// One begins. [`Part::wait`] was zero at the same time.
+    fn took(&mut self, now: Micros);
+    /// One that needed it was given up.
+    fn denied(&mut self, now: Micros);
+}
+
 /// What a router tells its balancer.
 #[derive(Clone, Debug)]
 pub enum Event<'a> {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -62,6 +62,7 @@
     begun: bool,
     passing: bool,
     hedges: f64,
+    part: Option<Box<dyn Part>>,
 }
 
 impl Balancer {
@@ -84,6 +85,7 @@
             begun: false,
             passing: false,
             hedges: HEDGES_SAVED,
+            part: None,
         }
     }
 
@@ -92,9 +94,7 @@
         match event {
             Event::Endpoints(kind, list) => self.listed(now, kind, list, actions),
             Event::Request(request) => self.arrived(now, request, actions),
-            Event::Started(id) => {
-                self.requests.get_mut(&id).into_iter().for_each(|pending| pending.begun = true);
-            }
+            Event::Started(id) => self.requests.get_mut(&id).into_iter().for_each(|p| p.begun = true),
             Event::Outcome(outcome) => self.ended(now, outcome, actions),
             Event::Timer(DISCOVERY) if !self.settings.subscribe || self.members.subscribed => {}
             Event::Timer(DISCOVERY) => actions.push(Action::Watch),
@@ -128,8 +128,7 @@
     fn listed(&mut self, now: Micros, kind: ListKind, list: &[Entry], actions: &mut Vec<Action>) {
         let spread = self.settings.rules.ask_within;
         if kind == ListKind::Unavailable {
-            self.members.subscribed = false;
-            self.members.failures = (self.members.failures + 1).min(3);
+            (self.members.subscribed, self.members.failures) = (false, (self.members.failures + 1).min(3));
             let part = 0.1 * f64::from(1 << self.members.failures);
             let at = now.plus(spread.times(part * (0.25 + 0.5 * self.rng.f64())));
             actions.push(Action::Timer { at, token: DISCOVERY });
@@ -193,6 +192,8 @@
                 }
             }
             Path::End(wait, why) => {
+                let denied = matches!(why, Why::Waited | Why::Outranked | Why::Hopeless);
+                self.part.iter_mut().filter(|_| denied).for_each(|part| part.denied(now));
                 if pending.may_refuse(self.settings.class(pending.request.class)) {
                     let limits = &self.settings.limits;
                     let most = if limits.retry_after { limits.max_retry_after } else { Micros(0) };
@@ -233,7 +234,9 @@
         pending.step = Step::Usual;
         pending.attempts.push(Attempt { to: entry.clone(), sent: now, fate: Fate::Out });
         let class = self.settings.class(pending.request.class);
-        let again = class.effect == Effect::Safe && !self.settings.is_origin(entry);
+        let origin = self.settings.is_origin(entry);
+        self.part.iter_mut().filter(|_| origin).for_each(|part| part.took(now));
+        let again = class.effect == Effect::Safe && !origin;
         let unheard = now.minus(server.heard).0 as f64 / (MEMORY * self.ladder.window.0 as f64);
         let after = HEDGE_AFTER - HEDGE_SOONER * unheard.min(1.0);
         let wait = pending.useful.minus(now).times(after).max(Micros(1));
@@ -264,9 +267,14 @@
         }
     }
 
+    /// How long the origin's gap, or the own part of the fleet's limit there, keeps the next send back.
+    fn closed(&mut self, now: Micros, tenant: u32) -> Micros {
+        let part = self.part.as_mut().map_or(Micros(0), |part| part.wait(now));
+        self.members.origin().map_or(part, |s| s.gap.wait(now, tenant, &self.at_origin).max(part))
+    }
+
     fn next_pass(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        let origin = self.members.origin();
-        let wait = origin.map_or(Micros(0), |s| s.gap.wait(now, 0, &self.at_origin));
+        let wait = self.closed(now, 0);
         if !self.passing && wait.0 > 0 && !self.queue.is_empty() {
             self.passing = true;
             actions.push(Action::Timer { at: now.plus(wait), token: PASS });
@@ -275,11 +283,9 @@
 
     /// Gives free places at the origin to what is worth most: writes, then reads of popular keys.
     fn pass(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        while let Some(server) = self.members.origin() {
+        while self.closed(now, 0).0 == 0 {
+            let Some(server) = self.members.origin() else { break };
             let room = [false, true].map(|write| server.places.room(now, write));
-            if server.gap.wait(now, 0, &self.at_origin).0 > 0 {
-                break;
-            }
             let fitting = (0..self.queue.len()).filter(|at| room[usize::from(self.queue[*at].0 >= 1.0)]);
             let best = fitting.max_by(|a, b| self.queue[*a].0.total_cmp(&self.queue[*b].0));
             let Some(at) = best else { break };
@@ -345,15 +351,14 @@
 
     fn at_origin(&mut self, now: Micros, pending: &Pending) -> Path {
         let request = &pending.request;
-        let settings = &self.settings;
+        let wait = self.closed(now, request.tenant);
+        let (settings, room) = (&self.settings, pending.useful.minus(now));
         let class = settings.class(request.class);
-        let room = pending.useful.minus(now);
         let Some(at) = self.members.origin else { return Path::End(Micros(0), Why::Nowhere) };
         let server = &mut self.members.servers[at];
         if !pending.may_send(now, &server.entry, class, &settings.limits) {
             return Path::End(Micros(0), Why::Nowhere);
         }
-        let wait = server.gap.wait(now, request.tenant, &self.at_origin);
         let full = wait.0 > 0 || !server.places.room(now, request.write);
         match pending.step {
             Step::Booked => Path::Send(at),
--- a/src/rules/gap.rs
+++ b/src/rules/gap.rs
@@ -69,11 +69,9 @@
     }
 
     pub(super) fn wait(&self, now: Micros, source: u32, ladder: &Ladder) -> Micros {
-        if !self.active(now) {
-            return Micros(0);
-        }
         let last = self.passes.get(&source).copied().unwrap_or_default();
-        last.plus(ladder.length(self.rung)).minus(now)
+        let until = if self.active(now) { last.plus(ladder.length(self.rung)) } else { now };
+        until.minus(now)
     }
 
     pub(super) fn pass(&mut self, now: Micros, source: u32) {
--- a/src/rules/view.rs
+++ b/src/rules/view.rs
@@ -1,8 +1,8 @@
-//! What an operator may see of the limits that hold: which server, which limit, and why. Nothing here
-//! decides anything.
+//! What an operator may see of the limits that hold: which server, which limit, and why; and what they are told to
+//! keep to. Nothing here decides anything.
 
 use super::Balancer;
-use crate::interface::{Micros, ServerId};
+use crate::interface::{Micros, Part, ServerId};
 
 /// The limits of one server, as they are now.
 #[derive(Clone, Debug, PartialEq)]
@@ -35,6 +35,11 @@
 }
 
 impl Balancer {
+    /// From now on sends to the origin keep to this part of a limit of the whole fleet.
+    pub fn limit_origin(&mut self, part: Box<dyn Part>) {
+        self.part = Some(part);
+    }
+
     /// The origin that requests go to now, if one serves.
     pub fn origin(&self) -> Option<ServerId> {
         self.members.origin.map(|at| self.members.servers[at].entry.server)
--- a/world/src/judge.rs
+++ b/world/src/judge.rs
@@ -64,6 +64,10 @@
     pub weights: Vec<f64>,
     /// Fetches a second at the origin.
     pub capacity: f64,
+    /// The whole of the limit `origin`, where that is not the capacity.
+    pub whole: Option<f64>,
+    /// What the program states of it, as a multiple of the whole.
+    pub bound: Option<f64>,
     /// Processes of the program.
     pub balancers: usize,
     /// From it follow the fair draws.
@@ -87,6 +91,8 @@
             slack: 50_000,
             weights: (0..e.fleet.hosts).map(|n| e.fleet.weights[n % e.fleet.weights.len()]).collect(),
             capacity: e.origin.capacity,
+            whole: None,
+            bound: None,
             balancers: e.fleet.balancers,
             seed: e.seed,
         }
--- a/world/src/judge/limits.rs
+++ b/world/src/judge/limits.rs
@@ -19,7 +19,7 @@
 pub fn origin(ledger: &Ledger, terms: &Terms) -> Origin {
     let fetches: Vec<&Attempt> =
         ledger.attempts.iter().filter(|a| a.at == At::Origin && terms.counts(a.begun)).collect();
-    let whole = terms.capacity;
+    let whole = terms.whole.unwrap_or(terms.capacity);
     let (mut near, mut most) = (VecDeque::new(), 0);
     for fetch in &fetches {
         near.push_back(fetch.begun);
@@ -55,7 +55,7 @@
     let peak = most as f64 / whole;
     Origin {
         figures: OriginFigures { peak, useful: share(useful), fetches: fetches.len() as u64 },
-        limit: Limit { whole, bound: None, peak, r#use: share(used), seconds_over: over },
+        limit: Limit { whole, bound: terms.bound, peak, r#use: share(used), seconds_over: over },
     }
 }
 
