--- a/fleet/src/hosts.rs
+++ b/fleet/src/hosts.rs
@@ -95,7 +95,11 @@
         if let Err(Over::Reset) = self.talk(&mut stream).await {
             reset(&stream);
         }
-        // What went into a link that stayed cut was sent and never heard.
+        // What went into a link that stayed cut was sent and never heard. What is on its way over a sound one when its
+        // connection closes is given up by the balancer, and tells nothing of the host.
+        if !self.rig.link(self.balancer, End::Host(self.host)).cut {
+            return;
+        }
         for lost in std::mem::take(&mut self.coming) {
             let attempt = self.attempt(&lost, lost.due, Became::Nothing, false);
             self.rig.ledger.borrow_mut().unheard.push(attempt);
--- a/lab/src/charts.rs
+++ b/lab/src/charts.rs
@@ -169,6 +169,60 @@
     })
 }
 
+/// A figure of several experiments by the number of balancers.
+pub type BySize = Vec<(String, Vec<(usize, f64)>)>;
+
+/// Figures by the number of balancers, a drawing each, one under the other; the sizes stand evenly apart.
+///
+/// # Errors
+/// What the drawing library says.
+pub fn by_size(figures: &[(&str, BySize)]) -> Result<String, Error> {
+    let mut sizes: Vec<usize> = figures
+        .iter()
+        .flat_map(|(_, lines)| lines)
+        .flat_map(|(_, points)| points)
+        .map(|(size, _)| *size)
+        .collect();
+    sizes.sort_unstable();
+    sizes.dedup();
+    let end = sizes.len().saturating_sub(1).max(1) as f64;
+    svg(380 * figures.len() as u32, |area| {
+        for (part, (title, lines)) in area.split_evenly((figures.len(), 1)).iter().zip(figures) {
+            let most =
+                lines.iter().flat_map(|(_, points)| points).map(|(_, value)| *value).fold(1e-9, f64::max);
+            let mut chart = ChartBuilder::on(part)
+                .caption(title, ("sans-serif", 16))
+                .margin(8)
+                .x_label_area_size(28)
+                .y_label_area_size(56)
+                // Room on the right for the legend.
+                .build_cartesian_2d(0.0..end * 1.35, 0.0..most * 1.08)?;
+            let label =
+                |at: &f64| sizes.get(at.round() as usize).filter(|_| at.fract() == 0.0).map(usize::to_string);
+            chart
+                .configure_mesh()
+                .label_style(FONT)
+                .light_line_style(TRANSPARENT)
+                .x_labels(sizes.len() * 2)
+                .x_label_formatter(&|at| label(at).unwrap_or_default())
+                .x_desc("balancers")
+                .draw()?;
+            for (number, (name, points)) in lines.iter().enumerate() {
+                let colour = Palette99::pick(number).to_rgba();
+                let points = points.iter().filter_map(|(size, value)| {
+                    Some((sizes.iter().position(|other| other == size)? as f64, *value))
+                });
+                chart
+                    .draw_series(LineSeries::new(points, colour.stroke_width(2)).point_size(3))?
+                    .label(name)
+                    .legend(move |(x, y)| PathElement::new([(x, y), (x + 14, y)], colour.stroke_width(2)));
+            }
+            chart.configure_series_labels().label_font(FONT).background_style(WHITE.mix(0.8)).draw()?;
+        }
+        Ok(())
+    })
+}
+
 /// From blue over white to red.
 fn heat_colour(load: f64) -> RGBColor {
     let mix = |from: (u8, u8, u8), to: (u8, u8, u8), part: f64| {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod charts;
 pub mod commands;
 pub mod compare;
+pub mod overview;
 pub mod report;
 pub mod tables;
 
@@ -43,6 +44,14 @@
         /// The same for the other version
         after: PathBuf,
     },
+    /// Prints a table over many runs, by experiment and number of balancers, in Markdown
+    Overview {
+        /// The folder that holds the runs
+        folder: PathBuf,
+        /// Draws a chart by the number of balancers into this file
+        #[arg(long, value_name = "FILE.svg")]
+        chart: Option<PathBuf>,
+    },
     /// Writes a run's report anew from what it left
     Report {
         /// The run's folder
@@ -85,6 +94,7 @@
         Command::Check { file, set } => commands::check(&file, &set),
         Command::Schema => commands::schema(),
         Command::Compare { before, after } => compare::compare(&before, &after),
+        Command::Overview { folder, chart } => overview::overview(&folder, chart.as_deref()),
         Command::Report { folder } => report::again(&folder),
         Command::Keep => commands::keep_processes(),
         Command::Demo { out } => commands::demo(&out),
