--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod commands;
 pub mod compare;
 pub mod overview;
+pub mod replay;
 pub mod report;
 pub mod tables;
 
@@ -52,6 +53,11 @@
         #[arg(long, value_name = "FILE.svg")]
         chart: Option<PathBuf>,
     },
+    /// Deals a run's sends out anew by other placements, and tells where its unevenness comes from
+    Replay {
+        /// The run's folder
+        folder: PathBuf,
+    },
     /// Writes a run's report anew from what it left
     Report {
         /// The run's folder
@@ -95,6 +101,7 @@
         Command::Schema => commands::schema(),
         Command::Compare { before, after } => compare::compare(&before, &after),
         Command::Overview { folder, chart } => overview::overview(&folder, chart.as_deref()),
+        Command::Replay { folder } => replay::replay(&folder),
         Command::Report { folder } => report::again(&folder),
         Command::Keep => commands::keep_processes(),
         Command::Demo { out } => commands::demo(&out),
