Chart what each balancer holds and uses of a shared limit, second by second

Need: whether shares follow the demand has to be seen per holder, not in the sum alone.

The rig asks each process's DUMP once a second where balancers talk, writes holders.csv and draws two charts: units held and used by all against the whole, and a heat map of held over the part by count.

The daemon is unchanged.

--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 mod clients;
 mod discovery;
 mod doors;
+pub mod holders;
 mod hosts;
 pub mod keeper;
 mod operator;
--- a/fleet/src/play.rs
+++ b/fleet/src/play.rs
@@ -1,5 +1,6 @@
 //! Plays an experiment: prepares the world, starts the processes, sends the load, makes the faults, ends everything.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -22,6 +23,7 @@
 use crate::clients::Clients;
 use crate::discovery::{self, Addresses};
 use crate::doors::Door;
+use crate::holders::{self, Holder};
 use crate::keeper::Keeper;
 use crate::operator::Operator;
 use crate::peers::{Relay, Sent};
@@ -68,6 +70,8 @@
     pub rig_cpu_s: f64,
     /// Packets and bytes that a balancer sent to others in a second, on average; none without talk.
     pub talk: Option<(f64, f64)>,
+    /// What each process said it holds, once a second; empty without talk.
+    pub holders: Vec<Holder>,
     /// The whole of the origin's limit; none without talk.
     pub whole: Option<f64>,
     /// What the program states of the origin's limit, as a multiple of the whole; none without talk.
@@ -192,6 +196,10 @@
         let experiment = self.rig.experiment.clone();
         self.processes.start_all(|ready| progress(Progress::Ready(ready))).await?;
         let beat = spawn_local(beat(Rc::clone(&self.rig)));
+        let holders: Rc<RefCell<Vec<Holder>>> = Rc::default();
+        let operators = self.processes.operators();
+        let watching = (!operators.is_empty())
+            .then(|| spawn_local(holders::watch(Rc::clone(&self.rig), operators, Rc::clone(&holders))));
         let terms = Terms::of(&experiment);
         // The load's times count from now on, all others from the run's beginning: the ledger is moved at the end.
         let begun = self.rig.now();
@@ -244,6 +252,9 @@
         self.processes.end().await;
         let started = self.processes.started();
         beat.abort();
+        watching.iter().for_each(JoinHandle::abort);
+        let mut holders = holders.take();
+        holders.iter_mut().for_each(|one| one.at = one.at.saturating_sub(begun));
         let mut ledger = std::mem::take(&mut *self.rig.ledger.borrow_mut());
         ledger.stops = self.rig.origin.borrow().stops.clone();
         if stopped {
@@ -259,6 +270,7 @@
             balancers_cpu_s: cpu(UsageWho::RUSAGE_CHILDREN),
             rig_cpu_s: cpu(UsageWho::RUSAGE_SELF),
             talk,
+            holders,
             whole: None,
             bound: None,
             stopped,
--- a/fleet/src/processes.rs
+++ b/fleet/src/processes.rs
@@ -40,6 +40,8 @@
 /// One process of the program, through its restarts.
 struct Process {
     door: Door,
+    /// Where operators call it; only where balancers talk.
+    mgmt: Option<Door>,
     config: PathBuf,
     log: PathBuf,
     folder: PathBuf,
@@ -94,10 +96,13 @@
         let mut all = Vec::new();
         for number in 0..e.fleet.balancers {
             let door = Door::new().map_err(|e| broken("no free port", e))?;
+            let mgmt =
+                operator.is_some().then(Door::new).transpose().map_err(|e| broken("no free port", e))?;
             let folder = out.join("processes").join(format!("b{number}"));
             std::fs::create_dir_all(&folder).map_err(|e| broken("a process's folder", e))?;
             all.push(Rc::new(Process {
                 door,
+                mgmt,
                 config: folder.join("config.json"),
                 log: logs.join(format!("b{number}.log")),
                 folder,
@@ -125,6 +130,7 @@
             "name": format!("b{number}"),
             "listen": process.door.address().to_string(),
             "discovery": discovery.to_string(),
+            "mgmt": process.mgmt.as_ref().map(|door| door.address().to_string()),
             "seed": format!("{:016x}", spread(spread(e.seed) ^ number as u64)),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": list(rig, first, true, &known, addresses),
@@ -143,6 +149,11 @@
         self.all.iter().map(|process| process.door.address()).collect()
     }
 
+    /// Where operators call each process; none where balancers do not talk.
+    pub fn operators(&self) -> Vec<SocketAddr> {
+        self.all.iter().filter_map(|process| process.mgmt.as_ref()).map(Door::address).collect()
+    }
+
     /// Starts all and waits until each is ready.
     pub async fn start_all(self: &Rc<Processes>, mut ready: impl FnMut(usize)) -> Result<(), Problem> {
         for number in 0..self.all.len() {
--- a/lab/src/charts.rs
+++ b/lab/src/charts.rs
@@ -13,10 +13,10 @@
 const SHADE: RGBColor = RGBColor(255, 196, 0);
 
 const SERVED: RGBColor = RGBColor(46, 125, 50);
-const REFUSED: RGBColor = RGBColor(255, 152, 0);
+pub(crate) const REFUSED: RGBColor = RGBColor(255, 152, 0);
 const FAILED: RGBColor = RGBColor(211, 47, 47);
-const BLUE: RGBColor = RGBColor(21, 101, 192);
-const GREY: RGBColor = RGBColor(97, 97, 97);
+pub(crate) const BLUE: RGBColor = RGBColor(21, 101, 192);
+pub(crate) const GREY: RGBColor = RGBColor(97, 97, 97);
 
 /// A drawing of this height, as the text of an SVG element.
 fn svg(
@@ -141,24 +141,21 @@
     )
 }
 
-/// Each host's load over its fair part, second by second: white is fair, blue less, red more.
+/// Values over a fair part, a row each, second by second: white is fair, blue less, red more.
 ///
 /// # Errors
 /// What the drawing library says.
-pub fn heat(hosts: &[Vec<f64>]) -> Result<String, Error> {
+pub fn heat(title: &str, rows: &str, hosts: &[Vec<f64>]) -> Result<String, Error> {
     let seconds = hosts.iter().map(Vec::len).max().unwrap_or(1).max(1);
     let height = (hosts.len() as u32 * 7).clamp(120, 900) + 70;
     svg(height, |area| {
         let mut chart = ChartBuilder::on(area)
-            .caption(
-                "Load of each host over its fair part (blue 0, white 1, red 2 and more)",
-                ("sans-serif", 16),
-            )
+            .caption(format!("{title} (blue 0, white 1, red 2 and more)"), ("sans-serif", 16))
             .margin(8)
             .x_label_area_size(28)
             .y_label_area_size(56)
             .build_cartesian_2d(0.0..seconds as f64, 0.0..hosts.len() as f64)?;
-        chart.configure_mesh().label_style(FONT).disable_mesh().x_desc("s").y_desc("host").draw()?;
+        chart.configure_mesh().label_style(FONT).disable_mesh().x_desc("s").y_desc(rows).draw()?;
         chart.draw_series(hosts.iter().enumerate().flat_map(|(host, loads)| {
             loads.iter().enumerate().map(move |(second, load)| {
                 let (x, y) = (second as f64, host as f64);
@@ -251,7 +248,7 @@
             service(&e, &seconds),
             origin(&e, &seconds),
             latency(&e, &seconds),
-            heat(&[vec![0.0, 2.5], vec![1.0]]),
+            heat("loads", "host", &[vec![0.0, 2.5], vec![1.0]]),
         ];
         for chart in charts {
             let text = chart.unwrap();
--- a/lab/src/commands.rs
+++ b/lab/src/commands.rs
@@ -136,7 +136,8 @@
     let terms = Terms::of(experiment);
     let terms = Terms { end: run.end.max(terms.zero + 1), whole: run.whole, bound: run.bound, ..terms };
     let verdict = judged(experiment, &run, &terms);
-    let written = tables::write(out, experiment, &run.ledger, &terms, &verdict, &run.crashes);
+    let written = tables::write(out, experiment, &run.ledger, &terms, &verdict, &run.crashes)
+        .and_then(|()| tables::holders(out, &run.holders, &terms));
     if let Err(e) = written.map_err(Into::into).and_then(|()| report::write(out)) {
         eprintln!("{}: {e}", out.display());
         return BROKEN;
--- a/lab/src/replay.rs
+++ b/lab/src/replay.rs
@@ -208,6 +208,9 @@
         let mut bounded = Bounded::default();
         let homes = Homes::new(4);
         let (peak, _) = unevenness(&windows, 4, |begin| bounded.deal(begin, 4, &homes));
-        assert!(peak <= 2.0, "one key has to leave its home, which alone would have four times the mean: {peak}");
+        assert!(
+            peak <= 2.0,
+            "one key has to leave its home, which alone would have four times the mean: {peak}"
+        );
     }
 }
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -43,16 +43,45 @@
         hosts.resize_with(hosts.len().max(host + 1), Vec::new);
         hosts[host].push(load);
     }
-    let charts = [
+    let mut charts = vec![
         charts::service(&experiment, &seconds)?,
         charts::latency(&experiment, &seconds)?,
         charts::origin(&experiment, &seconds)?,
-        charts::heat(&hosts)?,
+        charts::heat("Load of each host over its fair part", "host", &hosts)?,
     ];
+    charts.extend(holders(folder, &experiment, &summary, seconds.len())?);
     std::fs::write(folder.join("report.html"), page(&summary, &experiment, &breaches, &crashes, &charts)?)?;
     Ok(())
 }
 
+/// The charts of what each process said it holds of the origin's limit; none where they do not talk.
+fn holders(folder: &Path, e: &Experiment, s: &Summary, seconds: usize) -> Result<Vec<String>, Error> {
+    let whole = s.limits.get("origin").filter(|limit| limit.bound.is_some()).map(|limit| limit.whole);
+    let (Some(whole), Ok(mut table)) = (whole, csv::Reader::from_path(folder.join("holders.csv"))) else {
+        return Ok(Vec::new());
+    };
+    let count = e.fleet.balancers;
+    let (mut all, mut used) = (vec![0.0; seconds], vec![0.0; seconds]);
+    let mut rows = vec![vec![0.0; seconds]; count];
+    for row in table.deserialize() {
+        let (second, balancer, held, uses, _): (usize, usize, f64, f64, f64) = row?;
+        if second < seconds && balancer < count {
+            rows[balancer][second] = held / (whole / count as f64);
+            all[second] += held;
+            used[second] += uses;
+        }
+    }
+    let lines = [
+        charts::Line { name: "whole", colour: charts::GREY, values: vec![whole; seconds] },
+        charts::Line { name: "held", colour: charts::REFUSED, values: all },
+        charts::Line { name: "used", colour: charts::BLUE, values: used },
+    ];
+    Ok(vec![
+        charts::lines(e, "Units of the origin's limit: held and used by all, as they say", &lines)?,
+        charts::heat("Units held by each balancer over its part by count", "balancer", &rows)?,
+    ])
+}
+
 /// Writes a run's report anew; for the command line.
 pub fn again(folder: &Path) -> u8 {
     match write(folder) {
--- a/lab/src/tables.rs
+++ b/lab/src/tables.rs
@@ -4,9 +4,11 @@
 use std::io::{BufWriter, Write};
 use std::path::Path;
 
+use juniperladder_fleet::holders::Holder;
 use juniperladder_world::experiment::Experiment;
 use juniperladder_world::judge::{Terms, Verdict};
 use juniperladder_world::ledger::{At, Ledger};
+use juniperladder_world::SECOND;
 use serde::Serialize;
 
 /// Writes all tables of a run into its folder.
@@ -49,6 +51,20 @@
     file.flush()
 }
 
+/// One line for what a process said it holds, once a second.
+///
+/// # Errors
+/// What kept the file from being written.
+pub fn holders(out: &Path, holders: &[Holder], terms: &Terms) -> std::io::Result<()> {
+    let mut table = csv::Writer::from_path(out.join("holders.csv"))?;
+    table.write_record(["second", "balancer", "held", "used", "members"])?;
+    for one in holders.iter().filter(|one| terms.counts(one.at)) {
+        let second = (one.at - terms.zero) / SECOND;
+        table.serialize((second, one.balancer, one.held, one.used, one.members))?;
+    }
+    table.flush()
+}
+
 /// Milliseconds from the experiment's beginning.
 fn ms(at: u64, terms: &Terms) -> String {
     format!("{:.3}", (at as f64 - terms.zero as f64) / 1e3)
