--- a/fleet/src/play.rs
+++ b/fleet/src/play.rs
@@ -257,11 +257,9 @@
         holders.iter_mut().for_each(|one| one.at = one.at.saturating_sub(begun));
         let mut ledger = std::mem::take(&mut *self.rig.ledger.borrow_mut());
         ledger.stops = self.rig.origin.borrow().stops.clone();
-        if stopped {
-            // Those still out when the run was stopped have no end to be judged by.
-            let sure = load_end.saturating_sub(us(4.0));
-            ledger.commands.retain(|c| c.planned < sure);
-        }
+        // Those still out when the run was stopped have no end to be judged by.
+        let end = if stopped { load_end.saturating_sub(us(4.0)) } else { load_end };
+        ledger.commands.retain(|c| !stopped || c.planned < end);
         move_times(&mut ledger, begun);
         Ok(Played {
             ledger,
@@ -274,7 +272,7 @@
             whole: None,
             bound: None,
             stopped,
-            end: load_end - begun,
+            end: end.saturating_sub(begun),
         })
     }
 
