--- a/lab/src/commands.rs
+++ b/lab/src/commands.rs
@@ -111,7 +111,7 @@
     if let Some(program) = beside.filter(|program| program.is_file()) {
         experiment.fleet.program = program.to_string_lossy().into_owned();
     }
-    if !Path::new(&experiment.fleet.program).is_file() {
+    if !Path::new(&experiment.fleet.program).is_file() && !built() {
         eprintln!("the balancer is not built yet: cargo build --release --locked");
         return NOT_ALLOWED;
     }
@@ -120,6 +120,16 @@
     code
 }
 
+/// Builds the balancer where this is its workspace: `cargo run -p juniperladder-lab` builds the laboratory alone.
+fn built() -> bool {
+    if !Path::new("cli/Cargo.toml").is_file() {
+        return false;
+    }
+    println!("the balancer is not built yet: building it");
+    let build = ["build", "--release", "--locked", "-p", "juniperladder-cli"];
+    std::process::Command::new("cargo").args(build).status().is_ok_and(|status| status.success())
+}
+
 /// Plays an experiment, writes all that it leaves and says how it went.
 fn played(experiment: &Experiment, out: &Path) -> u8 {
     if let Err(e) = std::fs::create_dir_all(out) {
