--- a/cluster/src/cluster.rs
+++ b/cluster/src/cluster.rs
@@ -144,12 +144,17 @@
         self.limits.iter_mut().find(|one| one.name == name).map(|one| &mut one.shares)
     }
 
+    /// Members by state, this one included.
+    pub fn members(&self) -> Counts {
+        self.membership.counts()
+    }
+
     /// What operators see.
     pub fn figures(&mut self, now: Us) -> Figures {
         let limits = self.limits.iter_mut();
         let limits = limits.map(|one| (one.name.clone(), one.shares.figures(now, one.terms.whole))).collect();
         let dropped = self.figures.dropped + self.membership.dropped;
-        Figures { members: self.membership.counts(), limits, dropped, ..self.figures.clone() }
+        Figures { members: self.members(), limits, dropped, ..self.figures.clone() }
     }
 }
 
--- a/fleet/src/discovery.rs
+++ b/fleet/src/discovery.rs
@@ -22,6 +22,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, timeout};
 
+use crate::doors::next;
 use crate::origin::{carried, Broken};
 use crate::rig::Rig;
 
@@ -34,10 +35,7 @@
 /// Lets one balancer in until the listener's task is aborted.
 pub async fn accept(rig: Rc<Rig>, balancer: usize, addresses: Addresses, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
+        let stream = next(&listener).await;
         let (rig, addresses) = (Rc::clone(&rig), Rc::clone(&addresses));
         spawn_local(async move {
             let handler =
--- a/fleet/src/hosts.rs
+++ b/fleet/src/hosts.rs
@@ -15,7 +15,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep_until;
 
-use crate::doors::reset;
+use crate::doors::{next, reset};
 use crate::rig::{balancer_of, value_of, Rig};
 
 /// What one connection may have sent and not got answered before it is read no further.
@@ -24,11 +24,7 @@
 /// Lets balancers of one side in at a host's door until the listener's task is aborted.
 pub async fn accept(rig: Rc<Rig>, host: usize, side: usize, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            // Out of descriptors for a moment: what waits is let in later.
-            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
-            continue;
-        };
+        let stream = next(&listener).await;
         let open = &rig.connections[host];
         if open.get() >= rig.experiment.hosts.connections {
             reset(&stream);
--- a/fleet/src/origin.rs
+++ b/fleet/src/origin.rs
@@ -17,15 +17,13 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep_until;
 
+use crate::doors::next;
 use crate::rig::{balancer_of, receipt_of, value_of, Rig};
 
 /// Lets balancers of one side in until the listener's task is aborted.
 pub async fn accept(rig: Rc<Rig>, side: usize, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
-            continue;
-        };
+        let stream = next(&listener).await;
         let _ = stream.set_nodelay(true);
         let rig = Rc::clone(&rig);
         spawn_local(async move {
--- a/node/src/peers.rs
+++ b/node/src/peers.rs
@@ -83,7 +83,7 @@
                 // A turn that was missed is not made up for.
                 next = Instant::now() + TICK;
                 self.cluster.borrow_mut().tick(self.clock.now().0);
-                let alive = self.figures().members.alive;
+                let alive = self.cluster.borrow().members().alive;
                 if alive != members {
                     members = alive;
                     info!(self.log, "members"; "alive" => alive);
