Hurry only words that change what is passed by, and know hosts by the list's start

Counted second by second, single time-outs at hosts with hot keys were told, and each such word set all members to asking in haste. Old starts of restarted hosts stayed among those passed by until their end and took room under the most that may be.

Change: haste for two words at least against a host, 0.2 s for an own one; a host that answered here within 0.5 s is not told silent; verdicts on a start that the list does not have count for nothing; digest and judgement are made anew only where something changed.

--- a/cluster/src/verdicts.rs
+++ b/cluster/src/verdicts.rs
@@ -45,8 +45,12 @@
 const URGENT: Us = 100_000;
 const HELD: Us = 500_000;
 const CALM: Us = 2_000_000;
-/// How long something new is spread with haste; members asked in such a round.
+/// How long something new is spread with haste: an own first word, and what changes which hosts are passed by; members asked in
+/// such a round.
+const OWN_HASTE: Us = 200_000;
 const HASTE: Us = 500_000;
+/// Words against a host from which on they are spread with haste: one alone is mostly a host that is slow for a moment.
+const HASTY: usize = 2;
 const ASKED: usize = 2;
 /// Questions back to those whose questions show that they hold something else, between two ticks.
 const ASKED_BACK: usize = 2;
@@ -59,8 +63,10 @@
 /// How long own ends tell whether it is the own link that is lost, and how many are kept.
 const OWN: Us = 2 * SECOND;
 const OWN_MOST: usize = 64;
-/// A host that has answered here within this time is not passed by.
+/// A host that has answered here within this time is not passed by, and within that it is not told to be silent: a time-out takes
+/// about as long, so that the host has answered since.
 const FRESH: Us = SECOND;
+const ANSWERED: Us = SECOND / 2;
 /// The longest that a member waits until it uses a host again.
 const APART: Us = 400_000;
 /// The part of a zone's hosts that is passed by at the most.
@@ -154,8 +160,8 @@
     zone: u32,
     chance: ChaCha8Rng,
     hosts: BTreeMap<Start, Vec<Known>>,
-    /// The hosts that serve, and their zones.
-    listed: BTreeMap<u64, u32>,
+    /// The hosts that serve: their starts and zones.
+    listed: BTreeMap<u64, (Us, u32)>,
     /// Hosts that are passed by, and until when they stay so though others say that they answer.
     against: BTreeMap<Start, Option<Us>>,
     tried: BTreeMap<Start, Us>,
@@ -167,6 +173,8 @@
     answers: usize,
     members: usize,
     digest: u64,
+    /// Whether anything has changed since it was last judged.
+    changed: bool,
     out: Vec<(SocketAddr, Message)>,
     figures: Figures,
     /// Broken on purpose, in a test.
@@ -194,6 +202,7 @@
             answers: 0,
             members: 1,
             digest: 0,
+            changed: false,
             out: Vec::new(),
             figures: Figures::default(),
             #[cfg(test)]
@@ -202,8 +211,10 @@
     }
 
     /// The hosts that serve, each with its zone, by the list in hand.
-    pub fn listed(&mut self, hosts: impl IntoIterator<Item = (u64, u32)>) {
-        self.listed = hosts.into_iter().collect();
+    pub fn listed(&mut self, hosts: impl IntoIterator<Item = (Start, u32)>) {
+        let hosts = hosts.into_iter().map(|(start, zone)| (self.name(start), zone));
+        self.listed = hosts.map(|(start, zone)| (start.host, (start.started, zone))).collect();
+        self.changed = true;
     }
 
     /// How long an entry acts by this clock, so that by every clock it is no longer than stated.
@@ -221,10 +232,12 @@
         let known = self.hosts.get(&start);
         let mine = known.and_then(|all| all.iter().find(|one| one.witness == self.position));
         let fresh = mine.is_some_and(|one| one.silent == silent && now < one.born + AGAIN);
+        let answered =
+            |(at, host, silent): &(Us, u64, bool)| !silent && *host == start.host && now < at + ANSWERED;
         let tell = if silent {
             let lately = |one: &&Known| one.silent && now < one.born + SECOND;
             let told = known.map_or(0, |all| all.iter().filter(lately).count());
-            !fresh && told < ENOUGH && self.trusts_itself()
+            !fresh && told < ENOUGH && self.trusts_itself() && !self.own.iter().any(answered)
         } else {
             !fresh && known.is_some_and(|all| known::spoken_against(all))
         };
@@ -235,6 +248,7 @@
             let back = !silent
                 && (known.is_some_and(|all| all.iter().any(here)) || mine.is_some_and(|one| one.back));
             let known = Known { witness: self.position, zone: self.zone, stamp, born: now, silent, back };
+            self.haste = self.haste.max(now + OWN_HASTE);
             self.take(start, known, now);
         }
     }
@@ -254,10 +268,13 @@
         }
         let all = self.hosts.entry(start).or_default();
         let news = known::join(all, known);
+        let words = all.iter().filter(|one| one.silent).count();
         if all.is_empty() {
             self.hosts.remove(&start);
         }
-        if news && known.silent != self.against.contains_key(&start) {
+        self.changed |= news;
+        let against = self.against.contains_key(&start);
+        if news && if known.silent { !against && words >= HASTY } else { against } {
             self.haste = now + HASTE;
         }
     }
@@ -340,12 +357,17 @@
         }
         let expiry = self.expiry();
         for all in self.hosts.values_mut() {
+            let before = all.len();
             all.retain(|one| now < one.born + expiry);
+            self.changed |= all.len() < before;
         }
         self.hosts.retain(|_, all| !all.is_empty());
-        self.tried.retain(|_, at| now < *at + 10 * SECOND);
-        self.digest = known::digest(&self.hosts);
-        self.judge(now);
+        // Those that are cleared wait for their time without anything new.
+        if std::mem::take(&mut self.changed) || !self.against.is_empty() {
+            self.tried.retain(|_, at| now < *at + 10 * SECOND);
+            self.digest = known::digest(&self.hosts);
+            self.judge(now);
+        }
         let (every, many) = match (now < self.haste, self.hosts.is_empty()) {
             (true, _) => (URGENT, ASKED),
             (false, false) => (HELD, 1),
@@ -375,11 +397,14 @@
         ranked.sort_by_key(|(count, start)| (!self.against.contains_key(start), usize::MAX - count, *start));
         let most = (self.terms.most * self.listed.len() as f64) as usize;
         let mut zones: BTreeMap<u32, (usize, usize)> = BTreeMap::new();
-        self.listed.values().for_each(|zone| zones.entry(*zone).or_default().0 += 1);
+        self.listed.values().for_each(|(_, zone)| zones.entry(*zone).or_default().0 += 1);
         let mut against: BTreeMap<Start, Option<Us>> = BTreeMap::new();
         self.figures.beyond = 0;
         for (_, start) in ranked {
-            let Some(zone) = self.listed.get(&start.host) else { continue };
+            // What is said of an earlier start, or of a host that is gone, concerns nobody any more.
+            let Some((_, zone)) = self.listed.get(&start.host).filter(|(at, _)| *at == start.started) else {
+                continue;
+            };
             let zone = zones.entry(*zone).or_default();
             if against.len() < most && ((zone.1 + 1) as f64) <= OF_ZONE * zone.0 as f64 {
                 zone.1 += 1;
--- a/cluster/src/verdicts/tests.rs
+++ b/cluster/src/verdicts/tests.rs
@@ -164,12 +164,17 @@
         let zone = one as u32 % self.world.zones;
         let mut verdicts = Verdicts::new(terms(), one as u32, zone, seed, now);
         verdicts.flaw = self.world.flaw;
-        verdicts.listed((0..self.world.hosts).map(|host| (host as u64, host as u32 % 3)));
+        verdicts.listed(self.list());
         let (rest, life) = (self.draw(50_000), self.all[one].life + 1);
         self.all[one] = One { verdicts, life, heard: vec![0; self.world.hosts], ..self.blank(one) };
         self.at(self.now + rest, Due::Tick(one, life));
     }
 
+    fn list(&self) -> Vec<(Start, u32)> {
+        let start = |host| Start { host: host as u64, started: self.started[host] };
+        (0..self.world.hosts).map(|host| (start(host), host as u32 % 3)).collect()
+    }
+
     fn blank(&mut self, one: usize) -> One {
         let One { clock, offset, .. } = self.all[one];
         let verdicts = Verdicts::new(terms(), 0, 0, 0, 0);
@@ -262,7 +267,11 @@
             }
             Due::Cut(side) => self.side = side,
             Due::Silent(host, silent) => self.silent[host] = silent,
-            Due::Anew(host) => self.started[host] = self.now,
+            Due::Anew(host) => {
+                self.started[host] = self.now;
+                let list = self.list();
+                self.all.iter_mut().for_each(|one| one.verdicts.listed(list.clone()));
+            }
         }
     }
 
--- a/node/src/together.rs
+++ b/node/src/together.rs
@@ -74,8 +74,8 @@
         self.0.borrow_mut().second().into_iter().for_each(|budget| budget.first());
     }
 
-    fn listed(&mut self, hosts: &[(ServerId, u32)]) {
-        let hosts = hosts.iter().map(|(host, zone)| (host.0, *zone));
+    fn listed(&mut self, hosts: &[(ServerId, Micros, u32)]) {
+        let hosts = hosts.iter().map(|(host, started, zone)| (start(*host, *started), *zone));
         self.0.borrow_mut().verdicts().into_iter().for_each(|verdicts| verdicts.listed(hosts.clone()));
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -332,8 +332,8 @@
     fn denied(&mut self, of: Common, now: Micros);
     /// A first try has come in.
     fn first(&mut self, now: Micros);
-    /// The cache hosts that serve, each with its zone, by the list in hand.
-    fn listed(&mut self, hosts: &[(ServerId, u32)]);
+    /// The cache hosts that serve, each with its start and zone, by the list in hand.
+    fn listed(&mut self, hosts: &[(ServerId, Micros, u32)]);
     /// What an own send to the host with this start told: that it is silent, or that it answers.
     fn saw(&mut self, host: ServerId, started: Micros, silent: bool, now: Micros);
     /// Whether to pass by the host with this start on the others' word. `heard` is when it last answered here, `per_s` how
--- a/src/together.rs
+++ b/src/together.rs
@@ -45,7 +45,7 @@
     pub(crate) fn listed<'a>(&mut self, hosts: impl Iterator<Item = &'a Entry>) {
         let Some(fleet) = &mut self.0 else { return };
         let serving = hosts.filter(|entry| entry.state == State::Serving);
-        fleet.listed(&serving.map(|entry| (entry.server, entry.zone)).collect::<Vec<_>>());
+        fleet.listed(&serving.map(|entry| (entry.server, entry.started, entry.zone)).collect::<Vec<_>>());
     }
 
     /// Whether a host may be sent to as far as the others are concerned.
