--- a/cluster/src/verdicts.rs
+++ b/cluster/src/verdicts.rs
@@ -182,6 +182,8 @@
     asked: Us,
     hasted: Us,
     haste: Us,
+    /// Until then an own word is spread with haste.
+    own_haste: Us,
     answers: usize,
     members: usize,
     digest: u64,
@@ -213,6 +215,7 @@
             asked: 0,
             hasted: 0,
             haste: now + 2 * SECOND,
+            own_haste: 0,
             answers: 0,
             members: 1,
             digest: 0,
@@ -263,7 +266,7 @@
             let back = !silent
                 && (known.is_some_and(|all| all.iter().any(here)) || mine.is_some_and(|one| one.back));
             let known = Known { witness: self.position, zone: self.zone, stamp, born: now, silent, back };
-            self.haste = self.haste.max(now + OWN_HASTE);
+            self.own_haste = now + OWN_HASTE;
             self.take(start, known, now);
         }
     }
@@ -401,9 +404,13 @@
             self.hot = known::hot_digest(&self.hosts, HASTY, self.terms.witnesses);
             self.judge(now);
         }
-        if now < self.haste && now >= self.hasted + URGENT {
+        if now < self.haste.max(self.own_haste) && now >= self.hasted + URGENT {
             self.hasted = now;
-            let about = if self.hot == 0 { What::Own } else { What::Hot };
+            // Words that are missing may be with members that have but one and no haste: they are asked for all that they hold.
+            let missing =
+                |all: &Vec<Known>| known::is_hot(all, HASTY) && !known::is_decided(all, self.terms.witnesses);
+            let all = now < self.own_haste || self.hot == 0 || self.hosts.values().any(missing);
+            let about = if all { What::Own } else { What::Hot };
             for to in (0..ASKED).filter_map(|_| peer()).collect::<Vec<_>>() {
                 self.ask(now, to, about);
             }
--- a/cluster/src/verdicts/known.rs
+++ b/cluster/src/verdicts/known.rs
@@ -80,6 +80,12 @@
     uncleared(all, &BTreeSet::new()).count() >= hasty || all.iter().any(|one| one.back)
 }
 
+/// Whether enough speak against a host that is worth haste, or none does any more: who holds it so needs no more words.
+pub(super) fn is_decided(all: &[Known], witnesses: usize) -> bool {
+    let words = uncleared(all, &BTreeSet::new()).count();
+    words == 0 || words >= witnesses
+}
+
 /// What is worth haste, in brief: a host that enough speak against is one thing, however many do and whenever they last said so.
 pub(super) fn hot_digest(hosts: &BTreeMap<Start, Vec<Known>>, hasty: usize, witnesses: usize) -> u64 {
     let none = BTreeSet::new();
--- a/fleet/src/operator.rs
+++ b/fleet/src/operator.rs
@@ -18,7 +18,7 @@
 const SAVED: f64 = 10.0;
 const EXPIRY_MS: f64 = 6_000.0;
 /// Within which time all connected members act on what enough have seen, as docs/design/verdicts.md states it.
-const ACT_MS: f64 = 2_500.0;
+const ACT_MS: f64 = 3_000.0;
 /// Members that each process calls first.
 const SEEDS: usize = 3;
 
