Ask the fleet for a place at the origin only where somebody waits

Read through who asks: pass and next_pass looked for a free unit after each answer with an empty queue too, so that need was counted where nobody waited. Resting after an ask in vain was tried first and gave nothing.

Change: neither asks with an empty queue; without sharing nothing else hangs on it. Tests of all that the decisions make of the interface, with a fleet made by hand; the last one fails on the code before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -276,8 +276,8 @@
     }
 
     fn next_pass(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        let wait = self.closed(now, 0);
-        if !self.passing && wait.0 > 0 && !self.queue.is_empty() {
+        let wait = if self.queue.is_empty() { Micros(0) } else { self.closed(now, 0) };
+        if !self.passing && wait.0 > 0 {
             self.passing = true;
             actions.push(Action::Timer { at: now.plus(wait), token: PASS });
         }
@@ -285,7 +285,7 @@
 
     /// Gives free places at the origin to what is worth most: writes, then reads of popular keys.
     fn pass(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        while self.closed(now, 0).0 == 0 {
+        while !self.queue.is_empty() && self.closed(now, 0).0 == 0 {
             let Some(server) = self.members.origin() else { break };
             let room = [false, true].map(|write| server.places.room(now, write));
             let fitting = (0..self.queue.len()).filter(|at| room[usize::from(self.queue[*at].0 >= 1.0)]);
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod limits;
 mod miniature;
+mod together;
 
 const SECOND: u64 = 1_000_000;
 
