--- a/cluster/src/verdicts.rs
+++ b/cluster/src/verdicts.rs
@@ -503,11 +503,6 @@
         Figures { silent: count(true), sound: count(false), ..self.figures }
     }
 
-    /// What is stated of how long an entry acts.
-    pub fn terms(&self) -> Terms {
-        self.terms
-    }
-
     /// The start as it is looked up.
     fn name(&self, start: Start) -> Start {
         if self.is(Flaw::AddressForStart) {
