Draw members only where somebody asks, and keep the cold limit's terms in brief

Need: on reading the change once more. Each tick, 20 a second, drew four members and counted all of them whether anybody asked or not, each a walk over the membership; the brief of the cold hosts' terms was worked out anew at each packet, where its twins keep it.

Change: members are drawn when the first asks, the same for all that ask in a tick; they are counted only for verdicts; the brief is kept beside the limit as with the others; one doc line said more than its field.

Processor time a member was not measured again.

--- a/cluster/src/budget.rs
+++ b/cluster/src/budget.rs
@@ -72,7 +72,7 @@
     pub own: f64,
     /// Rights from others.
     pub got: f64,
-    /// Rights spent, all told; first tries, given away, refused for want of one.
+    /// Rights spent, all told.
     pub spent: u64,
     /// First tries.
     pub first: u64,
--- a/cluster/src/cluster.rs
+++ b/cluster/src/cluster.rs
@@ -1,5 +1,6 @@
 //! One balancer's side of all that balancers agree on: packets and times in, packets and figures out.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 
 use crate::budget::{self, Budget};
@@ -74,7 +75,7 @@
 pub struct Cluster {
     membership: Membership,
     limits: Vec<One>,
-    cold: Option<Cold>,
+    cold: Option<(Cold, u32)>,
     second: Option<(Budget, u32)>,
     verdicts: Option<(Verdicts, u32)>,
     figures: Figures,
@@ -100,7 +101,10 @@
         Cluster {
             membership: Membership::new(Name { address, life }, seeds, seed, now),
             limits: limits.into_iter().map(one).collect(),
-            cold: cold.map(|terms| Cold::new(terms, position, life, now)),
+            cold: cold.map(|terms| {
+                let numbers = [terms_in_brief(&terms.shares).into(), terms.share.to_bits(), terms.warm_up];
+                (Cold::new(terms, position, life, now), brief(&numbers))
+            }),
             second: second.map(|terms| {
                 let brief = brief(&[terms.share.to_bits(), terms.saved.to_bits(), u64::from(terms.holders)]);
                 (Budget::new(terms, position, life), brief)
@@ -137,7 +141,7 @@
                 _ => self.figures.differ += 1,
             },
             About::Cold(start, message) => match &mut self.cold {
-                Some(cold) if cold_in_brief(&cold.terms) == terms => {
+                Some((cold, brief)) if *brief == terms => {
                     // A host that is warm by now, or one that the list cannot have told, has no part here.
                     cold.part(start, now).into_iter().for_each(|shares| shares.heard(now, from, message));
                 }
@@ -157,17 +161,24 @@
     /// Does what is due; to be called every 50 ms or so.
     pub fn tick(&mut self, now: Us) {
         self.membership.tick(now);
-        let drawn: Vec<SocketAddr> = (0..DRAWN).filter_map(|_| self.membership.draw()).collect();
-        let members = self.membership.counts().alive;
-        // Each that asks begins with the first of them.
+        let members = self.verdicts.as_ref().map_or(1, |_| self.membership.counts().alive);
+        // Each that asks begins with the first that was drawn; one is drawn only where somebody asks.
+        let drawn = RefCell::new((Vec::new(), &mut self.membership));
         let peers = || {
-            let mut drawn = drawn.iter().copied();
-            move || drawn.next()
+            let (mut turn, drawn) = (0, &drawn);
+            move || {
+                let (drawn, membership) = &mut *drawn.borrow_mut();
+                if turn == drawn.len() && turn < DRAWN {
+                    drawn.extend(membership.draw());
+                }
+                turn += 1;
+                drawn.get(turn - 1).copied()
+            }
         };
         for one in &mut self.limits {
             one.shares.tick(now, peers());
         }
-        self.cold.iter_mut().for_each(|cold| cold.tick(now, peers));
+        self.cold.iter_mut().for_each(|(cold, _)| cold.tick(now, peers));
         self.second.iter_mut().for_each(|(budget, _)| budget.tick(now, peers()));
         self.verdicts.iter_mut().for_each(|(verdicts, _)| verdicts.tick(now, members, peers()));
         self.collect();
@@ -177,7 +188,7 @@
     pub fn leave(&mut self, now: Us) {
         self.membership.leave(now);
         self.limits.iter_mut().for_each(|one| one.shares.leave(now));
-        let parts = self.cold.iter_mut().flat_map(Cold::parts);
+        let parts = self.cold.iter_mut().flat_map(|(cold, _)| cold.parts());
         parts.for_each(|(_, shares)| shares.leave(now));
         self.collect();
     }
@@ -191,11 +202,10 @@
             let about = |message| About::Limit(number as u8, message);
             items.extend(one.shares.drain().map(|(to, message)| (to, Item { terms, about: about(message) })));
         }
-        if let Some(cold) = &mut self.cold {
-            let terms = cold_in_brief(&cold.terms);
+        if let Some((cold, terms)) = &mut self.cold {
             for (start, shares) in cold.parts() {
-                let about = |message| About::Cold(start, message);
-                items.extend(shares.drain().map(|(to, message)| (to, Item { terms, about: about(message) })));
+                let item = |message| Item { terms: *terms, about: About::Cold(start, message) };
+                items.extend(shares.drain().map(|(to, message)| (to, item(message))));
             }
         }
         if let Some((budget, terms)) = &mut self.second {
@@ -228,7 +238,7 @@
     /// there is no room for one more such host, nothing may be sent to it: the second value.
     pub fn cold(&mut self, start: Start, now: Us) -> (Option<&mut Shares>, bool) {
         match &mut self.cold {
-            Some(cold) if !cold.is_warm(start, now) => {
+            Some((cold, _)) if !cold.is_warm(start, now) => {
                 let part = cold.part(start, now);
                 let shut = part.is_none();
                 (part, shut)
@@ -258,7 +268,7 @@
         let limits =
             limits.map(|one| (one.name.clone(), one.shares.figures(now, one.terms.units()))).collect();
         let dropped = self.figures.dropped + self.membership.dropped;
-        let cold = self.cold.as_mut().map(|cold| {
+        let cold = self.cold.as_mut().map(|(cold, _)| {
             let whole = cold.terms.shares.units();
             let parts = cold.parts().map(|(_, shares)| shares.figures(now, whole));
             parts.fold((shares::Figures::default(), 0), |(sum, count), one| (sum.with(&one), count + 1))
@@ -275,11 +285,6 @@
     brief(&[u64::from(whole), spread, u64::from(holders), lease, drift.to_bits()])
 }
 
-fn cold_in_brief(terms: &cold::Terms) -> u32 {
-    let cold::Terms { shares, share, warm_up } = *terms;
-    brief(&[u64::from(terms_in_brief(&shares)), share.to_bits(), warm_up])
-}
-
 fn brief(numbers: &[u64]) -> u32 {
     let mut sum: u64 = 0xcbf2_9ce4_8422_2325;
     for byte in numbers.iter().flat_map(|part| part.to_le_bytes()) {
