Write nothing of a command to a host once the command is over

At fault: Exchange::finish and Exchange::gone close a command and leave its executions with the carrier; Upstream::next and Lane::execute look at the time that is left and at the host, never at whether anybody waits. Ruled out: hidden resends (each id was written once a begin), answers lost on the client's side (each had its whole answer), time-outs (none of them had run out).

Change: all executions of a command share a mark that Exchange sets with the final answer and with the client's end; the pools call off what waits, and a connection looks before each write, also in the middle of one that stands still. A connection that is on its way for such an execution goes on and still tells of its host, as before.

--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -72,6 +72,18 @@
     pub server: ServerId,
     /// Until when its answer is waited for.
     pub until: Micros,
+    over: Over,
+}
+
+/// Set once a command has its final answer, or its client is gone: shared by all its executions.
+type Over = Rc<Cell<bool>>;
+
+impl Execution {
+    /// Whether nobody waits for it any longer. From then on no byte of it may be written: a host would do work that is
+    /// for nobody, after the command's final answer. Whoever carries it asks before each write.
+    pub fn over(&self) -> bool {
+        self.over.get()
+    }
 }
 
 /// A long value that a client writes, to be sent to the origin while it still comes: all but its last byte, which
@@ -108,6 +120,7 @@
     out: u32,
     /// The client sends no more and may be gone; the module has let go of it.
     left: bool,
+    over: Over,
 }
 
 struct Running {
@@ -144,6 +157,7 @@
     fn close(&mut self, id: CommandId) -> Option<Open> {
         let open = self.commands.remove(&id)?;
         self.ids.remove(&open.command.id);
+        open.over.set(true);
         Some(open)
     }
 }
@@ -273,8 +287,8 @@
             tenant: 0,
             retry: command.retry,
         };
-        let command = Rc::new(command);
-        inner.commands.insert(id, Open { command, answer, deadline, attempts: 0, out: 0, left: false });
+        let (command, over) = (Rc::new(command), Over::default());
+        inner.commands.insert(id, Open { command, answer, deadline, attempts: 0, out: 0, left: false, over });
         inner.timers.push(Reverse((deadline, Due::Command(id))));
         self.handle(&mut inner, now, Event::Request(request));
         Some((id, receiver))
@@ -543,13 +557,13 @@
                 let running = Running { command: command_id, server, attempt: open.attempts, sent: now };
                 open.attempts += 1;
                 open.out += 1;
-                let command = Rc::clone(&open.command);
+                let (command, over) = (Rc::clone(&open.command), Rc::clone(&open.over));
                 inner.last += 1;
                 let id = ExecutionId(inner.last);
                 count(&self.counters.executions);
                 inner.executions.insert(id, running);
                 inner.timers.push(Reverse((until, Due::Execution(id))));
-                inner.carrier.begin(Execution { id, command, server, until });
+                inner.carrier.begin(Execution { id, command, server, until, over });
             }
             Action::Refuse { id, retry_after, why } => {
                 count(self.counters.refusals(why));
@@ -655,6 +669,31 @@
         });
     }
 
+    /// With a command's final answer, or its client's end, all its executions are over: those that no byte has gone out of
+    /// must never begin.
+    #[test]
+    fn what_is_out_is_over_with_its_command() {
+        testing::run(async {
+            for gone in [false, true] {
+                let (exchange, recorder) = with_timers(3, Effect::Safe, 3);
+                let (id, answer) = exchange.take(command("1", None)).unwrap();
+                while recorder.begun.borrow().len() < 2 {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+                let [first, second] = &recorder.begun.take()[..] else { panic!("a second copy is out") };
+                assert!(!first.over() && !second.over());
+                if gone {
+                    exchange.gone(id);
+                } else {
+                    let value = Answer::Value(Bytes::from_static(b"v"));
+                    exchange.ended(first.id, End::Reply(Reply::Served(value)));
+                    assert!(answer.await.is_ok());
+                }
+                assert!(first.over() && second.over());
+            }
+        });
+    }
+
     /// An id names one open command; once that is over it may come again.
     #[test]
     fn an_id_in_use_is_not_taken() {
--- a/exchange/src/long.rs
+++ b/exchange/src/long.rs
@@ -9,10 +9,10 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use juniperladder::{Micros, ServerId};
+use juniperladder::ServerId;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::numbers::ExecutionId;
+use crate::exchange::Execution;
 use crate::tally::{Passing, Tally};
 
 /// Pieces that may wait between the two sides.
@@ -129,12 +129,10 @@
 }
 
 /// The execution that a long value waits for, to send its last byte.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Go {
-    /// Its name.
-    pub id: ExecutionId,
-    /// Until when its answer is waited for.
-    pub until: Micros,
+    /// What to send, where to and until when.
+    pub execution: Execution,
     /// The last byte.
     pub last: Bytes,
 }
@@ -165,11 +163,11 @@
 
     /// Sends the last byte as this execution. False where that cannot be: it has been used, leads to another
     /// server, or its connection has ended.
-    pub fn give(&self, id: ExecutionId, server: ServerId, until: Micros) -> bool {
-        if server != self.server || self.last.is_empty() {
+    pub fn give(&self, execution: Execution) -> bool {
+        if execution.server != self.server || self.last.is_empty() {
             return false;
         }
-        let go = Go { id, until, last: self.last.clone() };
+        let go = Go { execution, last: self.last.clone() };
         self.go.take().is_some_and(|sender| sender.send(go).is_ok())
     }
 }
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -4,15 +4,18 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::{Rc, Weak};
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::BytesMut;
 use juniperladder::{ListKind, Micros, ServerId, State};
 use rustc_hash::FxHashMap;
 use slog::{warn, Logger};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::{spawn_local, yield_now};
@@ -166,6 +169,10 @@
     /// Opens connections for the executions that wait, one for each, as far as there is room.
     fn connect(&self, server: ServerId, pool: &mut Pool) {
         let (Some(this), Some(address)) = (self.this.upgrade(), pool.address) else { return };
+        if pool.connecting < pool.waiting.len() {
+            // No connection is opened for what nobody waits for. One that is on its way already still tells of its host.
+            self.call_off(&mut pool.waiting, Execution::over);
+        }
         while pool.connecting < pool.waiting.len() && self.connections.get() < self.limits.connections {
             pool.connecting += 1;
             let this = Rc::clone(&this);
@@ -179,6 +186,17 @@
         }
     }
 
+    /// Ends those of the executions that are like this, none of which has begun.
+    fn call_off(&self, waiting: &mut VecDeque<Execution>, like: impl Fn(&Execution) -> bool) {
+        waiting.retain(|execution| {
+            let stays = !like(execution);
+            if !stays {
+                self.end_later(execution.id, End::CalledOff);
+            }
+            stays
+        });
+    }
+
     /// A connection has ended: what waits for room may open one.
     fn make_use_of_room(&self) {
         for (server, pool) in self.pools.borrow_mut().iter_mut() {
@@ -190,6 +208,7 @@
     fn next(&self, lane: &Lane) -> Option<Execution> {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(&lane.server).filter(|pool| pool.address == Some(lane.address))?;
+        self.call_off(&mut pool.waiting, Execution::over);
         let execution = pool.waiting.pop_front()?;
         pool.running.insert(execution.id, Carried::default());
         Some(execution)
@@ -308,9 +327,7 @@
         for pool in pools.values_mut().filter(|pool| !pool.open) {
             // Nothing may begin at a host that drains or is gone: its first byte would count.
             pool.idle.clear();
-            for execution in pool.waiting.drain(..) {
-                self.end_later(execution.id, End::CalledOff);
-            }
+            self.call_off(&mut pool.waiting, |_| true);
         }
         pools.retain(|_, pool| pool.open || pool.connecting > 0 || !pool.running.is_empty());
     }
@@ -324,7 +341,7 @@
         if let Some(ticket) = &execution.command.ticket {
             // All else is written; where that has failed it never ran, and nobody has it to send it again.
             let id = execution.id;
-            if ticket.give(id, server, execution.until) {
+            if ticket.give(execution.clone()) {
                 pool.running.insert(id, Carried::default());
             } else {
                 self.end_later(id, End::CalledOff);
@@ -475,9 +492,10 @@
         execution: Execution,
     ) -> After {
         let wait = execution.until.minus(upstream.clock.now());
-        if wait.0 == 0 {
-            // It timed out on its way here; to write it now would be work for nobody.
-            upstream.stopped(self.server, execution.id, End::NotSent);
+        if wait.0 == 0 || execution.over() {
+            // It timed out on its way here, or its command was answered; to write it now would be work for nobody.
+            let end = if wait.0 == 0 { End::NotSent } else { End::CalledOff };
+            upstream.stopped(self.server, execution.id, end);
             return After::Keep;
         }
         let mut output = BytesMut::new();
@@ -501,9 +519,9 @@
     ) -> After {
         let id = execution.id;
         let most = crate::clock::duration(wait);
-        let written = timeout(most, stream.write_all(output)).await;
-        if !matches!(written, Ok(Ok(()))) {
-            upstream.stopped(self.server, id, End::NotSent);
+        if !timeout(most, write(stream, output, &execution)).await.unwrap_or(false) {
+            let end = if execution.over() { End::CalledOff } else { End::NotSent };
+            upstream.stopped(self.server, id, end);
             return After::Close;
         }
         count(&upstream.counters.tries);
@@ -609,6 +627,23 @@
     }
 }
 
+/// Writes this of an execution, and tells whether all of it has gone out: no byte goes once the execution is over, though
+/// the way were full until then.
+async fn write<S: AsyncWrite + Unpin>(stream: &mut S, output: &[u8], execution: &Execution) -> bool {
+    let mut left = output;
+    while !left.is_empty() {
+        let written = poll_fn(|cx| match execution.over() {
+            true => Poll::Ready(Ok(0)),
+            false => Pin::new(&mut *stream).poll_write(cx, left),
+        });
+        match written.await {
+            Ok(length @ 1..) => left = &left[length..],
+            _ => return false,
+        }
+    }
+    true
+}
+
 /// Whether an idle connection is still up and silent.
 fn quiet(stream: &TcpStream) -> bool {
     matches!(stream.try_read(&mut [0]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
@@ -621,7 +656,7 @@
     use crate::testing::{self, host, settle, Recorder, HOST};
     use juniperladder::Effect;
     use proptest::prelude::*;
-    use tokio::io::duplex;
+    use tokio::io::{duplex, AsyncWriteExt};
 
     /// What a host does with one execution.
     #[derive(Clone, Debug)]
@@ -733,6 +768,64 @@
         });
     }
 
+    /// A connection that comes up when its command is over, its client gone or answered from elsewhere, gets nothing of
+    /// that command, and the next command can use it.
+    #[test]
+    fn a_connection_that_comes_up_late_gets_nothing_of_a_command_that_is_over() {
+        testing::run_on_sockets(async {
+            let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+            let upstream = testing::upstream(4);
+            let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), upstream.clone(), 0);
+            upstream.attach(&exchange);
+            let mut up = host(HOST, State::Serving);
+            up.address = listener.local_addr().ok();
+            exchange.listed(ListKind::Replace, &[up]);
+            let (id, _answer) = exchange.take(testing::command("1", None)).unwrap();
+            exchange.gone(id);
+            let (mut stream, _) = listener.accept().await.unwrap();
+            settle().await;
+            let (_, answer) = exchange.take(testing::command("2", None)).unwrap();
+            let mut got = BytesMut::new();
+            while !got.ends_with(b"\r\n") {
+                assert!(stream.read_buf(&mut got).await.unwrap() > 0);
+            }
+            let got = String::from_utf8_lossy(&got).into_owned();
+            assert!(got.starts_with("mg ") && got.contains(" O2 ") && !got.contains(" O1 "), "{got}");
+            stream.write_all(b"VA 1 O2\r\nv\r\n").await.unwrap();
+            assert_eq!(answer.await, Ok(Answer::Value("v".into())));
+            assert_eq!((exchange.counters().moot.get(), upstream.counters.tries.get()), (1, 1));
+        });
+    }
+
+    /// A write that stands still half-way is not carried on once its command is over, though the way clears.
+    #[test]
+    fn what_is_half_written_ends_with_its_command() {
+        testing::run(async {
+            let recorder = Rc::new(Recorder::default());
+            let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), recorder.clone(), 1);
+            let upstream = testing::upstream(1);
+            upstream.attach(&exchange);
+            let (id, _answer) = exchange.take(testing::command("7", Some(vec![b'x'; 300]))).unwrap();
+            let execution = recorder.begun.borrow_mut().pop().unwrap();
+            let (mut near, mut far) = duplex(100);
+            let lane = Lane { server: HOST, origin: false, address: ([127, 0, 0, 1], 1).into() };
+            let host = async {
+                settle().await;
+                exchange.gone(id);
+                let mut got = Vec::new();
+                far.read_to_end(&mut got).await.unwrap();
+                got.len()
+            };
+            let carry = async {
+                let after = lane.execute(&upstream, &mut near, &mut BytesMut::new(), execution).await;
+                drop(near);
+                after
+            };
+            assert_eq!(tokio::join!(carry, host), (After::Close, 100));
+            assert_eq!(upstream.counters.tries.get(), 0);
+        });
+    }
+
     /// Connections are bounded over all hosts: one that is idle gives way to an execution elsewhere.
     #[test]
     fn an_idle_connection_makes_room() {
--- a/node/src/upstream/uploads.rs
+++ b/node/src/upstream/uploads.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use super::{After, Counted, Lane, Upstream};
-use crate::exchange::{End, Execution, Upload};
+use crate::exchange::{End, Upload};
 use crate::http;
 use crate::passing::STALLED;
 
@@ -61,23 +61,22 @@
     async fn upload(&self, upstream: &Upstream, mut upload: Upload, on_its_way: OnItsWay) {
         let stream = self.send_ahead(upstream, &upload).await;
         // From here on the client's side is told that no more is taken, if more there is.
-        let Upload { value, command, .. } = upload;
-        drop(value);
+        drop(upload.value);
         let Some(mut stream) = stream else {
             upload.going.close();
             if let Ok(go) = upload.going.try_recv() {
-                upstream.stopped(self.server, go.id, End::NotSent);
+                upstream.stopped(self.server, go.execution.id, End::NotSent);
             }
             return;
         };
         let Ok(go) = upload.going.await else { return };
         drop(on_its_way);
-        let wait = go.until.minus(upstream.clock.now());
+        let wait = go.execution.until.minus(upstream.clock.now());
         if wait.0 == 0 || !upstream.is_at(self) {
-            return upstream.stopped(self.server, go.id, End::CalledOff);
+            return upstream.stopped(self.server, go.execution.id, End::CalledOff);
         }
-        let execution = Execution { id: go.id, command, server: self.server, until: go.until };
-        let after = self.send(upstream, &mut stream, &mut BytesMut::new(), execution, &go.last, wait).await;
+        let input = &mut BytesMut::new();
+        let after = self.send(upstream, &mut stream, input, go.execution, &go.last, wait).await;
         if after == After::Keep {
             self.carry(upstream, stream).await;
         }
