Answer all that a process took before the time after its SIGTERM is up

At fault: Exchange::take gives a command its client's whole wait, whatever the process has left; lib.rs waits for the longest deadline from the closing, then for all commands, and ends without a moment for the last answer. Ruled out: lost timers (each execution's was set and not yet due), a connection left open by mistake (each was in its last look).

Change: from the signal on the exchange answers everything, what is open and what still comes, within the longest deadline (3 s where it is longer) and 0.6 s, of the 0.7 s that the protocol leaves; the process ends 50 ms later at the latest.

--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -174,6 +174,8 @@
     watch: Notify,
     idle: Notify,
     next_timer: Cell<Micros>,
+    /// When the last command has to be answered.
+    last: Cell<Micros>,
     log: Logger,
 }
 
@@ -214,6 +216,7 @@
             watch: Notify::new(),
             idle: Notify::new(),
             next_timer: Cell::new(Micros(u64::MAX)),
+            last: Cell::new(Micros(u64::MAX)),
             log,
         })
     }
@@ -276,7 +279,7 @@
         let most = self.longest.get(command.class as usize).or(self.longest.last());
         let most = most.copied().unwrap_or(Micros(1_000_000));
         let wait = command.wait.map_or(most, |wait| wait.min(most));
-        let deadline = now.plus(wait.minus(MARGIN));
+        let deadline = now.plus(wait.minus(MARGIN)).min(self.last.get());
         let request = Request {
             id: id.request(),
             deadline,
@@ -294,6 +297,16 @@
         Some((id, receiver))
     }
 
+    /// From now on every command is answered by this time, those that are open already too: this process has no more.
+    pub fn end_by(&self, last: Micros) {
+        self.last.set(last);
+        let mut inner = self.inner.borrow_mut();
+        let open = inner.commands.iter().filter(|(_, open)| open.deadline > last);
+        let ends: Vec<_> = open.map(|(id, _)| Reverse((last, Due::Command(*id)))).collect();
+        inner.timers.extend(ends);
+        self.timer_set.notify_one();
+    }
+
     /// Whether a client may write long values: they go to the origin while they come.
     pub fn takes_long(&self) -> bool {
         self.origin.is_some()
@@ -694,6 +707,27 @@
         });
     }
 
+    /// A process that is told to end has an answer for all that it took before its time is up: what was open then, what
+    /// connections that are not closed yet still bring, and at once for what comes after.
+    #[test]
+    fn a_process_that_ends_answers_all_that_it_took() {
+        testing::run(async {
+            let (exchange, recorder) = with_timers(3, Effect::Unsafe, 3);
+            let start = Instant::now();
+            let (_, first) = exchange.take(command("1", None)).unwrap();
+            settle().await;
+            let last = Duration::from_millis(200);
+            exchange.end_by(exchange.clock.now().plus(crate::clock::micros(last)));
+            tokio::time::sleep(last / 2).await;
+            let (_, second) = exchange.take(command("2", None)).unwrap();
+            assert!(first.await.is_ok() && second.await.is_ok());
+            assert_eq!((start.elapsed(), recorder.begun.borrow().len()), (last, 2));
+            let (_, third) = exchange.take(command("3", None)).unwrap();
+            assert!(third.await.is_ok());
+            assert_eq!((start.elapsed(), recorder.begun.borrow().len()), (last, 2));
+        });
+    }
+
     /// An id names one open command; once that is over it may come again.
     #[test]
     fn an_id_in_use_is_not_taken() {
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -34,6 +34,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
+use tokio::time::Instant;
 
 use config::Config;
 
@@ -168,7 +169,9 @@
         }
     }
     info!(log, "stopping");
-    shutdown.run(longest).await;
+    let (signal, last) = (Instant::now(), shutdown::last_answer(longest));
+    exchange.end_by(clock.now().plus(clock::micros(last)));
+    shutdown.run(signal, last + shutdown::WAY_OUT).await;
     exchange.idle().await;
     peers.iter().for_each(|peers| peers.leave());
     info!(log, "stopped"; "counters" => counters.to_string());
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -972,7 +972,7 @@
             spawn_local(serve(Rc::clone(&service), near));
             far.write_all(b"mg a v O1 Pc=read,d=480\r\n").await.unwrap();
             settle().await;
-            service.shutdown.run(Duration::from_secs(3)).await;
+            service.shutdown.run(Instant::now(), Duration::from_secs(3)).await;
             settle().await;
             let execution = recorder.begun.borrow_mut().pop().unwrap();
             let value = Answer::Value(Bytes::from_static(b"v"));
--- a/node/src/shutdown.rs
+++ b/node/src/shutdown.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 
 use tokio::sync::Notify;
-use tokio::time::{sleep_until, timeout, Duration, Instant};
+use tokio::time::{sleep_until, timeout_at, Duration, Instant};
 
 /// After the signal the front goes on dealing out connections for a moment. Only when none has come for
 /// this long are the clients' connections closed, since those whose are closed open new ones.
@@ -12,6 +12,19 @@
 /// The closing begins no later than this, whoever still connects.
 const MOST: Duration = Duration::from_millis(600);
 
+/// How long after the signal a process may be there at least: the longest deadline, taken as no longer than this, and
+/// so much more (protocol, figures of a planned restart).
+const LONGEST: Duration = Duration::from_secs(3);
+const MORE: Duration = Duration::from_millis(700);
+/// What is kept of that for the last answers: how long after them the process goes on, and what is left then.
+pub const WAY_OUT: Duration = Duration::from_millis(50);
+const SPARE: Duration = Duration::from_millis(100);
+
+/// How long after the signal the last command has to be answered.
+pub fn last_answer(longest: Duration) -> Duration {
+    longest.min(LONGEST) + MORE - SPARE
+}
+
 /// How far the end has come.
 #[derive(Debug, Default)]
 pub struct Shutdown {
@@ -52,11 +65,10 @@
         self.changed.notify_waiters();
     }
 
-    /// Runs the end from the signal on: until every connection is closed, and not longer than the longest
-    /// deadline from when the closing began, as a connection may stand still in the middle of a command.
-    pub async fn run(&self, longest: Duration) {
+    /// Runs the end from the signal on: until every connection is closed, and not longer than this, as a connection may
+    /// stand still in the middle of a command. By then whoever runs it has had every command answered.
+    pub async fn run(&self, signal: Instant, most: Duration) {
         self.stopping.set(true);
-        let signal = Instant::now();
         loop {
             let quiet = self.last.get().unwrap_or(signal).max(signal) + QUIET;
             let quiet = quiet.min(signal + MOST);
@@ -71,8 +83,8 @@
                 self.changed.notified().await;
             }
         };
-        // What is cut off then owes nothing: the exchange is waited for after this.
-        let _ = timeout(longest, closed).await;
+        // What is cut off then owes nothing.
+        let _ = timeout_at(signal + most, closed).await;
     }
 }
 
@@ -97,9 +109,19 @@
                 assert_eq!(start.elapsed(), MOST);
                 shutdown.connections(0);
             };
-            tokio::join!(shutdown.run(Duration::from_secs(3)), clients);
+            tokio::join!(shutdown.run(start, Duration::from_secs(3)), clients);
         });
     }
+    /// What the protocol leaves a process after the signal covers its last answer and the way out of it.
+    #[test]
+    fn the_last_answer_comes_before_the_end_of_the_time() {
+        for (longest, there) in [(600, 1300), (1200, 1900), (3000, 3700), (9000, 3700)] {
+            let end = last_answer(Duration::from_millis(longest)) + WAY_OUT;
+            let there = Duration::from_millis(there);
+            assert!(end < there && end + WAY_OUT * 2 > there, "{end:?}");
+        }
+    }
+
     /// A client that stops in the middle of a command must not keep the program for ever.
     #[test]
     fn the_end_comes_though_a_connection_stands_still() {
@@ -107,8 +129,8 @@
             let shutdown = Shutdown::default();
             shutdown.connections(1);
             let start = Instant::now();
-            shutdown.run(Duration::from_secs(3)).await;
-            assert_eq!(start.elapsed(), QUIET + Duration::from_secs(3));
+            shutdown.run(start, Duration::from_secs(3)).await;
+            assert_eq!(start.elapsed(), Duration::from_secs(3));
         });
     }
 }
