--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -580,7 +580,8 @@
                 }
                 if response.done {
                     passing::nothing_behind(stream, input).await?;
-                    return Ok(Heard::Whole(http::reply(&response, write), after(&response)));
+                    let reply = http::reply(&response, write).map_err(Some)?;
+                    return Ok(Heard::Whole(reply, after(&response)));
                 }
             } else if let Some(heard) = memcache::answered(input, &execution.command).map_err(Some)? {
                 return Ok(match heard {
--- a/protocols/src/http.rs
+++ b/protocols/src/http.rs
@@ -7,7 +7,7 @@
 use winnow::prelude::*;
 use winnow::token::{take_till, take_while};
 
-use crate::memcache::{number, write_properties, MAX_LONG, MAX_VALUE};
+use crate::memcache::{number, receipt, write_properties, MAX_LONG, MAX_VALUE};
 use juniperladder_exchange::values::{Answer, Command, Reply};
 
 /// The longest head of a response.
@@ -241,16 +241,21 @@
 }
 
 /// What the origin's whole response to a command means.
-pub fn reply(response: &Response, write: bool) -> Reply {
-    let Some(head) = &response.head else { return Reply::Error };
-    match head.status {
-        200 => {
-            let body = Bytes::copy_from_slice(&response.body);
-            Reply::Served(if write { Answer::Receipt(body) } else { Answer::Value(body) })
+///
+/// # Errors
+/// What is wrong with one that is none: a write's receipt that is no word.
+pub fn reply(response: &Response, write: bool) -> Result<Reply, String> {
+    let Some(head) = &response.head else { return Ok(Reply::Error) };
+    Ok(match head.status {
+        200 if write => {
+            let receipt = receipt(&response.body);
+            let strange = || format!("not a receipt, in {} bytes", response.body.len());
+            Reply::Served(Answer::Receipt(receipt.ok_or_else(strange)?))
         }
+        200 => Reply::Served(Answer::Value(Bytes::copy_from_slice(&response.body))),
         503 | 504 if head.never_ran => Reply::Full,
         _ => Reply::Error,
-    }
+    })
 }
 
 /// Writes a call to discovery.
@@ -310,7 +315,7 @@
 
     #[test]
     fn the_origin_says_whether_a_command_ran() {
-        let says = |text: &[u8]| reply(&read(text, 99).unwrap(), true);
+        let says = |text: &[u8]| reply(&read(text, 99).unwrap(), true).unwrap();
         let receipt = Reply::Served(Answer::Receipt(Bytes::from_static(b"r1")));
         assert_eq!(says(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nr1"), receipt);
         assert_eq!(says(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), Reply::Error);
@@ -318,6 +323,17 @@
         assert_eq!(says(b"HTTP/1.1 504 No\r\nx-never-ran: 1\r\nContent-Length: 0\r\n\r\n"), Reply::Full);
     }
 
+    /// A receipt goes into a line of its client's connection: more than one word there would be more than one answer.
+    #[test]
+    fn a_receipt_that_is_no_word_is_none() {
+        for body in ["", "r1 r2", "r1\r\n", "r1\nHD O8 cr2", "r1\u{7f}", "r1\u{e9}", &"r".repeat(5000)] {
+            let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            let response = read(text.as_bytes(), 99).unwrap();
+            assert!(response.done && reply(&response, true).is_err(), "{body:?}");
+            assert!(matches!(reply(&response, false), Ok(Reply::Served(Answer::Value(_)))), "{body:?}");
+        }
+    }
+
     #[test]
     fn a_command_to_the_origin_keeps_its_key_and_id() {
         let mut out = BytesMut::new();
--- a/protocols/src/memcache.rs
+++ b/protocols/src/memcache.rs
@@ -19,6 +19,8 @@
 const MAX_SKIPPED: usize = 2 * MAX_LONG;
 /// The longest key, as memcache has it.
 const MAX_KEY: usize = 250;
+/// The longest receipt: with an id as long it leaves room in the longest line.
+const MAX_RECEIPT: usize = 1024;
 
 /// What a client's connection brought next.
 #[derive(Debug, PartialEq)]
@@ -308,6 +310,13 @@
     }
 }
 
+/// A receipt as it may stand in an answer's line, where it is one word: with anything else in it the line would be another
+/// answer to its client, or several.
+pub fn receipt(text: &[u8]) -> Option<Bytes> {
+    let word = (1..=MAX_RECEIPT).contains(&text.len()) && text.iter().all(u8::is_ascii_graphic);
+    word.then(|| Bytes::copy_from_slice(text))
+}
+
 /// Takes a cache host's answer to this command off the input, a value only once it is whole: none until then, an
 /// error when it cannot be one.
 pub fn answer(input: &mut BytesMut, command: &Command) -> Result<Option<Reply>, String> {
@@ -358,8 +367,8 @@
             None
         }
         (b"HD", _) if write => {
-            let receipt = flag(b'c').ok_or_else(|| strange(text))?;
-            Some(Reply::Served(Answer::Receipt(Bytes::copy_from_slice(receipt))))
+            let receipt = flag(b'c').and_then(receipt).ok_or_else(|| strange(text))?;
+            Some(Reply::Served(Answer::Receipt(receipt)))
         }
         (b"EN", _) => Some(Reply::Miss { fetching: flags.contains(&&b"Z"[..]) }),
         (b"SERVER_ERROR", Some(b"failed")) => Some(Reply::Error),
