--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod bounds;
 pub mod config;
+pub mod connect;
 mod keeper;
 pub mod name_table;
 pub mod operator;
@@ -84,7 +85,8 @@
         may_duplicate: config.settings.limits.may_duplicate,
         origin: config.settings.mode.origin(),
     };
-    let upstream = upstream::Upstream::new(limits, clock, Rc::clone(&counters), log.clone());
+    let upstream =
+        upstream::Upstream::new(limits, Rc::new(connect::Tcp), clock, Rc::clone(&counters), log.clone());
     let settings = config.operator.as_ref().map(|_| config.settings.clone());
     let exchange = exchange::Exchange::new(
         config.settings,
--- /dev/null
+++ b/node/src/service/client.rs
@@ -0,0 +1,399 @@
+//! One client's connection: its commands, taken as they come, and their answers in the same order.
+
+use std::collections::VecDeque;
+use std::io;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::sync::oneshot;
+use tokio::time::{sleep_until, timeout, Duration, Instant};
+
+use super::{Seat, Service};
+use crate::counters::count;
+use crate::exchange::{Answer, Command, CommandId};
+use crate::memcache::{write_answer, Commands, Incoming};
+use crate::writing::{self, Writing};
+use juniperladder_exchange::long::Long;
+
+/// Commands that one connection may have open: enough for any pipeline, a bound for one that runs away.
+pub(super) const MAX_OWED: usize = 128;
+/// What is no command may come so often on one connection: more is noise, or someone who does not listen.
+pub(super) const MAX_MALFORMED: usize = 64;
+/// Room made for each read.
+pub(super) const READ: usize = 2048;
+/// What a connection may hold whatever the others do: a command as clients send it.
+pub(super) const SMALL: usize = 8 * 1024;
+
+/// How long a connection may go without an open command: one that is silent, kept for good or in the middle
+/// of a command holds a descriptor that others need. Unfinished commands do not set it back.
+const QUIET: Duration = Duration::from_millis(2200);
+/// How long a command may take from its first byte to its last, if that is longer.
+const HALF: Duration = Duration::from_millis(2500);
+/// How long a value may take to come to its end while pieces of it keep coming.
+const VALUE: Duration = Duration::from_secs(15);
+/// How long a client may take to read any part of the answers that wait for it.
+const UNREAD: Duration = Duration::from_secs(5);
+/// How long, and how far, what a client still sends is read off after its last answer, as a close over
+/// unread bytes would reset the connection and might take that answer with it.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_BYTES: u64 = 256 * 1024;
+
+/// What a connection owes its client, in order.
+#[derive(Debug)]
+enum Owed {
+    /// Words that need nobody else.
+    Line(&'static str),
+    /// A command's answer, and the bytes that the command holds until then.
+    Command(CommandId, Bytes, oneshot::Receiver<Answer>, usize),
+}
+
+/// One client's connection.
+pub(super) struct ServiceClient<'a> {
+    service: &'a Service,
+    seat: &'a Seat,
+    commands: Commands,
+    input: BytesMut,
+    output: BytesMut,
+    owed: VecDeque<Owed>,
+    /// Bytes that its open commands hold, and all that it was last found to hold.
+    open: usize,
+    held: usize,
+    /// How much it has brought that was no command.
+    malformed: usize,
+    /// Since when a command has been coming that is not whole, and when a piece of it came last.
+    half: Option<Instant>,
+    came: Instant,
+    /// The long value that is on its way to the client, and how much of it has yet to come.
+    long: Option<(Long, usize)>,
+    /// When the client last read a part of what waits for it.
+    read: Instant,
+    /// The long value that it is writing.
+    writing: Option<Writing>,
+    /// The client sends no more, or nothing after this can be understood.
+    ended: bool,
+}
+
+impl<'a> ServiceClient<'a> {
+    pub(super) fn new(service: &'a Service, seat: &'a Seat) -> ServiceClient<'a> {
+        ServiceClient {
+            service,
+            seat,
+            commands: Commands::default(),
+            input: BytesMut::new(),
+            output: BytesMut::new(),
+            owed: VecDeque::new(),
+            open: 0,
+            held: 0,
+            malformed: 0,
+            writing: None,
+            half: None,
+            came: Instant::now(),
+            long: None,
+            read: Instant::now(),
+            ended: false,
+        }
+    }
+
+    fn idle(&self) -> bool {
+        self.owes_nothing() && self.input.is_empty() && !self.commands.unfinished()
+    }
+
+    fn owes_nothing(&self) -> bool {
+        self.owed.is_empty() && self.output.is_empty() && self.long.is_none()
+    }
+
+    /// Until when this connection may go on as it is; none while its client waits for the exchange.
+    fn patience(&self) -> Option<Instant> {
+        if !self.output.is_empty() {
+            return Some(self.read + UNREAD);
+        }
+        let quiet = self.seat.quiet.get() + QUIET;
+        let end = match self.half {
+            // A value may come slowly, but it has to come.
+            Some(since) if self.commands.unfinished() => (self.came + QUIET).min(since + VALUE),
+            Some(since) => since + HALF,
+            None => quiet,
+        };
+        (self.owed.is_empty() && self.long.is_none()).then_some(end.max(quiet))
+    }
+
+    /// Keeps account of what this connection holds of the memory.
+    fn keep_account(&mut self) {
+        let ahead = self.writing.as_ref().map_or(0, Writing::ahead);
+        let held = self.input.len() + self.output.len() + self.open + ahead;
+        self.service.held.set(self.service.held.get() + held - self.held);
+        self.held = held;
+    }
+
+    /// Whether more may be read. Where clients hold too much together, those that hold much themselves wait
+    /// until the others are done or run out of time.
+    fn may_hold_more(&self) -> bool {
+        self.held <= SMALL || self.service.held.get() < self.service.bounds.held
+    }
+
+    /// Keeps the times by which the connection is judged.
+    fn keep_time(&mut self) {
+        let now = Instant::now();
+        let busy = !self.owes_nothing();
+        if self.seat.busy.replace(busy) && !busy {
+            self.seat.quiet.set(now);
+        }
+        let half = !self.input.is_empty() || self.commands.unfinished();
+        self.seat.half.set(half);
+        self.half = if half { self.half.or(Some(now)) } else { None };
+        if self.blocked() {
+            // It is not the client who is waited for.
+            self.came = now;
+        }
+        if self.output.is_empty() {
+            self.read = now;
+        }
+    }
+
+    pub(super) async fn serve<S: AsyncRead + AsyncWrite>(&mut self, stream: S) -> io::Result<()> {
+        let (mut reader, mut writer) = tokio::io::split(stream);
+        loop {
+            self.take();
+            self.keep_time();
+            self.keep_account();
+            if self.ended && self.owes_nothing() {
+                writer.shutdown().await?;
+                return linger(&mut reader).await;
+            }
+            // With room here every whole command has been taken, so that the end of the client's side, which
+            // is only read then, never comes before a command that it had sent.
+            let blocked = self.blocked();
+            let room = !self.ended && !blocked && self.owed.len() < MAX_OWED && self.may_hold_more();
+            // Answers to a client that does not read them wait in their small form.
+            let drained = self.output.len() < self.service.bounds.unread;
+            let idle = self.idle();
+            let patience = self.patience();
+            let service = self.service;
+            if room && drained {
+                self.input.reserve(if self.writing.is_some() { service.bounds.piece } else { READ });
+            }
+            tokio::select! {
+                biased;
+                answered = next_answer(&mut self.owed), if drained && self.long.is_none() => {
+                    self.write(answered)
+                }
+                written = writer.write_buf(&mut self.output), if !self.output.is_empty() => {
+                    written?;
+                    self.read = Instant::now();
+                }
+                piece = next_piece(&self.long), if self.output.len() < service.bounds.piece => {
+                    self.pass_on(piece)?;
+                }
+                () = writing::room(&self.writing), if blocked => {}
+                read = reader.read_buf(&mut self.input), if room && drained => {
+                    self.came = Instant::now();
+                    if read? == 0 {
+                        self.leave();
+                    }
+                }
+                look = service.closing(self.seat, patience), if idle => {
+                    // A command may have come that the runtime has not looked for yet: it is taken, and a
+                    // close over unread bytes would reset the connection.
+                    tokio::select! {
+                        biased;
+                        read = reader.read_buf(&mut self.input) => if read? == 0 {
+                            self.leave();
+                        },
+                        () = look.wait() => return writer.shutdown().await,
+                    }
+                }
+                () = until(patience), if !idle => {
+                    if !self.output.is_empty() {
+                        return Err(io::ErrorKind::TimedOut.into());
+                    }
+                    self.cut();
+                }
+                // Half a command gives its seat up too, but only when nothing else can.
+                () = self.seat.cut.notified(), if !idle && !self.seat.busy.get() => self.cut(),
+            }
+        }
+    }
+
+    /// Ends a connection whose client is owed nothing and has sent half a command.
+    fn cut(&mut self) {
+        count(&self.service.exchange.counters().cut);
+        self.owed.push_back(Owed::Line("CLIENT_ERROR command not finished in time"));
+        self.ended = true;
+    }
+
+    fn blocked(&self) -> bool {
+        self.writing.as_ref().is_some_and(Writing::blocked)
+    }
+
+    /// Takes every whole command in hand.
+    fn take(&mut self) {
+        while !self.ended
+            && !self.blocked()
+            && self.owed.len() < MAX_OWED
+            && self.output.len() < self.service.bounds.unread
+        {
+            match self.commands.next(&mut self.input) {
+                None => return,
+                Some(Incoming::Ready) if self.service.exchange.ready() => {
+                    self.owed.push_back(Owed::Line("MN"))
+                }
+                Some(Incoming::Ready) => self.owed.push_back(Owed::Line("SERVER_ERROR not ready")),
+                Some(Incoming::Command(command, class)) => {
+                    if let Some(command) = self.of_class(command, &class) {
+                        self.take_whole(*command);
+                    }
+                }
+                Some(Incoming::Long(..)) if !self.service.exchange.takes_long() => {
+                    self.turn_away("SERVER_ERROR object too large for cache");
+                }
+                Some(Incoming::Long(command, class, length)) => {
+                    let command = self.of_class(command, &class);
+                    self.writing = command.map(|command| Writing::new(command, length));
+                }
+                Some(Incoming::Piece(piece, end)) => {
+                    // Of a command that was turned away at its line the value is read past.
+                    if let Some(writing) = &mut self.writing {
+                        writing.add(&self.service.exchange, piece, end);
+                    }
+                    if let Some(writing) = self.writing.take_if(|_| end) {
+                        self.take_whole(writing.whole());
+                    }
+                }
+                Some(Incoming::Malformed(line)) => self.turn_away(line),
+                Some(Incoming::Lost(line)) => {
+                    self.turn_away(line);
+                    self.ended = true;
+                }
+                Some(Incoming::Quit) => self.ended = true,
+            }
+        }
+    }
+
+    /// The command with its class; none if that is no class of the settings, which the client is told: such a one
+    /// has no deadline and no effect, and hosts turn it away too.
+    fn of_class(&mut self, mut command: Box<Command>, class: &[u8]) -> Option<Box<Command>> {
+        let place = self.service.classes.iter().position(|name| name.as_bytes() == class);
+        if place.is_none() {
+            self.turn_away("CLIENT_ERROR unknown class");
+        }
+        command.class = place? as u32;
+        Some(command)
+    }
+
+    /// Takes a command that is whole.
+    fn take_whole(&mut self, command: Command) {
+        self.half = None;
+        let text = command.id.clone();
+        let size = command.value.as_ref().map_or(0, Bytes::len);
+        match self.service.exchange.take(command) {
+            Some((id, answer)) => {
+                self.open += size;
+                self.owed.push_back(Owed::Command(id, text, answer, size));
+                self.seat.busy.set(true);
+                if !self.seat.spoke.replace(true) {
+                    self.service.thin_out();
+                }
+            }
+            None => self.turn_away("CLIENT_ERROR id in use"),
+        }
+    }
+
+    /// Owes this line for what was no command. Whoever goes on sending such things loses the connection.
+    fn turn_away(&mut self, line: &'static str) {
+        count(&self.service.exchange.counters().malformed);
+        self.owed.push_back(Owed::Line(line));
+        self.malformed += 1;
+        self.ended |= self.malformed >= MAX_MALFORMED;
+    }
+
+    /// The client has closed its side: it is gone, or waits for the answers that it is owed.
+    fn leave(&mut self) {
+        self.ended = true;
+        for owed in &self.owed {
+            if let Owed::Command(id, ..) = owed {
+                self.service.exchange.left(*id);
+            }
+        }
+    }
+
+    fn write(&mut self, (owed, answer): (Owed, Answer)) {
+        match owed {
+            Owed::Line(line) => {
+                self.output.put_slice(line.as_bytes());
+                self.output.put_slice(b"\r\n");
+            }
+            Owed::Command(_, id, _, size) => {
+                self.open -= size;
+                write_answer(&mut self.output, &id, &answer);
+                if let Answer::Long(long) = answer {
+                    let length = long.length();
+                    self.long = Some((long, length));
+                }
+            }
+        }
+    }
+
+    /// Takes a piece of the long value that is on its way. One that broke off cannot be mended, and only the end of
+    /// the connection tells the client that it is not whole.
+    fn pass_on(&mut self, piece: Option<Bytes>) -> io::Result<()> {
+        let Some((long, left)) = &mut self.long else { return Ok(()) };
+        let piece = piece.ok_or(io::ErrorKind::UnexpectedEof)?;
+        *left = left.saturating_sub(piece.len());
+        self.output.put_slice(&piece);
+        if *left == 0 {
+            long.whole();
+            self.long = None;
+            self.output.put_slice(b"\r\n");
+        }
+        Ok(())
+    }
+}
+
+impl Drop for ServiceClient<'_> {
+    /// The connection has ended: whoever is still owed an answer is gone.
+    fn drop(&mut self) {
+        self.service.held.set(self.service.held.get() - self.held);
+        for owed in &self.owed {
+            if let Owed::Command(id, ..) = owed {
+                self.service.exchange.gone(*id);
+            }
+        }
+    }
+}
+
+/// Waits until this time, or for ever.
+pub(super) async fn until(time: Option<Instant>) {
+    match time {
+        Some(time) => sleep_until(time).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Reads off for a moment what a client still sends that has been told its last answer.
+async fn linger<R: AsyncRead + Unpin>(reader: &mut R) -> io::Result<()> {
+    let (mut rest, mut nowhere) = (reader.take(LINGER_BYTES), tokio::io::sink());
+    let _ = timeout(LINGER, tokio::io::copy(&mut rest, &mut nowhere)).await;
+    Ok(())
+}
+
+/// Waits for the next piece of a long value; for ever where none is on its way.
+async fn next_piece(long: &Option<(Long, usize)>) -> Option<Bytes> {
+    match long {
+        Some((long, _)) => long.next().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Waits for the first answer owed; the others wait behind it.
+async fn next_answer(owed: &mut VecDeque<Owed>) -> (Owed, Answer) {
+    let answer = match owed.front_mut() {
+        None => std::future::pending().await,
+        Some(Owed::Line(_)) => Answer::Failed,
+        // The exchange answers everything it took; should it ever drop one, that command has failed.
+        Some(Owed::Command(_, _, answer, _)) => answer.await.unwrap_or(Answer::Failed),
+    };
+    match owed.pop_front() {
+        Some(first) => (first, answer),
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/node/src/service/tests.rs
@@ -0,0 +1,408 @@
+//! The client side, against clients played in memory and on loopback.
+
+use std::io;
+
+use super::client::{ServiceClient, MAX_MALFORMED, MAX_OWED, READ, SMALL};
+use super::*;
+use crate::exchange::{Answer, End, Reply};
+use crate::testing::{self, settle, Recorder};
+use bytes::Bytes;
+use juniperladder::Effect;
+use proptest::prelude::*;
+use tokio::io::{duplex, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+
+/// A step on a client's connection.
+#[derive(Clone, Debug)]
+enum Step {
+    /// The client sends this; the answer is known at once where there is one.
+    Line(&'static str, Option<&'static str>),
+    /// The oldest execution that is out, or the newest, ends.
+    End { newest: bool, served: bool },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let lines = prop_oneof![
+        Just(Step::Line("mn\r\n", Some("MN\r\n"))),
+        Just(Step::Line("nonsense\r\n", Some("ERROR\r\n"))),
+        Just(Step::Line("mg\r\n", Some("CLIENT_ERROR bad command line format\r\n"))),
+        Just(Step::Line("mg k v Oid Pc=read,d=480\r\n", None)),
+        Just(Step::Line("ms k 5 Oid Pc=read,d=480,k=1\r\na\r\nmg\r\n", None)),
+    ];
+    prop_oneof![3 => lines, 2 => any::<(bool, bool)>().prop_map(|(newest, served)| Step::End { newest, served })]
+}
+
+fn service(recorder: &Rc<Recorder>) -> Rc<Service> {
+    let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), recorder.clone(), 1);
+    let bounds = Bounds { clients: 8, kept: 4, hosts: 8, held: 1 << 17, unread: 1 << 16, piece: 1 << 10 };
+    Service::new(exchange, vec!["read".into()], Rc::default(), bounds, testing::log())
+}
+
+async fn serve(service: Rc<Service>, stream: impl AsyncRead + AsyncWrite) -> io::Result<()> {
+    let seated = service.seat();
+    let mut client = ServiceClient::new(&seated.service, &seated.seat);
+    client.serve(stream).await
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 128, failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..ProptestConfig::default() })]
+
+    /// Whatever comes in whatever pieces, each command gets its one answer, in the order of the
+    /// commands, and a client that closes its side still gets all of them.
+    #[test]
+    fn answers_keep_the_order_of_commands(steps in prop::collection::vec(step(), 1..24), cut in 1..40usize) {
+        let (got, want) = testing::run(async {
+            let recorder = Rc::new(Recorder::default());
+            let service = service(&recorder);
+            let (near, mut far) = duplex(1 << 16);
+            let task = spawn_local(serve(Rc::clone(&service), near));
+            // The model: the answers owed, and which executions they wait for.
+            let mut owed: Vec<Option<String>> = Vec::new();
+            let mut out: Vec<usize> = Vec::new();
+            for step in steps {
+                match step {
+                    Step::Line(text, answer) => {
+                        // Ids in use are turned away: each command has its own, of one length.
+                        let text = text.replace("Oid", &format!("O{:02}", owed.len()));
+                        for piece in text.as_bytes().chunks(cut) {
+                            far.write_all(piece).await.unwrap();
+                            settle().await;
+                        }
+                        if answer.is_none() {
+                            out.push(owed.len());
+                        }
+                        owed.push(answer.map(str::to_owned));
+                    }
+                    Step::End { newest, served } if !out.is_empty() => {
+                        let at = if newest { out.len() - 1 } else { 0 };
+                        let execution = recorder.begun.borrow_mut().remove(at);
+                        let value = Bytes::from_static(b"x\r\ny");
+                        let place = out.remove(at);
+                        let (reply, answer) = if served {
+                            let answer = format!("VA 4 O{place:02}\r\nx\r\ny\r\n");
+                            (Reply::Served(Answer::Value(value)), answer)
+                        } else {
+                            (Reply::Error, "SERVER_ERROR failed\r\n".into())
+                        };
+                        service.exchange.ended(execution.id, End::Reply(reply));
+                        owed[place] = Some(answer);
+                    }
+                    Step::End { .. } => {}
+                }
+                settle().await;
+            }
+            far.shutdown().await.unwrap();
+            settle().await;
+            for execution in recorder.begun.take() {
+                service.exchange.ended(execution.id, End::Broken);
+            }
+            let mut got = String::new();
+            far.read_to_string(&mut got).await.unwrap();
+            task.await.unwrap().unwrap();
+            (got, owed.into_iter().map(|a| a.unwrap_or("SERVER_ERROR failed\r\n".into())).collect::<String>())
+        });
+        prop_assert_eq!(got, want);
+    }
+}
+
+/// Whoever says nothing, keeps a connection for good or stops half-way through a command gives it up, and
+/// one that is half-way is told why.
+#[test]
+fn a_connection_without_a_command_closes_in_time() {
+    testing::run(async {
+        let recorder = Rc::new(Recorder::default());
+        for (sent, told) in [
+            ("", ""),
+            ("mn\r\n", "MN\r\n"),
+            ("mg a v O1 Pc=re", "CLIENT_ERROR command not finished in time\r\n"),
+            ("ms k 5 Oid Pc=read,d=480\r\nab", "CLIENT_ERROR command not finished in time\r\n"),
+        ] {
+            let (near, mut far) = duplex(1 << 16);
+            spawn_local(serve(service(&recorder), near));
+            let start = Instant::now();
+            for piece in sent.as_bytes().chunks(4) {
+                far.write_all(piece).await.unwrap();
+                sleep(Duration::from_millis(1)).await;
+            }
+            let mut got = String::new();
+            far.read_to_string(&mut got).await.unwrap();
+            assert_eq!(got, told);
+            assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
+        }
+    });
+}
+
+/// Connections that asked once and stay close, the longest quiet first, before clients run out of them.
+#[test]
+fn connections_kept_for_nothing_are_thinned_out() {
+    testing::run(async {
+        let recorder = Rc::new(Recorder::default());
+        let service = service(&recorder);
+        let mut clients = Vec::new();
+        for id in 0..6 {
+            let (near, mut far) = duplex(1 << 10);
+            spawn_local(serve(Rc::clone(&service), near));
+            far.write_all(format!("mg k v O{id} Pc=read,d=480\r\n").as_bytes()).await.unwrap();
+            settle().await;
+            let execution = recorder.begun.borrow_mut().pop().unwrap();
+            service.exchange.ended(execution.id, End::Reply(Reply::Error));
+            clients.push(far);
+            sleep(Duration::from_millis(5)).await;
+        }
+        let open = service.seats.borrow().len();
+        assert_eq!(open, service.bounds.kept);
+        let start = Instant::now();
+        for mut far in clients.drain(..2) {
+            let mut got = String::new();
+            far.read_to_string(&mut got).await.unwrap();
+            assert_eq!(got, "SERVER_ERROR failed\r\n");
+        }
+        assert_eq!(start.elapsed(), Duration::ZERO);
+    });
+}
+
+/// One told to close while idle that begins a command at that moment may finish it.
+#[test]
+fn a_command_that_crosses_the_close_is_finished() {
+    testing::run(async {
+        let service = service(&Rc::new(Recorder::default()));
+        let (near, mut far) = duplex(1 << 10);
+        spawn_local(serve(Rc::clone(&service), near));
+        settle().await;
+        service.make_room();
+        far.write_all(b"m").await.unwrap();
+        settle().await;
+        far.write_all(b"n\r\n").await.unwrap();
+        let mut got = String::new();
+        far.read_to_string(&mut got).await.unwrap();
+        assert_eq!(got, "MN\r\n");
+    });
+}
+
+/// Giving up a seat takes no time: in a flood of connections a command must not wait behind each of them.
+#[test]
+fn a_seat_is_given_up_at_once() {
+    testing::run(async {
+        let service = service(&Rc::new(Recorder::default()));
+        let (near, mut far) = duplex(1 << 10);
+        spawn_local(serve(Rc::clone(&service), near));
+        settle().await;
+        let start = Instant::now();
+        service.make_room();
+        assert_eq!(far.read(&mut [0; 8]).await.unwrap(), 0);
+        service.left.notified().await;
+        assert_eq!(start.elapsed(), Duration::ZERO);
+    });
+}
+
+/// Values that never come to their end hold a bounded part of the memory, and small commands go on.
+#[test]
+fn values_half_sent_do_not_fill_the_memory() {
+    testing::run(async {
+        let recorder = Rc::new(Recorder::default());
+        let service = service(&recorder);
+        let mut clients = Vec::new();
+        for _ in 0..8 {
+            let (near, mut far) = duplex(1 << 20);
+            spawn_local(serve(Rc::clone(&service), near));
+            far.write_all(b"ms k 65536 Oid Pc=read,d=480\r\n").await.unwrap();
+            far.write_all(&[b'x'; 60_000]).await.unwrap();
+            clients.push(far);
+        }
+        settle().await;
+        let held = service.held.get();
+        assert!(held <= service.bounds.held + 8 * (SMALL + 2 * READ) + 60_000, "{held}");
+        let (near, mut far) = duplex(1 << 10);
+        spawn_local(serve(Rc::clone(&service), near));
+        far.write_all(b"mn\r\n").await.unwrap();
+        let mut got = [0; 4];
+        far.read_exact(&mut got).await.unwrap();
+        drop(far);
+        for mut far in clients {
+            let mut got = String::new();
+            far.read_to_string(&mut got).await.unwrap();
+            assert_eq!(got, "CLIENT_ERROR command not finished in time\r\n");
+        }
+        settle().await;
+        assert_eq!(service.held.get(), 0);
+    });
+}
+
+/// Where seats run out, who has just come and not spoken yet stays, who is idle after an answer goes first, and
+/// who has been silent for long before that.
+#[test]
+fn who_is_about_to_speak_keeps_the_seat() {
+    testing::run(async {
+        let service = service(&Rc::new(Recorder::default()));
+        let mut clients = Vec::new();
+        for (spoke, wait) in [(false, 900), (true, 100), (true, 100), (false, 0)] {
+            let (near, mut far) = duplex(1 << 10);
+            let seated = service.seat();
+            seated.seat.spoke.set(spoke);
+            spawn_local(async move {
+                let _ = ServiceClient::new(&seated.service, &seated.seat).serve(near).await;
+            });
+            far.write_all(b"").await.unwrap();
+            clients.push(far);
+            sleep(Duration::from_millis(wait)).await;
+        }
+        let mut fresh = clients.pop().unwrap();
+        for (gone, mut client) in clients.into_iter().enumerate() {
+            service.make_room();
+            settle().await;
+            assert_eq!(client.read(&mut [0; 8]).await.unwrap(), 0);
+            assert_eq!(service.seats.borrow().len(), 3 - gone);
+        }
+        fresh.write_all(b"mn\r\n").await.unwrap();
+        let mut got = [0; 4];
+        fresh.read_exact(&mut got).await.unwrap();
+        assert_eq!(&got, b"MN\r\n");
+    });
+}
+
+/// Silent connections by the hundred must not shut out a client that has something to say.
+#[test]
+fn a_silent_connection_gives_way() {
+    testing::run_on_sockets(async {
+        let recorder = Rc::new(Recorder::default());
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        spawn_local(service(&recorder).accept(listener));
+        let mut silent = Vec::new();
+        for _ in 0..40 {
+            silent.push(tokio::net::TcpStream::connect(address).await.unwrap());
+        }
+        let mut far = tokio::net::TcpStream::connect(address).await.unwrap();
+        far.write_all(b"mn\r\n").await.unwrap();
+        let mut got = [0; 4];
+        far.read_exact(&mut got).await.unwrap();
+        assert_eq!(&got, b"MN\r\n");
+        assert_eq!(silent[0].read(&mut got).await.unwrap(), 0, "the first was told to leave");
+    });
+}
+
+/// What is no command is told so and never taken: an unknown class, an id that another command has, no
+/// deadline, and noise without end, whose connection ends.
+#[test]
+fn what_is_no_command_is_turned_away() {
+    testing::run(async {
+        let recorder = Rc::new(Recorder::default());
+        let service = service(&recorder);
+        let (near, mut far) = duplex(1 << 16);
+        spawn_local(serve(Rc::clone(&service), near));
+        let (other, mut honest) = duplex(1 << 16);
+        spawn_local(serve(Rc::clone(&service), other));
+        honest.write_all(b"mg k v O1 Pc=read,d=480\r\n").await.unwrap();
+        settle().await;
+        for (line, told) in [
+            ("mg k v O2 Pc=reads,d=480", "CLIENT_ERROR unknown class\r\n"),
+            ("mg k v O2 Pd=480", "CLIENT_ERROR unknown class\r\n"),
+            ("mg k v O1 Pc=read,d=480", "CLIENT_ERROR id in use\r\n"),
+            ("mg k v O2 Pc=read", "CLIENT_ERROR no deadline\r\n"),
+            ("mg k v O2 Pc=read,d=-1", "CLIENT_ERROR bad properties\r\n"),
+        ] {
+            far.write_all(format!("{line}\r\n").as_bytes()).await.unwrap();
+            let mut got = vec![0; told.len()];
+            far.read_exact(&mut got).await.unwrap();
+            assert_eq!(String::from_utf8(got).unwrap(), told);
+        }
+        assert_eq!(recorder.begun.borrow().len(), 1, "only the honest client's has begun");
+        far.write_all(&b"\n".repeat(MAX_MALFORMED * 2)).await.unwrap();
+        let mut got = String::new();
+        far.read_to_string(&mut got).await.unwrap();
+        assert_eq!(got, "ERROR\r\n".repeat(MAX_MALFORMED - 5));
+        let execution = recorder.begun.borrow_mut().pop().unwrap();
+        service.exchange.ended(execution.id, End::Reply(Reply::Served(Answer::Value("v".into()))));
+        let mut got = [0; 12];
+        honest.read_exact(&mut got).await.unwrap();
+        assert_eq!(&got, b"VA 1 O1\r\nv\r\n");
+    });
+}
+
+/// A client whose connection breaks has gone away: nothing is sent for it any more.
+#[test]
+fn a_broken_connection_ends_its_commands() {
+    testing::run(async {
+        let recorder = Rc::new(Recorder::default());
+        let service = service(&recorder);
+        let (near, mut far) = duplex(1 << 16);
+        far.write_all(b"mg a v O1 Pc=read,d=480\r\nmg b v O2 Pc=read,d=480\r\n").await.unwrap();
+        let seated = service.seat();
+        let mut client = ServiceClient::new(&seated.service, &seated.seat);
+        tokio::select! {
+            biased;
+            _ = client.serve(near) => panic!("it still owes answers"),
+            () = settle() => {}
+        }
+        assert_eq!(recorder.begun.borrow().len(), 2);
+        drop(client);
+        service.exchange.idle().await;
+        assert_eq!(service.exchange.counters().left.get(), 2);
+    });
+}
+
+/// Commands that a bound kept from being taken at once are answered too, though the client has closed
+/// its side meanwhile.
+#[test]
+fn a_long_pipeline_is_answered_after_a_half_close() {
+    testing::run(async {
+        let recorder = Rc::new(Recorder::default());
+        let service = service(&recorder);
+        let (near, mut far) = duplex(1 << 20);
+        let commands = MAX_OWED * 2 + 7;
+        let text: String = (0..commands).map(|id| format!("mg a v O{id} Pc=read,d=480\r\n")).collect();
+        far.write_all(text.as_bytes()).await.unwrap();
+        far.shutdown().await.unwrap();
+        let task = spawn_local(serve(Rc::clone(&service), near));
+        while !task.is_finished() {
+            settle().await;
+            for execution in recorder.begun.take() {
+                service.exchange.ended(execution.id, End::Reply(Reply::Error));
+            }
+        }
+        let mut got = String::new();
+        far.read_to_string(&mut got).await.unwrap();
+        // What no host has a place for is turned away, and told so in its place as well.
+        let told = |line: &&str| *line == "SERVER_ERROR failed" || line.starts_with("SERVER_ERROR busy");
+        assert_eq!(got.lines().filter(told).count(), commands);
+        assert!(got.contains("failed") && got.lines().count() == commands);
+    });
+}
+
+/// On a planned end a connection closes between commands, never with one owed or half read.
+#[test]
+fn a_closing_service_answers_first() {
+    testing::run(async {
+        let recorder = Rc::new(Recorder::default());
+        let service = service(&recorder);
+        let (near, mut far) = duplex(1 << 16);
+        spawn_local(serve(Rc::clone(&service), near));
+        far.write_all(b"mg a v O1 Pc=read,d=480\r\n").await.unwrap();
+        settle().await;
+        service.shutdown.run(Instant::now(), Duration::from_secs(3)).await;
+        settle().await;
+        let execution = recorder.begun.borrow_mut().pop().unwrap();
+        let value = Answer::Value(Bytes::from_static(b"v"));
+        service.exchange.ended(execution.id, End::Reply(Reply::Served(value)));
+        let mut got = String::new();
+        far.read_to_string(&mut got).await.unwrap();
+        assert_eq!(got, "VA 1 O1\r\nv\r\n");
+    });
+}
+/// A command that stands unread in the kernel when the closing begins was taken, and is answered.
+#[test]
+fn a_closing_connection_is_read_once_more() {
+    testing::run_on_sockets(async {
+        let recorder = Rc::new(Recorder::default());
+        let service = service(&recorder);
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let mut far = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let (near, _) = listener.accept().await.unwrap();
+        let task = spawn_local(serve(Rc::clone(&service), near));
+        settle().await;
+        io::Write::write_all(&mut far, b"mn\r\n").unwrap();
+        service.shutdown.close();
+        task.await.unwrap().unwrap();
+        assert_eq!(io::read_to_string(far).unwrap(), "MN\r\n");
+    });
+}
--- a/node/src/testing.rs
+++ b/node/src/testing.rs
@@ -20,5 +20,5 @@
         may_duplicate: true,
         origin: Some(ORIGIN),
     };
-    Upstream::new(limits, Clock::start(), Rc::new(Counters::default()), log())
+    Upstream::new(limits, Rc::new(crate::connect::Tcp), Clock::start(), Rc::new(Counters::default()), log())
 }
--- /dev/null
+++ b/node/src/upstream/lane.rs
@@ -0,0 +1,291 @@
+//! One connection to a host: it comes up, carries executions one after the other, and rests between them.
+
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+use bytes::BytesMut;
+use juniperladder::{Micros, ServerId};
+use juniperladder_exchange::long::{long, Feed};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite};
+use tokio::task::yield_now;
+use tokio::time::{sleep, timeout, Instant};
+
+use super::Upstream;
+use crate::connect::Stream;
+use crate::counters::count;
+use crate::exchange::{Answer, End, Execution, Reply};
+use crate::http::{self, Response};
+use crate::memcache;
+use crate::passing::{self, Body};
+
+/// A connection that was let go of is reset as soon as it is written to; later it is another matter.
+const AT_ONCE: Duration = Duration::from_millis(10);
+
+/// Room made for each read.
+const READ: usize = 4096;
+
+/// One connection to a host.
+pub(super) struct Lane {
+    pub(super) server: ServerId,
+    pub(super) origin: bool,
+    pub(super) address: SocketAddr,
+}
+
+/// An answer is not waited for any longer.
+struct Stopped;
+
+/// What was heard from a host.
+enum Heard {
+    /// Its whole reply.
+    Whole(Reply, After),
+    /// That a long value of so many bytes follows.
+    Long(usize, Body),
+}
+
+/// What a connection does after an execution.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum After {
+    Keep,
+    Close,
+    /// It broke before the first byte of an answer.
+    Broke,
+}
+
+impl Lane {
+    pub(super) async fn open(self, upstream: &Upstream) {
+        let Some(stream) = self.connect(upstream).await else { return upstream.not_up(self.server) };
+        if let Some(pool) = upstream.pools.borrow_mut().get_mut(&self.server) {
+            pool.connecting -= 1;
+        }
+        self.carry(upstream, stream).await;
+    }
+
+    /// A connection to the host, if one comes up in time.
+    pub(super) async fn connect(&self, upstream: &Upstream) -> Option<Box<dyn Stream>> {
+        let connect = timeout(upstream.limits.connect_timeout, upstream.ways.connect(self.address));
+        let stream = connect.await.ok()?.ok()?;
+        count(&upstream.counters.opened);
+        Some(stream)
+    }
+
+    pub(super) async fn carry(&self, upstream: &Upstream, mut stream: Box<dyn Stream>) {
+        let (mut input, mut used) = (BytesMut::new(), false);
+        loop {
+            let since = Instant::now();
+            let execution = match upstream.next(self) {
+                Some(execution) => execution,
+                None => match self.rest(upstream, &mut stream, &mut input).await {
+                    Some(execution) => execution,
+                    None => return,
+                },
+            };
+            // The runtime looks for news of the connection first: some hosts close right behind an answer.
+            yield_now().await;
+            // A connection that ended meanwhile is no try: nothing of the execution was written.
+            if !quiet(&mut stream, &mut input) || !upstream.is_open(self.server) {
+                return upstream.put_back(self.server, execution);
+            }
+            let (idle, begun) = (since.elapsed(), Instant::now());
+            match self.execute(upstream, &mut stream, &mut input, execution).await {
+                After::Keep => upstream.learn(idle, false),
+                After::Broke if used && begun.elapsed() < AT_ONCE => return upstream.learn(idle, true),
+                After::Broke | After::Close => return,
+            }
+            used = true;
+        }
+    }
+
+    /// Waits idle for an execution; none when the connection has to close.
+    async fn rest<S: AsyncRead + Unpin>(
+        &self,
+        upstream: &Upstream,
+        stream: &mut S,
+        input: &mut BytesMut,
+    ) -> Option<Execution> {
+        let (id, mut next) = upstream.rest(self)?;
+        let old = sleep(upstream.keep.get());
+        tokio::select! {
+            biased;
+            given = &mut next => return given.ok(),
+            // An end, or stray bytes: nothing is owed here.
+            _ = stream.read_buf(input) => {}
+            () = old => {}
+        }
+        upstream.unrest(self.server, id);
+        if let Ok(execution) = next.try_recv() {
+            upstream.put_back(self.server, execution);
+        }
+        None
+    }
+
+    pub(super) async fn execute<S: AsyncRead + AsyncWrite + Unpin>(
+        &self,
+        upstream: &Upstream,
+        stream: &mut S,
+        input: &mut BytesMut,
+        execution: Execution,
+    ) -> After {
+        let wait = execution.until.minus(upstream.clock.now());
+        if wait.0 == 0 || execution.over() {
+            // It timed out on its way here, or its command was answered; to write it now would be work for nobody.
+            let end = if wait.0 == 0 { End::NotSent } else { End::CalledOff };
+            upstream.stopped(self.server, execution.id, end);
+            return After::Keep;
+        }
+        let mut output = BytesMut::new();
+        if self.origin {
+            http::write_command(&mut output, &execution.command, &self.address.to_string(), wait);
+        } else {
+            memcache::write_command(&mut output, &execution.command, wait);
+        }
+        self.send(upstream, stream, input, execution, &output, wait).await
+    }
+
+    /// Writes the last that is to be written of an execution, and waits for its reply.
+    pub(super) async fn send<S: AsyncRead + AsyncWrite + Unpin>(
+        &self,
+        upstream: &Upstream,
+        stream: &mut S,
+        input: &mut BytesMut,
+        execution: Execution,
+        output: &[u8],
+        wait: Micros,
+    ) -> After {
+        let id = execution.id;
+        let most = crate::clock::duration(wait);
+        if !timeout(most, write(stream, output, &execution)).await.unwrap_or(false) {
+            let end = if execution.over() { End::CalledOff } else { End::NotSent };
+            upstream.stopped(self.server, id, end);
+            return After::Close;
+        }
+        count(&upstream.counters.tries);
+        let stop = upstream.written(self.server, id);
+        let read = tokio::select! {
+            biased;
+            read = timeout(most + upstream.limits.late, self.reply(stream, input, &execution)) => {
+                read.map_err(|_| Stopped)
+            }
+            () = stop.notified() => Err(Stopped),
+        };
+        let (end, after) = match read {
+            Ok(Ok(Heard::Whole(reply, after))) => (End::Reply(reply), after),
+            Ok(Ok(Heard::Long(length, body))) => {
+                let (long, feed) = long(length);
+                upstream.stopped(self.server, id, End::Reply(Reply::Served(Answer::Long(long))));
+                return self.pass_on(upstream, stream, input, body, feed).await;
+            }
+            Ok(Err(Some(problem))) => {
+                upstream.tell_bad(&self.address, &problem);
+                (End::Spoilt, After::Close)
+            }
+            Ok(Err(None)) if input.is_empty() => (End::Broken, After::Broke),
+            Ok(Err(None)) | Err(Stopped) => (End::Broken, After::Close),
+        };
+        upstream.stopped(self.server, id, end);
+        after
+    }
+
+    /// Reads the reply; an error holds what was wrong with it, and nothing if the connection broke.
+    async fn reply<S: AsyncRead + Unpin>(
+        &self,
+        stream: &mut S,
+        input: &mut BytesMut,
+        execution: &Execution,
+    ) -> Result<Heard, Option<String>> {
+        let write = execution.command.value.is_some();
+        let mut response = Response::default();
+        loop {
+            input.reserve(READ);
+            let read = stream.read_buf(input).await.map_err(|_| None)?;
+            if self.origin {
+                response.read(input).map_err(Some)?;
+                if read == 0 {
+                    response.ended();
+                }
+                let id = response.head.as_ref().and_then(|head| head.id.as_ref());
+                if id.is_some_and(|id| *id != execution.command.id) {
+                    return Err(Some("a response for another id".into()));
+                }
+                if let Some(length) = response.long().filter(|_| !write) {
+                    return Ok(Heard::Long(length, Body::Http(response)));
+                }
+                if response.too_large() {
+                    return Err(Some("a body longer than any value".into()));
+                }
+                if response.done {
+                    passing::nothing_behind(stream, input).await?;
+                    let reply = http::reply(&response, write).map_err(Some)?;
+                    return Ok(Heard::Whole(reply, after(&response)));
+                }
+            } else if let Some(heard) = memcache::answered(input, &execution.command).map_err(Some)? {
+                return Ok(match heard {
+                    memcache::Answered::Whole(reply) => Heard::Whole(reply, After::Keep),
+                    memcache::Answered::Long(length, rest) => Heard::Long(length, Body::Meta(rest)),
+                });
+            }
+            if read == 0 {
+                return Err(None);
+            }
+        }
+    }
+
+    /// Passes a long value on while it comes, as fast as its client takes it. Where it breaks off the client has
+    /// not had its last byte.
+    async fn pass_on<S: AsyncRead + Unpin>(
+        &self,
+        upstream: &Upstream,
+        stream: &mut S,
+        input: &mut BytesMut,
+        mut body: Body,
+        feed: Feed,
+    ) -> After {
+        let passed = passing::pump(stream, input, &mut body, feed, upstream.limits.piece).await;
+        count(if passed.is_ok() { &upstream.counters.long } else { &upstream.counters.long_broken });
+        match (passed, body) {
+            (Ok(()), Body::Http(response)) => after(&response),
+            (Ok(()), Body::Meta(_)) => After::Keep,
+            (Err(problem), _) => {
+                problem.iter().for_each(|problem| upstream.tell_bad(&self.address, problem));
+                After::Close
+            }
+        }
+    }
+}
+
+/// What a connection does after this whole response.
+fn after(response: &Response) -> After {
+    let close = response.head.as_ref().is_none_or(|head| head.close);
+    if close {
+        After::Close
+    } else {
+        After::Keep
+    }
+}
+
+/// Writes this of an execution, and tells whether all of it has gone out: no byte goes once the execution is over, though
+/// the way were full until then.
+async fn write<S: AsyncWrite + Unpin>(stream: &mut S, output: &[u8], execution: &Execution) -> bool {
+    let mut left = output;
+    while !left.is_empty() {
+        let written = poll_fn(|cx| match execution.over() {
+            true => Poll::Ready(Ok(0)),
+            false => Pin::new(&mut *stream).poll_write(cx, left),
+        });
+        match written.await {
+            Ok(length @ 1..) => left = &left[length..],
+            _ => return false,
+        }
+    }
+    true
+}
+
+/// Whether an idle connection is still up and silent: it has neither ended nor brought anything.
+fn quiet<S: AsyncRead + Unpin>(stream: &mut S, input: &mut BytesMut) -> bool {
+    let mut read = std::pin::pin!(stream.read_buf(input));
+    let silent =
+        std::future::Future::poll(read.as_mut(), &mut Context::from_waker(Waker::noop())).is_pending();
+    silent && input.is_empty()
+}
--- /dev/null
+++ b/node/src/upstream/tests.rs
@@ -0,0 +1,346 @@
+//! Pools and connections, against hosts played in memory and on loopback.
+
+use super::lane::{After, Lane};
+use super::*;
+use crate::exchange::Answer;
+use crate::memcache;
+use crate::testing::{self, host, settle, Recorder, HOST};
+use bytes::BytesMut;
+use juniperladder::Effect;
+use proptest::prelude::*;
+use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt};
+use tokio::time::{sleep, timeout};
+
+/// What a host does with one execution.
+#[derive(Clone, Debug)]
+enum Peer {
+    /// Reads so many bytes and closes.
+    Leaves(usize),
+    /// Answers this, in pieces, and closes.
+    Answers(&'static str),
+    /// Says nothing.
+    Silent,
+}
+
+fn peer() -> impl Strategy<Value = Peer> {
+    prop_oneof![
+        (0..400usize).prop_map(Peer::Leaves),
+        Just(Peer::Answers("HD O7 cr1 h1 Lqps=7,queue=2\r\n")),
+        Just(Peer::Answers("EN O7 h0 Z\r\n")),
+        Just(Peer::Answers("SERVER_ERROR busy Lqps=7\r\n")),
+        Just(Peer::Answers("SERVER_ERROR failed\r\n")),
+        Just(Peer::Answers("HD O8 cr1\r\n")),
+        Just(Peer::Answers("HD O7 cr1 h1 L\u{1}\u{7f}={\r\n")),
+        Just(Peer::Answers("VA 2 O7\r\nab\r\n")),
+        Just(Peer::Answers("HD O")),
+        Just(Peer::Answers("VA 99999999 O7\r\n")),
+        Just(Peer::Answers("nonsense\r\n")),
+        Just(Peer::Silent),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..ProptestConfig::default() })]
+
+    /// An execution ends by what was written and what came back: it never ran while its last byte
+    /// was not written, and an answer for another id is none.
+    #[test]
+    fn an_execution_ends_by_what_was_written(peer in peer(), size in 0..300usize, cut in 1..9usize, room in 1..200usize) {
+        testing::run(async {
+            let recorder = Rc::new(Recorder::default());
+            let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), recorder.clone(), 1);
+            let upstream = testing::upstream(1);
+            upstream.attach(&exchange);
+            let (_, answer) = exchange.take(testing::command("7", Some(vec![b'x'; size]))).unwrap();
+            let execution = recorder.begun.borrow_mut().pop().unwrap();
+            let (mut near, mut far) = duplex(room);
+            let lane = Lane { server: HOST, origin: false, address: ([127, 0, 0, 1], 1).into() };
+            let mut wire = BytesMut::new();
+            memcache::write_command(&mut wire, &execution.command, juniperladder::Micros(470_000));
+            let length = wire.len();
+            let want = match &peer {
+                Peer::Leaves(n) if n + room >= length => "resets",
+                Peer::Leaves(_) => "connect_failed",
+                Peer::Answers(text) if text.starts_with("HD O7") => "ok",
+                Peer::Answers(text) if text.starts_with("EN") => "misses",
+                Peer::Answers(text) if text.contains("busy") => "full",
+                Peer::Answers(text) if text.contains("failed") => "errors",
+                // Spoilt: it has run, the host is at work, and the connection is of no further use.
+                Peer::Answers(text) if text.ends_with("\r\n") => "errors",
+                Peer::Answers(_) | Peer::Silent => "resets",
+            };
+            let leaves = matches!(peer, Peer::Leaves(_));
+            let host = async {
+                let mut seen = vec![0; match peer { Peer::Leaves(n) => n.min(length), _ => length }];
+                far.read_exact(&mut seen).await.unwrap();
+                match peer {
+                    Peer::Answers(text) => for piece in text.as_bytes().chunks(cut) {
+                        // Whoever has read enough may hang up on the rest.
+                        let _ = far.write_all(piece).await;
+                        settle().await;
+                    },
+                    Peer::Silent => sleep(Duration::from_secs(60)).await,
+                    Peer::Leaves(_) => settle().await,
+                }
+                drop(far);
+            };
+            let mut input = BytesMut::new();
+            let carry = async {
+                let after = lane.execute(&upstream, &mut near, &mut input, execution).await;
+                drop(near);
+                after
+            };
+            let (after, ()) = tokio::join!(carry, host);
+            let counted: Vec<_> = exchange.counters().all().into_iter()
+                .filter(|(name, n)| *n > 0 && !name.starts_with("nack_") && !["commands", "executions", "served", "nacked", "failed", "bad_answers"].contains(name))
+                .collect();
+            assert_eq!(counted, [(want, 1)]);
+            assert_eq!(after == After::Broke, leaves && want == "resets");
+            let spoilt = upstream.counters.bad_answers.get() > 0;
+            assert_eq!(after == After::Keep, !spoilt && ["ok", "misses", "full", "errors"].contains(&want));
+            let served = matches!(answer.await, Ok(Answer::Receipt(_)));
+            assert_eq!(served, want == "ok");
+        });
+    }
+}
+
+/// The drain rule counts a send's first byte: what still waits for a connection must not begin.
+#[test]
+fn a_draining_host_gets_nothing_that_waits() {
+    testing::run(async {
+        let upstream = testing::upstream(0);
+        let exchange = testing::exchange(testing::settings(1, Effect::Safe), upstream.clone(), 1);
+        upstream.attach(&exchange);
+        let (_, answer) = exchange.take(testing::command("7", None)).unwrap();
+        settle().await;
+        assert_eq!(exchange.counters().moot.get(), 0, "it waits for a connection");
+        exchange.listed(ListKind::Update, &[host(HOST, State::Draining)]);
+        assert!(matches!(answer.await, Ok(Answer::Nack(_))));
+        assert_eq!(exchange.counters().moot.get(), 1);
+    });
+}
+
+/// A connection that comes up when its command is over, its client gone or answered from elsewhere, gets nothing of
+/// that command, and the next command can use it.
+#[test]
+fn a_connection_that_comes_up_late_gets_nothing_of_a_command_that_is_over() {
+    testing::run_on_sockets(async {
+        let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let upstream = testing::upstream(4);
+        let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), upstream.clone(), 0);
+        upstream.attach(&exchange);
+        let mut up = host(HOST, State::Serving);
+        up.address = listener.local_addr().ok();
+        exchange.listed(ListKind::Replace, &[up]);
+        let (id, _answer) = exchange.take(testing::command("1", None)).unwrap();
+        exchange.gone(id);
+        let (mut stream, _) = listener.accept().await.unwrap();
+        settle().await;
+        let (_, answer) = exchange.take(testing::command("2", None)).unwrap();
+        let mut got = BytesMut::new();
+        while !got.ends_with(b"\r\n") {
+            assert!(stream.read_buf(&mut got).await.unwrap() > 0);
+        }
+        let got = String::from_utf8_lossy(&got).into_owned();
+        assert!(got.starts_with("mg ") && got.contains(" O2 ") && !got.contains(" O1 "), "{got}");
+        stream.write_all(b"VA 1 O2\r\nv\r\n").await.unwrap();
+        assert_eq!(answer.await, Ok(Answer::Value("v".into())));
+        assert_eq!((exchange.counters().moot.get(), upstream.counters.tries.get()), (1, 1));
+    });
+}
+
+/// A write that stands still half-way is not carried on once its command is over, though the way clears.
+#[test]
+fn what_is_half_written_ends_with_its_command() {
+    testing::run(async {
+        let recorder = Rc::new(Recorder::default());
+        let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), recorder.clone(), 1);
+        let upstream = testing::upstream(1);
+        upstream.attach(&exchange);
+        let (id, _answer) = exchange.take(testing::command("7", Some(vec![b'x'; 300]))).unwrap();
+        let execution = recorder.begun.borrow_mut().pop().unwrap();
+        let (mut near, mut far) = duplex(100);
+        let lane = Lane { server: HOST, origin: false, address: ([127, 0, 0, 1], 1).into() };
+        let host = async {
+            settle().await;
+            exchange.gone(id);
+            let mut got = Vec::new();
+            far.read_to_end(&mut got).await.unwrap();
+            got.len()
+        };
+        let carry = async {
+            let after = lane.execute(&upstream, &mut near, &mut BytesMut::new(), execution).await;
+            drop(near);
+            after
+        };
+        assert_eq!(tokio::join!(carry, host), (After::Close, 100));
+        assert_eq!(upstream.counters.tries.get(), 0);
+    });
+}
+
+/// Connections are bounded over all hosts: one that is idle gives way to an execution elsewhere.
+#[test]
+fn an_idle_connection_makes_room() {
+    testing::run_on_sockets(async {
+        let hosts = [
+            tokio::net::TcpListener::bind(("127.0.0.1", 0)).await.unwrap(),
+            tokio::net::TcpListener::bind(("127.0.0.1", 0)).await.unwrap(),
+        ];
+        let upstream = testing::upstream(1);
+        let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), upstream.clone(), 0);
+        upstream.attach(&exchange);
+        for listener in &hosts {
+            let mut up = host(HOST, State::Serving);
+            up.address = listener.local_addr().ok();
+            up.entry.server = ServerId(up.address.unwrap().port().into());
+            exchange.listed(ListKind::Replace, &[up]);
+            let (_, answer) = exchange.take(testing::command("7", Some(vec![]))).unwrap();
+            let (mut stream, _) = listener.accept().await.unwrap();
+            stream.read_buf(&mut BytesMut::new()).await.unwrap();
+            stream.write_all(b"HD O7 cr1\r\n").await.unwrap();
+            assert!(matches!(answer.await, Ok(Answer::Receipt(_))));
+            settle().await;
+        }
+        assert_eq!(upstream.connections.get(), 1);
+    });
+}
+
+/// What the origin does with the one answer on a connection, and what it means.
+#[test]
+fn an_origins_response_is_good_or_spoilt() {
+    let good = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+    let behind = |more: &str| (format!("{good}{more}"), 0);
+    let cases = [
+        behind(""),
+        behind(good),
+        behind("HTT"),
+        (format!("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n{good}"), 0),
+        (good.replace("\r\n\r\n", "\r\nEndpoint-Load-Metrics: {\u{1}\r=,\r\n\r\n"), 0),
+        (good.replace("\r\n\r\n", "\r\nX-Trace-Id: 7\r\n\r\n"), 0),
+        (good.replace("\r\n\r\n", "\r\nX-Trace-Id: 8\r\n\r\n"), 1),
+        (format!("{good}c"), 1),
+        (good.replace(": 2", ": 3000000000"), 1),
+        (good.replace(": 2", ": -2"), 1),
+        (good.replace("Content-Length: 2", "Transfer-Encoding: chunked").replace("ab", "fffff0\r\n"), 0),
+        ("nonsense\r\n\r\n".to_owned(), 1),
+    ];
+    for (text, spoilt) in cases {
+        testing::run(async {
+            let recorder = Rc::new(Recorder::default());
+            let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), recorder.clone(), 1);
+            let upstream = testing::upstream(1);
+            upstream.attach(&exchange);
+            let (_, answer) = exchange.take(testing::command("7", None)).unwrap();
+            let execution = recorder.begun.borrow_mut().pop().unwrap();
+            let (mut near, mut far) = duplex(1 << 12);
+            let lane = Lane { server: HOST, origin: true, address: ([127, 0, 0, 1], 1).into() };
+            far.write_all(text.as_bytes()).await.unwrap();
+            let mut input = BytesMut::new();
+            lane.execute(&upstream, &mut near, &mut input, execution).await;
+            assert_eq!(upstream.counters.bad_answers.get(), spoilt, "{text:?}");
+            let chunked = text.contains("chunked");
+            let value = Answer::Value(bytes::Bytes::from_static(b"ab"));
+            assert_eq!(answer.await == Ok(value), spoilt == 0 && !chunked, "{text:?}");
+        });
+    }
+}
+
+/// A value said to be huge that keeps coming is let go of before it fills the memory.
+#[test]
+fn an_endless_body_is_not_read_to_its_end() {
+    testing::run(async {
+        let recorder = Rc::new(Recorder::default());
+        let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), recorder.clone(), 1);
+        let upstream = testing::upstream(1);
+        upstream.attach(&exchange);
+        let _answer = exchange.take(testing::command("7", None)).unwrap();
+        let execution = recorder.begun.borrow_mut().pop().unwrap();
+        let (mut near, mut far) = duplex(1 << 12);
+        let lane = Lane { server: HOST, origin: true, address: ([127, 0, 0, 1], 1).into() };
+        spawn_local(async move {
+            let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb2d05e00\r\n";
+            far.write_all(head).await.unwrap();
+            while far.write_all(&[b'x'; 4096]).await.is_ok() {}
+        });
+        let mut input = BytesMut::new();
+        assert_eq!(lane.execute(&upstream, &mut near, &mut input, execution).await, After::Close);
+        assert_eq!(upstream.counters.bad_answers.get(), 1);
+    });
+}
+
+/// The origin does no work that nobody waits for, and only a close tells it. At a cache host the answer is
+/// read off, as nothing stops there.
+#[test]
+fn a_time_out_closes_the_connection_to_the_origin() {
+    testing::run(async {
+        for kind in [0, testing::ORIGIN] {
+            let upstream = testing::upstream(4);
+            let mut listed = host(HOST, State::Serving);
+            listed.entry.kind = kind;
+            upstream.listed(ListKind::Replace, &[listed]);
+            let id = ExecutionId(1);
+            upstream.pools.borrow_mut().entry(HOST).or_default().running.insert(id, Carried::default());
+            let stop = upstream.written(HOST, id);
+            assert!(upstream.abandon(id, HOST));
+            let told = timeout(Duration::from_secs(1), stop.notified()).await.is_ok();
+            assert_eq!(told, kind == testing::ORIGIN);
+        }
+    });
+}
+
+/// Idle connections that break at their next use are kept for a shorter time from then on, which wears off.
+#[test]
+fn a_shorter_idle_time_is_learnt_and_forgotten() {
+    testing::run(async {
+        let upstream = testing::upstream(4);
+        let told = upstream.keep.get();
+        assert_eq!(told, upstream.limits.idle.mul_f64(IDLE_PART));
+        let spare = upstream.limits.idle - told;
+        assert!(told > upstream.limits.idle.mul_f64(0.9), "one of many balancers comes back after seconds");
+        assert!(spare >= upstream.limits.idle / 25, "the way there and back: {spare:?}");
+        upstream.learn(Duration::from_millis(1), true);
+        assert_eq!(upstream.keep.get(), told, "a connection that was hardly idle tells nothing");
+        upstream.learn(Duration::from_millis(100), true);
+        assert_eq!(upstream.keep.get(), Duration::from_millis(70));
+        upstream.learn(Duration::from_millis(60), false);
+        assert!(upstream.keep.get() > Duration::from_millis(70));
+        for _ in 0..1000 {
+            upstream.learn(told, false);
+        }
+        assert_eq!(upstream.keep.get(), told);
+    });
+}
+
+/// A host that has moved has nothing to do with whoever listens at its old address.
+#[test]
+fn a_connection_to_an_old_address_is_not_used() {
+    testing::run(async {
+        let upstream = testing::upstream(4);
+        let moved = host(HOST, State::Serving);
+        upstream.listed(ListKind::Replace, std::slice::from_ref(&moved));
+        let lane = |port| Lane { server: HOST, origin: false, address: ([127, 0, 0, 1], port).into() };
+        assert!(upstream.rest(&lane(1)).is_some());
+        assert!(upstream.rest(&lane(2)).is_none() && upstream.next(&lane(2)).is_none());
+    });
+}
+
+/// A host that refuses connections fails each execution once, as one that never ran.
+#[test]
+fn a_refused_connection_never_ran() {
+    testing::run_on_sockets(async {
+        let closed = std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
+        let mut down = host(HOST, State::Serving);
+        down.address = closed.local_addr().ok();
+        drop(closed);
+        let upstream = testing::upstream(4);
+        let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), upstream.clone(), 0);
+        upstream.attach(&exchange);
+        exchange.listed(ListKind::Restored, &[down]);
+        let (_, first) = exchange.take(testing::command("7", None)).unwrap();
+        let (_, second) = exchange.take(testing::command("8", None)).unwrap();
+        assert!(matches!((first.await, second.await), (Ok(Answer::Nack(_)), Ok(Answer::Nack(_)))));
+        assert_eq!(exchange.counters().connect_failed.get(), 2);
+        assert_eq!(upstream.connections.get(), 0);
+    });
+}
--- a/node/src/upstream/uploads.rs
+++ b/node/src/upstream/uploads.rs
@@ -8,10 +8,11 @@
 
 use bytes::BytesMut;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::{After, Counted, Lane, Upstream};
+use super::lane::{After, Lane};
+use super::{Counted, Upstream};
+use crate::connect::Stream;
 use crate::exchange::{End, Upload};
 use crate::http;
 use crate::passing::STALLED;
@@ -83,7 +84,7 @@
     }
 
     /// Sends all but the last byte, on a connection of its own; none if that did not come to its end.
-    async fn send_ahead(&self, upstream: &Upstream, upload: &Upload) -> Option<TcpStream> {
+    async fn send_ahead(&self, upstream: &Upstream, upload: &Upload) -> Option<Box<dyn Stream>> {
         let mut stream = self.connect(upstream).await?;
         let length = upload.value.length();
         let (mut head, host) = (BytesMut::new(), self.address.to_string());
@@ -108,7 +109,7 @@
     use crate::testing::{self, host, log, HOST, ORIGIN};
     use juniperladder::{Effect, ListKind, Mode, ServerId, State};
     use tokio::io::AsyncReadExt;
-    use tokio::net::TcpListener;
+    use tokio::net::{TcpListener, TcpStream};
 
     const LENGTH: usize = 4 << 20;
 
