Play whole balancers through drawn lives on a still clock, and keep repeats inside their window

Need: the issue on lost requests asks for the invariant in one place and a test that throws everything at it. At fault: Lane::execute looked at the time left and not at the window, which only the decision (pending.rs) knew; Exchange::left let what waits go out.

Change: node/src/storm has clients that leave, pipeline, half-close and send noise, hosts and an origin that reset, stall, answer twice, stop short, never end or come up late, lists with drains and new hosts at old addresses, and a planned end, all in memory, on virtual time, from seeds, judged by what clients and hosts see. Executions carry until when they may go out: a repeat within the window from the first attempt. A client that sends no more has nothing new begun for it.

--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use juniperladder::{
-    Action, Balancer, Entry, Event, Fleet, ListKind, Micros, Outcome, Request, RequestId, ServerId, Settings,
-    State, Status,
+    Action, Balancer, Class, Effect, Entry, Event, Fleet, ListKind, Micros, Outcome, Request, RequestId,
+    ServerId, Settings, State, Status,
 };
 use rustc_hash::FxHashMap;
 use slog::{info, Logger};
@@ -29,6 +29,9 @@
 /// command here, which nothing tells.
 const MARGIN: Micros = Micros(10_000);
 
+/// A time that does not come.
+const NEVER: Micros = Micros(u64::MAX);
+
 /// How an execution ended on the network.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum End {
@@ -72,17 +75,20 @@
     pub server: ServerId,
     /// Until when its answer is waited for.
     pub until: Micros,
+    /// Until when it may go out.
+    by: Micros,
     over: Over,
 }
 
-/// Set once a command has its final answer, or its client is gone: shared by all its executions.
+/// Set once a command has its final answer, or its client is gone or sends no more: shared by all its executions.
 type Over = Rc<Cell<bool>>;
 
 impl Execution {
-    /// Whether nobody waits for it any longer. From then on no byte of it may be written: a host would do work that is
-    /// for nobody, after the command's final answer. Whoever carries it asks before each write.
-    pub fn over(&self) -> bool {
-        self.over.get()
+    /// Whether no byte of it may be written any more: nobody waits for it, so that a host would do work that is for nobody,
+    /// after the command's final answer; or it is a repeat, and hosts may no longer know the command to drop it. Whoever
+    /// carries it asks before each write.
+    pub fn over(&self, now: Micros) -> bool {
+        self.over.get() || now >= self.by
     }
 }
 
@@ -120,6 +126,8 @@
     out: u32,
     /// The client sends no more and may be gone; the module has let go of it.
     left: bool,
+    /// Until when a repeat may go out, counted from the first attempt.
+    by: Micros,
     over: Over,
 }
 
@@ -168,6 +176,8 @@
     pub(crate) origin: Option<u32>,
     clock: Clock,
     longest: Vec<Micros>,
+    /// For how long repeats are dropped, for each class whose repeats are.
+    windows: Vec<Option<Micros>>,
     counters: Rc<Counters>,
     pub(crate) tally: Rc<Tally>,
     timer_set: Notify,
@@ -190,6 +200,8 @@
         log: Logger,
     ) -> Rc<Exchange> {
         let longest = settings.classes.iter().map(|class| class.deadline).collect();
+        let keyed = |class: &Class| (class.effect == Effect::Keyed).then_some(class.window);
+        let windows = settings.classes.iter().map(keyed).collect();
         let origin = settings.mode.origin();
         let tally = Tally::new(settings.classes.len());
         let inner = Inner {
@@ -210,13 +222,14 @@
             origin,
             clock,
             longest,
+            windows,
             counters,
             tally,
             timer_set: Notify::new(),
             watch: Notify::new(),
             idle: Notify::new(),
-            next_timer: Cell::new(Micros(u64::MAX)),
-            last: Cell::new(Micros(u64::MAX)),
+            next_timer: Cell::new(NEVER),
+            last: Cell::new(NEVER),
             log,
         })
     }
@@ -291,7 +304,10 @@
             retry: command.retry,
         };
         let (command, over) = (Rc::new(command), Over::default());
-        inner.commands.insert(id, Open { command, answer, deadline, attempts: 0, out: 0, left: false, over });
+        inner.commands.insert(
+            id,
+            Open { command, answer, deadline, attempts: 0, out: 0, left: false, by: NEVER, over },
+        );
         inner.timers.push(Reverse((deadline, Due::Command(id))));
         self.handle(&mut inner, now, Event::Request(request));
         Some((id, receiver))
@@ -345,6 +361,8 @@
             return;
         }
         open.left = true;
+        // What no byte has gone out of does not begin any more.
+        open.over.set(true);
         let out = open.out;
         self.handle(&mut inner, self.clock.now(), Event::Gone(id.request()));
         if out == 0 {
@@ -441,7 +459,7 @@
             match inner.timers.peek() {
                 Some(Reverse((at, _))) if *at <= now => {}
                 Some(Reverse((at, _))) => return *at,
-                None => return Micros(u64::MAX),
+                None => return NEVER,
             }
             let Some(Reverse((_, due))) = inner.timers.pop() else { continue };
             match due {
@@ -568,6 +586,11 @@
                 let Some(open) = inner.commands.get_mut(&command_id) else { return };
                 let until = if timeout.0 == 0 { open.deadline } else { now.plus(timeout).min(open.deadline) };
                 let running = Running { command: command_id, server, attempt: open.attempts, sent: now };
+                let by = open.by;
+                if open.attempts == 0 {
+                    let window = self.windows.get(open.command.class as usize).copied().flatten();
+                    open.by = window.map_or(NEVER, |window| now.plus(window));
+                }
                 open.attempts += 1;
                 open.out += 1;
                 let (command, over) = (Rc::clone(&open.command), Rc::clone(&open.over));
@@ -576,7 +599,7 @@
                 count(&self.counters.executions);
                 inner.executions.insert(id, running);
                 inner.timers.push(Reverse((until, Due::Execution(id))));
-                inner.carrier.begin(Execution { id, command, server, until, over });
+                inner.carrier.begin(Execution { id, command, server, until, by, over });
             }
             Action::Refuse { id, retry_after, why } => {
                 count(self.counters.refusals(why));
@@ -594,7 +617,6 @@
 mod tests {
     use super::*;
     use crate::testing::{self, command, exchange, settings, settle, Recorder};
-    use juniperladder::Effect;
     use tokio::task::spawn_local;
     use tokio::time::{Duration, Instant};
 
@@ -694,7 +716,8 @@
                     tokio::time::sleep(Duration::from_millis(1)).await;
                 }
                 let [first, second] = &recorder.begun.take()[..] else { panic!("a second copy is out") };
-                assert!(!first.over() && !second.over());
+                let now = exchange.clock.now();
+                assert!(!first.over(now) && !second.over(now));
                 if gone {
                     exchange.gone(id);
                 } else {
@@ -702,11 +725,31 @@
                     exchange.ended(first.id, End::Reply(Reply::Served(value)));
                     assert!(answer.await.is_ok());
                 }
-                assert!(first.over() && second.over());
+                assert!(first.over(now) && second.over(now));
             }
         });
     }
 
+    /// Hosts drop a repeat for a while after the first attempt: one that still waits for a connection then must not go out.
+    #[test]
+    fn a_repeat_goes_out_while_hosts_drop_it() {
+        testing::run(async {
+            let recorder = Rc::new(Recorder::default());
+            let mut settings = settings(3, Effect::Keyed);
+            let window = Micros(200_000);
+            settings.classes[0].window = window;
+            let exchange = exchange(settings, recorder.clone(), 3);
+            let first = exchange.clock.now();
+            let _answer = exchange.take(command("1", Some(vec![]))).unwrap();
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let execution = recorder.begun.borrow_mut().pop().unwrap();
+            exchange.ended(execution.id, End::Broken);
+            let repeat = recorder.begun.borrow_mut().pop().unwrap();
+            let end = first.plus(window);
+            assert!(!execution.over(end) && !repeat.over(end.minus(Micros(1))) && repeat.over(end));
+        });
+    }
+
     /// A process that is told to end has an answer for all that it took before its time is up: what was open then, what
     /// connections that are not closed yet still bring, and at once for what comes after.
     #[test]
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -18,6 +18,8 @@
 pub mod upstream;
 mod writing;
 
+#[cfg(test)]
+mod storm;
 #[cfg(test)]
 mod testing;
 
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -6,7 +6,8 @@
 use std::rc::Rc;
 
 use slog::{warn, Logger};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, timeout, Duration, Instant};
@@ -119,6 +120,7 @@
             match accepted {
                 Ok((stream, _)) => {
                     self.shutdown.accepted();
+                    let _ = stream.set_nodelay(true);
                     self.take_in(stream);
                     if self.seats.borrow().len() + self.bounds.clients / SPARE_PART > self.bounds.clients {
                         self.make_room();
@@ -141,14 +143,14 @@
     fn last_ones(self: &Rc<Service>, listener: &TcpListener) {
         let mut cx = std::task::Context::from_waker(std::task::Waker::noop());
         while let std::task::Poll::Ready(Ok((stream, _))) = listener.poll_accept(&mut cx) {
+            let _ = stream.set_nodelay(true);
             self.take_in(stream);
         }
     }
 
     /// Seats a client that has just connected and serves it.
-    fn take_in(self: &Rc<Service>, stream: TcpStream) {
+    pub(crate) fn take_in<S: AsyncRead + AsyncWrite + 'static>(self: &Rc<Service>, stream: S) {
         count(&self.exchange.counters().clients);
-        let _ = stream.set_nodelay(true);
         let seated = self.seat();
         spawn_local(async move {
             let mut client = ServiceClient::new(&seated.service, &seated.seat);
--- /dev/null
+++ b/node/src/storm.rs
@@ -0,0 +1,222 @@
+//! A whole balancer on a clock that stands still, between clients and hosts that do what real ones do on bad days, all drawn
+//! from a seed. It is judged by what clients and hosts see, and by nothing that it tells of itself.
+//!
+//! # The invariant
+//!
+//! Every command whose last byte has come on a connection that was accepted gets one whole final answer, made for it by a
+//! host or the origin or saying that there is none, before its client's time is up, wherever the balancer is in its life; or
+//! its client can tell that a value is not whole. No byte of it reaches a host after that answer, after its client has gone,
+//! or after that host's end was told; no more attempts than the settings say; never again once one may have run, but as its
+//! class allows.
+
+mod clients;
+mod hosts;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fastrand::Rng;
+use juniperladder::{Class, Effect, ListKind, Micros, Mode, Settings};
+use tokio::task::{spawn_local, JoinHandle};
+use tokio::time::{sleep, sleep_until, Instant};
+
+use crate::bounds::Bounds;
+use crate::connect::Connect;
+use crate::counters::Counters;
+use crate::exchange::{Carrier, Exchange, Host};
+use crate::service::Service;
+use crate::shutdown::{last_answer, Shutdown, WAY_OUT};
+use crate::testing::{self, log, ORIGIN};
+use crate::upstream::{Limits, Upstream};
+use hosts::Hosts;
+
+const SEEDS: u64 = 250;
+/// Classes by their effect: their names, and their deadlines in milliseconds.
+const CLASSES: [(&str, Effect, u64); 3] =
+    [("read", Effect::Safe, 400), ("put", Effect::Keyed, 900), ("once", Effect::Unsafe, 700)];
+const ATTEMPTS: u32 = 3;
+const WINDOW: Duration = Duration::from_millis(250);
+
+/// What is known of one command from outside.
+#[derive(Debug, Default)]
+struct Seen {
+    class: usize,
+    /// When its client had its answer, or left.
+    over: Option<Instant>,
+    /// When it reached hosts whole, and whether it may have run there.
+    runs: Vec<(Instant, Rc<Cell<bool>>)>,
+}
+
+/// What clients and hosts see.
+#[derive(Debug, Default)]
+struct Ledger {
+    seen: RefCell<HashMap<String, Seen>>,
+    broken: RefCell<Vec<String>>,
+    /// Clients that wait for answers.
+    waiting: Cell<usize>,
+    /// How often something took place, so that a test that meets nothing is found out.
+    met: RefCell<HashMap<&'static str, u64>>,
+}
+
+impl Ledger {
+    fn broken(&self, id: &str, what: impl Into<String>) {
+        self.broken.borrow_mut().push(format!("{id}: {}", what.into()));
+    }
+
+    fn met(&self, what: &'static str) {
+        *self.met.borrow_mut().entry(what).or_default() += 1;
+    }
+
+    fn sends(&self, id: &str, class: usize) {
+        self.seen.borrow_mut().insert(id.to_owned(), Seen { class, ..Seen::default() });
+    }
+
+    fn over(&self, id: &str) {
+        self.seen.borrow_mut().entry(id.to_owned()).or_default().over.get_or_insert(Instant::now());
+    }
+
+    /// A host has it whole. What is returned says whether it may have run there, until the host knows better.
+    fn arrives(&self, id: &str, now: Instant) -> Rc<Cell<bool>> {
+        let mut seen = self.seen.borrow_mut();
+        let Some(seen) = seen.get_mut(id) else {
+            self.broken(id, "no client sent it");
+            return Rc::default();
+        };
+        if seen.over.is_some_and(|over| over < now) {
+            self.broken(id, "reached a host after it was over");
+        }
+        if seen.runs.len() >= ATTEMPTS as usize {
+            self.broken(id, "more attempts than the settings say");
+        }
+        let earlier =
+            seen.runs.iter().filter(|(_, may_have_run)| may_have_run.get()).map(|(at, _)| *at).min();
+        let allowed = match CLASSES[seen.class].1 {
+            Effect::Safe => true,
+            Effect::Keyed => earlier.is_none_or(|first| now - first < WINDOW),
+            Effect::Unsafe => earlier.is_none(),
+        };
+        if !allowed {
+            self.broken(id, "sent again though it may have run");
+        }
+        let may_have_run = Rc::new(Cell::new(true));
+        seen.runs.push((now, Rc::clone(&may_have_run)));
+        may_have_run
+    }
+}
+
+fn settings() -> Settings {
+    let class = |(_, effect, ms)| Class {
+        aim: Micros(ms * 800),
+        deadline: Micros(ms * 1000),
+        effect,
+        window: Micros(WINDOW.as_micros() as u64),
+        ..Class::default()
+    };
+    let mode = Mode::Aside(ORIGIN);
+    Settings { classes: CLASSES.map(class).into(), mode, ..testing::settings(ATTEMPTS, Effect::Safe) }
+}
+
+/// A balancer, its clients and its hosts.
+struct World {
+    exchange: Rc<Exchange>,
+    service: Rc<Service>,
+    shutdown: Rc<Shutdown>,
+    hosts: Rc<Hosts>,
+    ledger: Rc<Ledger>,
+}
+
+impl World {
+    fn new(seed: u64) -> World {
+        let ledger = Rc::new(Ledger::default());
+        let hosts = Rc::new(Hosts::new(Rng::with_seed(seed), Rc::clone(&ledger)));
+        let (connect_timeout, idle) = (Duration::from_millis(150), Duration::from_secs(2));
+        let (connections, late) = (24, Duration::from_millis(900));
+        let limits = Limits {
+            connections,
+            piece: 1024,
+            connect_timeout,
+            idle,
+            late,
+            may_duplicate: true,
+            origin: Some(ORIGIN),
+        };
+        let counters = Rc::new(Counters::default());
+        let clock = crate::clock::Clock::start();
+        let ways = Rc::clone(&hosts) as Rc<dyn Connect>;
+        let upstream = Upstream::new(limits, ways, clock, Rc::clone(&counters), log());
+        let carrier = Rc::clone(&upstream) as Rc<dyn Carrier>;
+        let exchange = Exchange::new(settings(), seed, carrier, clock, counters, log());
+        upstream.attach(&exchange);
+        exchange.listed(ListKind::Restored, &hosts.listed());
+        let shutdown = Rc::new(Shutdown::default());
+        let classes = CLASSES.map(|(name, ..)| name.to_owned()).into();
+        let bounds =
+            Bounds { clients: 16, kept: 12, hosts: 24, held: 1 << 17, unread: 1 << 16, piece: 1 << 12 };
+        let service = Service::new(Rc::clone(&exchange), classes, Rc::clone(&shutdown), bounds, log());
+        // The pools live as long as the exchange, which holds them.
+        World { exchange, service, shutdown, hosts, ledger }
+    }
+
+    /// Discovery's news: hosts drain, end, and others start at their addresses; now and then nothing is heard of it.
+    async fn discovery(&self, mut rng: Rng) {
+        loop {
+            sleep(Duration::from_millis(rng.u64(50..400))).await;
+            if rng.u8(..8) == 0 {
+                self.exchange.listed(ListKind::Unavailable, &[]);
+            }
+            let news: Host = self.hosts.turn(rng.usize(1..hosts::PLACES));
+            self.ledger.met("lists");
+            self.exchange.listed(ListKind::Update, &[news]);
+        }
+    }
+
+    /// Plays one life of the balancer to its end.
+    async fn play(self, seed: u64) -> Rc<Ledger> {
+        let mut rng = Rng::with_seed(seed ^ 0x5eed);
+        let world = Rc::new(self);
+        let (timers, news) = (Rc::clone(&world), Rc::clone(&world));
+        spawn_local(async move { timers.exchange.run().await });
+        let draw = rng.fork();
+        spawn_local(async move { news.discovery(draw).await });
+        let mut clients: Vec<JoinHandle<()>> = Vec::new();
+        for n in 0..7 {
+            let (world, draw) = (Rc::clone(&world), rng.fork());
+            clients.push(match n {
+                0..5 => spawn_local(clients::serve(world, n, draw)),
+                _ => spawn_local(clients::harm(world, n, draw)),
+            });
+        }
+        sleep(Duration::from_millis(rng.u64(1500..3000))).await;
+        let signal = Instant::now();
+        let longest = Duration::from_millis(CLASSES.iter().map(|(.., ms)| *ms).max().unwrap_or(0));
+        let last = last_answer(longest);
+        world.exchange.end_by(world.exchange.clock().now().plus(crate::clock::micros(last)));
+        world.shutdown.run(signal, last + WAY_OUT).await;
+        world.exchange.idle().await;
+        // The protocol's time for a planned end: whoever waits still has lost its command.
+        sleep_until(signal + longest + Duration::from_millis(700)).await;
+        if world.ledger.waiting.get() > 0 {
+            world.ledger.broken("-", "a client still waits at the end of the process");
+        }
+        clients.iter().for_each(JoinHandle::abort);
+        Rc::clone(&world.ledger)
+    }
+}
+
+/// The invariant, in lives drawn from seeds.
+#[test]
+fn every_command_taken_has_one_whole_answer_in_time() {
+    let mut met: HashMap<&'static str, u64> = HashMap::new();
+    for seed in 0..SEEDS {
+        let ledger = testing::run(async move { World::new(seed).play(seed).await });
+        let broken = ledger.broken.take();
+        assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
+        ledger.met.take().into_iter().for_each(|(what, n)| *met.entry(what).or_default() += n);
+    }
+    let ends = ["served", "refused", "failed", "left", "closed", "lists", "half-closed", "noise"];
+    for what in ends.into_iter().chain(hosts::DEEDS.map(|(what, _)| what)) {
+        assert!(met.get(what).is_some_and(|n| *n >= SEEDS / 10), "{what}: {met:?}");
+    }
+}
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -165,7 +165,7 @@
         let (Some(this), Some(address)) = (self.this.upgrade(), pool.address) else { return };
         if pool.connecting < pool.waiting.len() {
             // No connection is opened for what nobody waits for. One that is on its way already still tells of its host.
-            self.call_off(&mut pool.waiting, Execution::over);
+            self.call_off(&mut pool.waiting, |execution| self.over(execution));
         }
         while pool.connecting < pool.waiting.len() && self.connections.get() < self.limits.connections {
             pool.connecting += 1;
@@ -180,6 +180,10 @@
         }
     }
 
+    fn over(&self, execution: &Execution) -> bool {
+        execution.over(self.clock.now())
+    }
+
     /// Ends those of the executions that are like this, none of which has begun.
     fn call_off(&self, waiting: &mut VecDeque<Execution>, like: impl Fn(&Execution) -> bool) {
         waiting.retain(|execution| {
@@ -202,7 +206,7 @@
     fn next(&self, lane: &Lane) -> Option<Execution> {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(&lane.server).filter(|pool| pool.address == Some(lane.address))?;
-        self.call_off(&mut pool.waiting, Execution::over);
+        self.call_off(&mut pool.waiting, |execution| self.over(execution));
         let execution = pool.waiting.pop_front()?;
         pool.running.insert(execution.id, Carried::default());
         Some(execution)
--- a/node/src/upstream/lane.rs
+++ b/node/src/upstream/lane.rs
@@ -129,7 +129,7 @@
         execution: Execution,
     ) -> After {
         let wait = execution.until.minus(upstream.clock.now());
-        if wait.0 == 0 || execution.over() {
+        if wait.0 == 0 || upstream.over(&execution) {
             // It timed out on its way here, or its command was answered; to write it now would be work for nobody.
             let end = if wait.0 == 0 { End::NotSent } else { End::CalledOff };
             upstream.stopped(self.server, execution.id, end);
@@ -156,8 +156,8 @@
     ) -> After {
         let id = execution.id;
         let most = crate::clock::duration(wait);
-        if !timeout(most, write(stream, output, &execution)).await.unwrap_or(false) {
-            let end = if execution.over() { End::CalledOff } else { End::NotSent };
+        if !timeout(most, write(upstream, stream, output, &execution)).await.unwrap_or(false) {
+            let end = if upstream.over(&execution) { End::CalledOff } else { End::NotSent };
             upstream.stopped(self.server, id, end);
             return After::Close;
         }
@@ -267,10 +267,15 @@
 
 /// Writes this of an execution, and tells whether all of it has gone out: no byte goes once the execution is over, though
 /// the way were full until then.
-async fn write<S: AsyncWrite + Unpin>(stream: &mut S, output: &[u8], execution: &Execution) -> bool {
+async fn write<S: AsyncWrite + Unpin>(
+    upstream: &Upstream,
+    stream: &mut S,
+    output: &[u8],
+    execution: &Execution,
+) -> bool {
     let mut left = output;
     while !left.is_empty() {
-        let written = poll_fn(|cx| match execution.over() {
+        let written = poll_fn(|cx| match upstream.over(execution) {
             true => Poll::Ready(Ok(0)),
             false => Pin::new(&mut *stream).poll_write(cx, left),
         });
