Hold 1,024 balancers and 2,048 hosts in cluster/, and bound the list of hosts at 4,096

Need: trials have some 350 processes and hundreds of hosts, and no bound on lists of either may lie under 1,024. Looked through all constants: MOST_MEMBERS was 512, the verdicts' MOST_HOSTS 256, cold hosts 128, the laboratory's checks 512; discovery's list had no bound but its line of 4 MiB, some tens of thousands of hosts, each of which every command walks over.

Change: 1,024 members, 2,048 starts of hosts for verdicts and cold hosts (found by their start in a tree, no longer by a walk), 1,024 of each in experiments. The exchange knows 4,096 hosts at most and always the origin; the rest is left out, counted (hosts_left_out) and told in one line.

Measured: a test with 1,024 entries and beyond the bound; tests of cold hosts and members to their new bounds.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -113,7 +113,7 @@
 fn decision(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("command");
     group.throughput(Throughput::Elements(1));
-    for hosts in [10, 20, 50, 100, 200, 500] {
+    for hosts in [10, 20, 50, 100, 200, 500, 1_024] {
         let (actions, open) = (vec![], Default::default());
         let mut drive = Drive { balancer: balancer(hosts), actions, open, hosts, now: 10, count: 0 };
         (0..4_000).for_each(|_| drive.command());
--- a/cluster/src/cold.rs
+++ b/cluster/src/cold.rs
@@ -13,13 +13,11 @@
 //! that warmth. A host's start is another limit than an earlier one, so that no life of a process that ended before it can have
 //! used of it; a life that began after it waits as with every limit.
 
+use std::collections::btree_map::{BTreeMap, Entry};
 use std::net::SocketAddr;
 
 use crate::shares::{self, Shares};
-use crate::Us;
-
-/// Starts of hosts that are kept at once.
-const MOST: usize = 128;
+use crate::{Us, MOST_HOSTS};
 
 /// The terms, the same at every member.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -75,12 +73,6 @@
     pub started: Us,
 }
 
-#[derive(Debug)]
-struct One {
-    start: Start,
-    shares: Shares,
-}
-
 /// One member's parts of all such limits.
 #[derive(Debug)]
 pub struct Cold {
@@ -90,7 +82,7 @@
     life: u64,
     /// From when on what is its own may be used.
     from: Us,
-    hosts: Vec<One>,
+    hosts: BTreeMap<Start, Shares>,
     /// Times at which there was no room for one more host.
     pub full: u64,
 }
@@ -98,7 +90,7 @@
 impl Cold {
     /// Those of the member at this position, which starts its life now.
     pub fn new(terms: Terms, position: u32, life: u64, now: Us) -> Cold {
-        Cold { terms, position, life, from: now + terms.shares.lock(), hosts: Vec::new(), full: 0 }
+        Cold { terms, position, life, from: now + terms.shares.lock(), hosts: BTreeMap::new(), full: 0 }
     }
 
     /// Whether a host with this start is warm, so that nothing is limited.
@@ -111,23 +103,18 @@
         if self.is_warm(start, now) {
             return None;
         }
-        let at = match self.hosts.iter().position(|one| one.start == start) {
-            Some(at) => at,
+        let full = self.hosts.len() >= MOST_HOSTS;
+        let own = self.terms.own(start, self.position, now);
+        let shares = match self.hosts.entry(start) {
+            Entry::Occupied(known) => known.into_mut(),
             // What has not started by this clock, and by far, is no start that the list told.
-            None if start.started > now + self.terms.warm_up => return None,
-            None if self.hosts.len() >= MOST => {
+            Entry::Vacant(_) if start.started > now + self.terms.warm_up => return None,
+            Entry::Vacant(_) if full => {
                 self.full += 1;
                 return None;
             }
-            None => {
-                let own = self.terms.own(start, self.position, now);
-                let shares = Shares::of(self.terms.shares, own, self.life, self.from, now);
-                self.hosts.push(One { start, shares });
-                self.hosts.len() - 1
-            }
+            Entry::Vacant(new) => new.insert(Shares::of(self.terms.shares, own, self.life, self.from, now)),
         };
-        let own = self.terms.own(start, self.position, now);
-        let shares = &mut self.hosts[at].shares;
         shares.grow(own);
         Some(shares)
     }
@@ -137,16 +124,16 @@
     pub fn tick<P: FnMut() -> Option<SocketAddr>>(&mut self, now: Us, peers: impl Fn() -> P) {
         let (terms, position) = (self.terms, self.position);
         let over = |start: Start| now >= start.started + terms.warm_up + terms.shares.lock();
-        self.hosts.retain(|one| !over(one.start));
-        for one in &mut self.hosts {
-            one.shares.grow(terms.own(one.start, position, now));
-            one.shares.tick(now, peers());
+        self.hosts.retain(|start, _| !over(*start));
+        for (start, shares) in &mut self.hosts {
+            shares.grow(terms.own(*start, position, now));
+            shares.tick(now, peers());
         }
     }
 
     /// All parts, by their starts.
     pub fn parts(&mut self) -> impl Iterator<Item = (Start, &mut Shares)> {
-        self.hosts.iter_mut().map(|one| (one.start, &mut one.shares))
+        self.hosts.iter_mut().map(|(start, shares)| (*start, shares))
     }
 }
 
@@ -181,13 +168,13 @@
     fn hosts_are_forgotten_once_warm_and_their_number_is_bounded() {
         let mut cold = Cold::new(terms(), 3, 1, 0);
         let now = 100 * SECOND;
-        for host in 0..MOST as u64 + 5 {
-            assert_eq!(cold.part(Start { host, started: now }, now).is_some(), host < MOST as u64);
+        for host in 0..MOST_HOSTS as u64 + 5 {
+            assert_eq!(cold.part(Start { host, started: now }, now).is_some(), host < MOST_HOSTS as u64);
         }
         assert_eq!(cold.full, 5);
         assert!(cold.part(Start { host: 1, started: now + 60 * SECOND }, now).is_none(), "no such start");
         cold.tick(now + 12 * SECOND, || || None);
-        assert_eq!(cold.parts().count(), MOST, "what was lent is locked still");
+        assert_eq!(cold.parts().count(), MOST_HOSTS, "what was lent is locked still");
         assert!(cold.part(Start { host: 1, started: now }, now + 10 * SECOND).is_none(), "it is warm");
         cold.tick(now + 14 * SECOND, || || None);
         assert_eq!(cold.parts().count(), 0);
--- a/cluster/src/lib.rs
+++ b/cluster/src/lib.rs
@@ -24,5 +24,8 @@
 /// The longest packet, out and in.
 pub const LONGEST: usize = 1_200;
 
-/// The most members of a fleet.
-pub const MOST_MEMBERS: usize = 512;
+/// The most members of a fleet. What a table of them takes is there only once they are.
+pub const MOST_MEMBERS: usize = 1_024;
+
+/// The most starts of hosts of which something is held at once: all hosts of a fleet, and as many that they replace.
+pub const MOST_HOSTS: usize = 2_048;
--- a/cluster/src/verdicts.rs
+++ b/cluster/src/verdicts.rs
@@ -32,11 +32,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cold::Start;
-use crate::{Us, SECOND};
+use crate::{Us, MOST_HOSTS, SECOND};
 use known::Known;
 
-/// Hosts of which something is held; beyond them nothing new is taken.
-const MOST_HOSTS: usize = 256;
 /// Entries in one answer: what a packet has room for, with the rest of it.
 pub const MOST_TOLD: usize = 24;
 /// Answers between two ticks: a flood of questions is not answered beyond.
@@ -279,7 +277,7 @@
         2 * silent <= last.len()
     }
 
-    /// Takes an entry in; what is new and changes something is spread with haste.
+    /// Takes an entry in, beyond [`MOST_HOSTS`] none on a host that is new; what is new and changes something is spread with haste.
     fn take(&mut self, start: Start, known: Known, now: Us) {
         if !self.hosts.contains_key(&start) && self.hosts.len() >= MOST_HOSTS {
             return;
--- a/exchange/src/counters.rs
+++ b/exchange/src/counters.rs
@@ -57,6 +57,8 @@
     failed,
     /// Commands that the module had not ended at their deadline.
     overdue,
+    /// Listed hosts that were more than may be known.
+    hosts_left_out,
     /// Executions begun.
     executions,
     /// Executions written in full to a host.
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -13,7 +13,7 @@
     ServerId, Settings, State, Status,
 };
 use rustc_hash::FxHashMap;
-use slog::{info, Logger};
+use slog::{info, warn, Logger};
 use tokio::sync::{oneshot, Notify};
 use tokio::time::sleep_until;
 
@@ -29,6 +29,10 @@
 /// command here, which nothing tells.
 const MARGIN: Micros = Micros(10_000);
 
+/// Hosts that are known at once, several times what a fleet has: a list that goes on for ever must not fill the memory, nor
+/// the time that each command takes. The origin is always among them.
+const MOST_HOSTS: usize = 4_096;
+
 /// A time that does not come.
 const NEVER: Micros = Micros(u64::MAX);
 
@@ -406,11 +410,40 @@
     /// The name table has news.
     pub fn listed(&self, kind: ListKind, hosts: &[Host]) {
         let mut inner = self.inner.borrow_mut();
-        let hosts =
-            if kind == ListKind::Unavailable { Vec::new() } else { inner.bans.over(kind.whole(), hosts) };
+        let hosts = match kind {
+            ListKind::Unavailable => Vec::new(),
+            _ => {
+                let known = self.within_bounds(&inner, kind, hosts);
+                inner.bans.over(kind.whole(), &known)
+            }
+        };
         self.tell(&mut inner, kind, &hosts);
     }
 
+    /// The news without the hosts that are more than may be known; they are counted, and told in one line.
+    fn within_bounds(&self, inner: &Inner, kind: ListKind, hosts: &[Host]) -> Vec<Host> {
+        let known = |server| !kind.whole() && inner.serving.contains_key(&server);
+        let mut room = MOST_HOSTS.saturating_sub(if kind.whole() { 0 } else { inner.serving.len() });
+        let mut left_out = 0;
+        let fits = |host: &&Host| {
+            let Entry { server, state, kind, .. } = host.entry;
+            if state == State::Deleted || known(server) || Some(kind) == self.origin {
+                return true;
+            }
+            left_out += u64::from(room == 0);
+            let fits = room > 0;
+            room = room.saturating_sub(1);
+            fits
+        };
+        let kept = hosts.iter().filter(fits).cloned().collect();
+        if left_out > 0 {
+            self.counters.hosts_left_out.set(self.counters.hosts_left_out.get() + left_out);
+            warn!(self.log, "more hosts than can be known; the rest is left out"; "most" => MOST_HOSTS,
+                "left out" => left_out);
+        }
+        kept
+    }
+
     /// Tells the module and the carrier a list as it is to be seen, bans laid over.
     pub(crate) fn tell(&self, inner: &mut Inner, kind: ListKind, hosts: &[Host]) {
         if kind != ListKind::Unavailable {
@@ -750,6 +783,31 @@
         });
     }
 
+    /// A list as long as a fleet's is known whole; of one that is far too long a bounded part is, with the origin at its end,
+    /// and hosts that go make room.
+    #[test]
+    fn a_list_is_bounded_far_over_a_fleets() {
+        let recorder = Rc::new(Recorder::default());
+        let mode = juniperladder::Mode::Aside(testing::ORIGIN);
+        let exchange = exchange(Settings { mode, ..settings(3, Effect::Safe) }, recorder, 0);
+        let up = |n| testing::host(ServerId(n), State::Serving);
+        let mut origin = up(u64::MAX);
+        origin.entry.kind = testing::ORIGIN;
+        let known = || exchange.inner.borrow().serving.len();
+        exchange.listed(ListKind::Replace, &(0..1_024).map(up).collect::<Vec<_>>());
+        assert_eq!((known(), exchange.counters.hosts_left_out.get()), (1_024, 0));
+        let most = MOST_HOSTS as u64;
+        exchange
+            .listed(ListKind::Replace, &(0..most + 10).map(up).chain([origin.clone()]).collect::<Vec<_>>());
+        assert!(exchange.inner.borrow().balancer.origin() == Some(origin.entry.server));
+        exchange.listed(ListKind::Update, &[up(most * 2)]);
+        assert_eq!((known(), exchange.counters.hosts_left_out.get()), (MOST_HOSTS + 1, 11));
+        let gone: Vec<Host> = (0..5).map(|n| testing::host(ServerId(n), State::Deleted)).collect();
+        exchange.listed(ListKind::Update, &gone);
+        exchange.listed(ListKind::Update, &(most * 2..most * 2 + 9).map(up).collect::<Vec<_>>());
+        assert_eq!((known(), exchange.counters.hosts_left_out.get()), (MOST_HOSTS, 16));
+    }
+
     /// A process that is told to end has an answer for all that it took before its time is up: what was open then, what
     /// connections that are not closed yet still bring, and at once for what comes after.
     #[test]
--- a/world/src/check.rs
+++ b/world/src/check.rs
@@ -6,9 +6,9 @@
 use crate::group::{members, Members};
 
 /// The most processes of a run: as many as a fleet's membership holds.
-const MOST_BALANCERS: usize = 512;
+const MOST_BALANCERS: usize = 1_024;
 /// The most cache hosts.
-const MOST_HOSTS: usize = 512;
+const MOST_HOSTS: usize = 1_024;
 
 /// Everything that is wrong with an experiment; `text` is the file's, for the lines.
 pub fn check(e: &Experiment, text: &str) -> Vec<Problem> {
@@ -16,8 +16,13 @@
     let whole = |x: f64| (0.0..=1.0).contains(&x);
     let over = |x: f64| x > 0.0 && x.is_finite();
     found.need(over(e.seconds), "", "seconds", "is a number over 0");
-    found.need((1..=MOST_BALANCERS).contains(&e.fleet.balancers), "fleet", "balancers", "lies from 1 to 512");
-    found.need((1..=MOST_HOSTS).contains(&e.fleet.hosts), "fleet", "hosts", "lies from 1 to 512");
+    found.need(
+        (1..=MOST_BALANCERS).contains(&e.fleet.balancers),
+        "fleet",
+        "balancers",
+        "lies from 1 to 1024",
+    );
+    found.need((1..=MOST_HOSTS).contains(&e.fleet.hosts), "fleet", "hosts", "lies from 1 to 1024");
     found.need((1..=16).contains(&e.fleet.zones), "fleet", "zones", "lies from 1 to 16");
     found.need(e.fleet.told != Some(0), "fleet", "told", "is at least 1");
     let weights = &e.fleet.weights;
