Count each command for its own tenant, matched by the settings' names

Every command went to the decisions as tenant 0 (exchange.rs, 'tenant: 0'), though requests name theirs by t=: one customer's gap and share held back another's. The settings' tenants were read without their names (settings, 'struct Org').

A command's tenant is the place of its t= among the settings' names; one that they do not name, or none, is served and counts for nobody, at the place behind all. A tenant of the settings without a name ends the start with the key's name.

Tests that fail without it: a_command_is_its_tenants, a_tenant_has_a_name, and each_deployment_has_its_own, in which one process serves two deployments over TCP: each keeps its own classes, tenants, deadlines, attempts and effects.

--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -304,7 +304,7 @@
             key: Some(crate::numbers::key(&command.key)),
             write: command.value.is_some(),
             class: command.class,
-            tenant: 0,
+            tenant: command.tenant,
             retry: command.retry,
         };
         let (command, over) = (Rc::new(command), Over::default());
--- a/exchange/src/testing.rs
+++ b/exchange/src/testing.rs
@@ -99,6 +99,7 @@
         value: value.map(Bytes::from),
         ticket: None,
         class: 0,
+        tenant: 0,
         retry: false,
         wait: Some(Micros(480_000)),
         properties: vec![("c".into(), "read".into()), ("d".into(), "480".into())],
--- a/exchange/src/values.rs
+++ b/exchange/src/values.rs
@@ -20,6 +20,8 @@
     pub ticket: Option<Ticket>,
     /// Its class, by its place in the settings.
     pub class: u32,
+    /// Whose it is, by the tenant's place in the settings; beyond them for one that they do not name, and for nobody's.
+    pub tenant: u32,
     /// Whether the client marked it as a retry of its own.
     pub retry: bool,
     /// How long the client waits; none if it does not say.
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -13,6 +13,7 @@
 use crate::clock::duration;
 use crate::name_table::{Catalog, Names};
 use crate::operator::Operator;
+use crate::service::Labels;
 
 /// Everything that the file says.
 #[derive(Debug)]
@@ -41,8 +42,8 @@
     pub operator: Option<Operator>,
     /// The names that stand for the settings' numbers.
     pub names: Names,
-    /// The classes' names, in the order of the settings.
-    pub classes: Vec<String>,
+    /// The names that clients use.
+    pub labels: Labels,
     /// How long a connection may take to come up.
     pub connect_timeout: Duration,
     /// How long a host keeps an idle connection.
@@ -125,7 +126,10 @@
                 sockets: file.limits.sockets,
             },
             known: file.known,
-            classes: env.categories.into_iter().map(|c| c.name).collect(),
+            labels: Labels {
+                classes: env.categories.into_iter().map(|class| class.name).collect(),
+                tenants: env.orgs.into_iter().map(|org| org.name).collect(),
+            },
             connect_timeout: duration(Micros(env.limits.connect_timeout)),
             idle: duration(Micros(env.limits.conn_idle)),
             names: Names { zones: env.zones, kinds: env.kinds },
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -118,14 +118,9 @@
     let listener = listen(config.listen).map_err(|e| {
         format!("cannot listen on {}: {e}; is another program than a balancer there?", config.listen)
     })?;
-    let classes = config.classes.clone();
-    let service = service::Service::new(
-        Rc::clone(&exchange),
-        config.classes,
-        Rc::clone(&shutdown),
-        bounds,
-        log.clone(),
-    );
+    let classes = config.labels.classes.clone();
+    let service =
+        service::Service::new(Rc::clone(&exchange), config.labels, Rc::clone(&shutdown), bounds, log.clone());
     let address = listener.local_addr().unwrap_or(config.listen);
     info!(log, "listening"; "address" => address.to_string(), "hosts" => hosts.len());
 
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -26,10 +26,20 @@
 const SPARE_PART: usize = 16;
 /// How long a full house waits for the one that was told to leave.
 const ROOM: Duration = Duration::from_millis(10);
+
+/// The names by which clients call the classes and the tenants of the settings, in the settings' order.
+#[derive(Clone, Debug, Default)]
+pub struct Labels {
+    /// Of the classes.
+    pub classes: Vec<String>,
+    /// Of the tenants; a site may have none.
+    pub tenants: Vec<String>,
+}
+
 /// What all service clients share.
 pub struct Service {
     exchange: Rc<Exchange>,
-    classes: Vec<String>,
+    labels: Labels,
     shutdown: Rc<Shutdown>,
     bounds: Bounds,
     held: Cell<usize>,
@@ -86,16 +96,16 @@
 }
 
 impl Service {
-    /// A service that keeps within these bounds.
+    /// A service that knows these names and keeps within these bounds.
     pub fn new(
         exchange: Rc<Exchange>,
-        classes: Vec<String>,
+        labels: Labels,
         shutdown: Rc<Shutdown>,
         bounds: Bounds,
         log: Logger,
     ) -> Rc<Service> {
         let (held, seats, left) = Default::default();
-        Rc::new(Service { exchange, classes, shutdown, bounds, held, seats, left, log })
+        Rc::new(Service { exchange, labels, shutdown, bounds, held, seats, left, log })
     }
 
     /// Accepts service clients for as long as it is polled.
--- a/node/src/service/client.rs
+++ b/node/src/service/client.rs
@@ -269,14 +269,20 @@
         }
     }
 
-    /// The command with its class; none if that is no class of the settings, which the client is told: such a one
-    /// has no deadline and no effect, and hosts turn it away too.
+    /// The command with its class and tenant; none if there is no such class in the settings, which the client is told: such
+    /// a one has no deadline and no effect, and hosts turn it away too. One that names no tenant of the settings, or none
+    /// at all, is served like all others and counts for nobody's share.
     fn of_class(&mut self, mut command: Box<Command>, class: &[u8]) -> Option<Box<Command>> {
-        let place = self.service.classes.iter().position(|name| name.as_bytes() == class);
+        let labels = &self.service.labels;
+        let place = labels.classes.iter().position(|name| name.as_bytes() == class);
         if place.is_none() {
             self.turn_away("CLIENT_ERROR unknown class");
         }
         command.class = place? as u32;
+        let named = command.properties.iter().find(|(name, _)| name.as_ref() == b"t");
+        let tenant =
+            named.and_then(|(_, named)| labels.tenants.iter().position(|name| name.as_bytes() == named));
+        command.tenant = tenant.unwrap_or(labels.tenants.len()) as u32;
         Some(command)
     }
 
--- a/node/src/service/tests.rs
+++ b/node/src/service/tests.rs
@@ -34,7 +34,8 @@
 fn service(recorder: &Rc<Recorder>) -> Rc<Service> {
     let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), recorder.clone(), 1);
     let bounds = Bounds { clients: 8, kept: 4, hosts: 8, held: 1 << 17, unread: 1 << 16, piece: 1 << 10 };
-    Service::new(exchange, vec!["read".into()], Rc::default(), bounds, testing::log())
+    let labels = Labels { classes: vec!["read".into()], tenants: vec!["acme".into(), "beta".into()] };
+    Service::new(exchange, labels, Rc::default(), bounds, testing::log())
 }
 
 async fn serve(service: Rc<Service>, stream: impl AsyncRead + AsyncWrite) -> io::Result<()> {
@@ -319,6 +320,27 @@
     });
 }
 
+/// A command counts for the tenant that it names; one that the settings lack, or none, is nobody's and served all the same.
+#[test]
+fn a_command_is_its_tenants() {
+    testing::run(async {
+        let recorder = Rc::new(Recorder::default());
+        let service = service(&recorder);
+        let (near, mut far) = duplex(1 << 10);
+        spawn_local(serve(Rc::clone(&service), near));
+        for (named, place) in [(",t=beta", 1), (",t=acme", 0), (",t=acm", 2), (",t=", 2), ("", 2)] {
+            far.write_all(format!("mg k v O1 Pc=read{named},d=480\r\n").as_bytes()).await.unwrap();
+            settle().await;
+            let execution = recorder.begun.borrow_mut().pop().unwrap();
+            assert_eq!(execution.command.tenant, place, "{named}");
+            service.exchange.ended(execution.id, End::Reply(Reply::Served(Answer::Value("v".into()))));
+            let mut got = [0; 12];
+            far.read_exact(&mut got).await.unwrap();
+            assert_eq!(&got, b"VA 1 O1\r\nv\r\n");
+        }
+    });
+}
+
 /// A client whose connection breaks has gone away: nothing is sent for it any more.
 #[test]
 fn a_broken_connection_ends_its_commands() {
--- a/node/src/storm.rs
+++ b/node/src/storm.rs
@@ -26,7 +26,7 @@
 use crate::connect::Connect;
 use crate::counters::Counters;
 use crate::exchange::{Carrier, Exchange, Host};
-use crate::service::Service;
+use crate::service::{Labels, Service};
 use crate::shutdown::{last_answer, Shutdown, WAY_OUT};
 use crate::testing::{self, log, ORIGIN};
 use crate::upstream::{Limits, Upstream};
@@ -152,9 +152,10 @@
         exchange.listed(ListKind::Restored, &hosts.listed());
         let shutdown = Rc::new(Shutdown::default());
         let classes = CLASSES.map(|(name, ..)| name.to_owned()).into();
+        let labels = Labels { classes, tenants: vec![] };
         let bounds =
             Bounds { clients: 16, kept: 12, hosts: 24, held: 1 << 17, unread: 1 << 16, piece: 1 << 12 };
-        let service = Service::new(Rc::clone(&exchange), classes, Rc::clone(&shutdown), bounds, log());
+        let service = Service::new(Rc::clone(&exchange), labels, Rc::clone(&shutdown), bounds, log());
         // The pools live as long as the exchange, which holds them.
         World { exchange, service, shutdown, hosts, ledger }
     }
--- a/node/src/upstream/uploads.rs
+++ b/node/src/upstream/uploads.rs
@@ -105,7 +105,7 @@
 mod tests {
     use super::*;
     use crate::bounds::Bounds;
-    use crate::service::Service;
+    use crate::service::{Labels, Service};
     use crate::testing::{self, host, log, HOST, ORIGIN};
     use juniperladder::{Effect, ListKind, Mode, ServerId, State};
     use tokio::io::AsyncReadExt;
@@ -125,8 +125,8 @@
         (up.entry.kind, up.address) = (ORIGIN, origin.local_addr().ok());
         exchange.listed(ListKind::Replace, &[up]);
         let bounds = Bounds { clients: 8, kept: 4, hosts: 8, held: 1 << 17, unread: 1 << 16, piece: 1 << 12 };
-        let classes = vec!["read".into()];
-        let service = Service::new(exchange, classes, Rc::default(), bounds, log());
+        let labels = Labels { classes: vec!["read".into()], tenants: vec![] };
+        let service = Service::new(exchange, labels, Rc::default(), bounds, log());
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
         tokio::task::spawn_local(service.accept(listener));
--- /dev/null
+++ b/node/tests/two_deployments.rs
@@ -0,0 +1,104 @@
+//! Two deployments served by one process: each has its own classes, tenants, deadlines and attempts, and nothing of the other's.
+
+use std::rc::Rc;
+
+use juniperladder::Micros;
+use juniperladder_exchange::exchange::{End, Exchange, Execution};
+use juniperladder_exchange::testing::{self, Recorder};
+use juniperladder_node::bounds::Bounds;
+use juniperladder_node::config::Config;
+use juniperladder_node::service::Service;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufStream};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+
+const FIRST: &str = r#"
+    "categories":[{"name":"read","aim":500000,"effect":"pure","give-up":900000,"worth":1},
+      {"name":"put","aim":900000,"effect":"token","give-up":3000000,"window":6000000,"worth":1}],
+    "orgs":[{"name":"acme","allowance-per-s":5}],
+    "limits":{"conn-idle":5000000,"connect-timeout":250000,"max-attempts":3,"may-duplicate":true}"#;
+const SECOND: &str = r#"
+    "categories":[{"name":"put","aim":200000,"effect":"side_effect","give-up":400000,"worth":1},
+      {"name":"list","aim":500000,"effect":"pure","give-up":700000,"worth":1}],
+    "orgs":[{"name":"beta","allowance-per-s":5},{"name":"acme","allowance-per-s":5}],
+    "limits":{"conn-idle":3000000,"connect-timeout":150000,"max-attempts":1,"may-duplicate":false}"#;
+
+/// One deployment, and a client of it.
+struct Deployment {
+    exchange: Rc<Exchange>,
+    recorder: Rc<Recorder>,
+    client: BufStream<TcpStream>,
+}
+
+impl Deployment {
+    async fn new(settings: &str) -> Deployment {
+        let text = format!(
+            r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{{{settings},
+            "kinds":["a"],"zones":["x"],"tick":5000,"rules":{{"ask-within":10000000,"warm-up":9000000}}}}}}"#
+        );
+        let config = Config::parse(text.into()).unwrap();
+        let recorder = Rc::new(Recorder::default());
+        let exchange = testing::exchange(config.settings, recorder.clone(), 3);
+        let timers = Rc::clone(&exchange);
+        spawn_local(async move { timers.run().await });
+        let bounds = Bounds::of(config.limits);
+        let service =
+            Service::new(Rc::clone(&exchange), config.labels, Rc::default(), bounds, testing::log());
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        spawn_local(service.accept(listener));
+        Deployment { exchange, recorder, client: BufStream::new(client) }
+    }
+
+    async fn ask(&mut self, line: &str) {
+        self.client.write_all(line.as_bytes()).await.unwrap();
+        self.client.flush().await.unwrap();
+    }
+
+    async fn answer(&mut self) -> String {
+        let mut line = String::new();
+        self.client.read_line(&mut line).await.unwrap();
+        line
+    }
+
+    async fn begun(&self) -> Execution {
+        loop {
+            if let Some(execution) = self.recorder.begun.borrow_mut().pop() {
+                return execution;
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+#[test]
+fn each_deployment_has_its_own() {
+    testing::run_on_sockets(async {
+        let (mut first, mut second) = (Deployment::new(FIRST).await, Deployment::new(SECOND).await);
+        // The same line means another class and another tenant at each, and has another deadline there.
+        let line = "ms 7f3a9c21e0b4d655 1 O1 Pc=put,t=acme,d=60000,k=5c0f6e1a2b3d4c59\r\nv\r\n";
+        first.ask(line).await;
+        second.ask(line).await;
+        let (at_first, at_second) = (first.begun().await, second.begun().await);
+        assert_eq!((at_first.command.class, at_first.command.tenant), (1, 0));
+        assert_eq!((at_second.command.class, at_second.command.tenant), (0, 1));
+        let left = |of: &Deployment, execution: &Execution| execution.until.minus(of.exchange.clock().now());
+        let (left_first, left_second) = (left(&first, &at_first), left(&second, &at_second));
+        assert!(left_first > Micros(400_000) && left_first < Micros(3_000_000), "{left_first:?}");
+        assert!(left_second < Micros(400_000), "{left_second:?}");
+        // Broken off, a keyed write may be repeated at the first; at the second nothing may.
+        first.exchange.ended(at_first.id, End::Broken);
+        second.exchange.ended(at_second.id, End::Broken);
+        assert_eq!(first.begun().await.command.id, "1");
+        assert_eq!(second.answer().await, "SERVER_ERROR failed\r\n");
+        assert!(second.recorder.begun.borrow().is_empty());
+        // Neither knows the other's classes or tenants; who names no tenant of theirs is served, and is nobody's.
+        first.ask("mg k v O2 Pc=list,t=acme,d=500\r\n").await;
+        second.ask("mg k v O2 Pc=read,t=acme,d=500\r\n").await;
+        assert_eq!(second.answer().await, "CLIENT_ERROR unknown class\r\n");
+        first.ask("mg k v O3 Pc=read,t=beta,d=500\r\n").await;
+        second.ask("mg k v O3 Pc=list,d=500\r\n").await;
+        assert_eq!(first.begun().await.command.tenant, 1, "beyond the only one");
+        assert_eq!(second.begun().await.command.tenant, 2, "beyond both");
+    });
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -21,7 +21,8 @@
     /// What the site permits.
     pub limits: EnvLimits,
     membership_mode: String,
-    orgs: Vec<Org>,
+    /// The tenants; a site may name none.
+    pub orgs: Vec<Org>,
     /// This instance's place among all, from 0.
     pub position: Option<u32>,
     rules: EnvRules,
@@ -68,9 +69,12 @@
     retry_after: bool,
 }
 
+/// A tenant.
 #[derive(Debug, Default, Deserialize)]
 #[serde(rename_all = "kebab-case", default)]
-struct Org {
+pub struct Org {
+    /// Its name.
+    pub name: String,
     allowance_per_s: f64,
 }
 
@@ -119,6 +123,7 @@
             ("categories[].name", self.categories.iter().all(|c| !c.name.is_empty())),
             ("categories[].aim", self.categories.iter().all(|c| c.aim > 0)),
             ("categories[].give-up", self.categories.iter().all(|c| c.give_up > 0)),
+            ("orgs[].name", self.orgs.iter().all(|org| !org.name.is_empty())),
             ("kinds", !self.kinds.is_empty()),
             ("zones", !self.zones.is_empty()),
             ("tick", self.tick > 0),
@@ -184,6 +189,14 @@
         assert_eq!(read(&SOUND.replace("aside", "through")).settings().mode, Mode::Through);
     }
 
+    /// A tenant without a name would be whoever names none.
+    #[test]
+    fn a_tenant_has_a_name() {
+        let with = |orgs: &str| read(&SOUND.replacen('{', &format!("{{\"orgs\":{orgs},"), 1)).check();
+        assert_eq!(with(r#"[{"name":"acme","allowance-per-s":3}]"#), Ok(()));
+        assert!(with(r#"[{"nmae":"acme","allowance-per-s":3}]"#).unwrap_err().contains("orgs[].name"));
+    }
+
     #[test]
     fn a_misspelt_key_is_named() {
         assert_eq!(read(SOUND).check(), Ok(()));
