Write at most one log line a cause and second, however often it comes

A peer can bring a cause about thousands of times a second: counters.rs told the first 32 and then one in 32 (worth_telling), which is hundreds of lines a second in a flood.

--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -23,6 +23,7 @@
 use crate::long::{long, ticket, Feed, Going, Long, Ticket};
 pub use crate::numbers::ExecutionId;
 use crate::tally::{Ended, Tally};
+use crate::telling::Telling;
 pub use crate::values::{Answer, Command, Host, Reply};
 
 /// How long before its client gives up a command is over here: the way of the answer back, and of the
@@ -190,6 +191,7 @@
     next_timer: Cell<Micros>,
     /// When the last command has to be answered.
     last: Cell<Micros>,
+    telling: Telling,
     log: Logger,
 }
 
@@ -234,6 +236,7 @@
             idle: Notify::new(),
             next_timer: Cell::new(NEVER),
             last: Cell::new(NEVER),
+            telling: Telling::default(),
             log,
         })
     }
@@ -438,8 +441,10 @@
         let kept = hosts.iter().filter(fits).cloned().collect();
         if left_out > 0 {
             self.counters.hosts_left_out.set(self.counters.hosts_left_out.get() + left_out);
-            warn!(self.log, "more hosts than can be known; the rest is left out"; "most" => MOST_HOSTS,
-                "left out" => left_out);
+            if self.telling.due() {
+                warn!(self.log, "more hosts than can be known; the rest is left out"; "most" => MOST_HOSTS,
+                    "left out" => left_out);
+            }
         }
         kept
     }
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod numbers;
 pub mod operators;
 pub mod tally;
+pub mod telling;
 #[cfg(any(test, feature = "testing"))]
 pub mod testing;
 pub mod values;
--- /dev/null
+++ b/exchange/src/telling/tests.rs
@@ -0,0 +1,15 @@
+use super::*;
+use crate::testing;
+
+/// What a peer does without end fills no log: one line at once, and then one a second.
+#[test]
+fn a_flood_is_told_of_once_a_second() {
+    testing::run(async {
+        let (telling, mut told) = (Telling::default(), 0);
+        for _ in 0..3_500 {
+            told += u32::from(telling.due());
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        assert_eq!(told, 4);
+    });
+}
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -13,10 +13,11 @@
 use tokio::time::{sleep, timeout, Duration, Instant};
 
 use crate::bounds::Bounds;
-use crate::counters::{count, worth_telling};
+use crate::counters::count;
 use crate::exchange::Exchange;
 use crate::shutdown::Shutdown;
 use client::{until, ServiceClient};
+use juniperladder_exchange::telling::Telling;
 
 /// How long a connection that is about to close is read once more.
 const LAST_LOOK: Duration = Duration::from_millis(2);
@@ -45,6 +46,7 @@
     held: Cell<usize>,
     seats: RefCell<Vec<Rc<Seat>>>,
     left: Notify,
+    telling: Telling,
     log: Logger,
 }
 
@@ -104,8 +106,8 @@
         bounds: Bounds,
         log: Logger,
     ) -> Rc<Service> {
-        let (held, seats, left) = Default::default();
-        Rc::new(Service { exchange, labels, shutdown, bounds, held, seats, left, log })
+        let (held, seats, left, telling) = Default::default();
+        Rc::new(Service { exchange, labels, shutdown, bounds, held, seats, left, telling, log })
     }
 
     /// Accepts service clients for as long as it is polled.
@@ -140,7 +142,7 @@
                     // Out of descriptors, or a client that left at once: neither may end the program.
                     let failed = &self.exchange.counters().accepts_failed;
                     count(failed);
-                    if worth_telling(failed) {
+                    if self.telling.due() {
                         warn!(self.log, "accept"; "problem" => problem.to_string(), "so far" => failed.get());
                     }
                     sleep(Duration::from_millis(10)).await;
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -17,8 +17,9 @@
 
 use crate::clock::Clock;
 use crate::connect::Connect;
-use crate::counters::{count, worth_telling, Counters};
+use crate::counters::{count, Counters};
 use crate::exchange::{Carrier, End, Exchange, Execution, ExecutionId, Host, Upload};
+use juniperladder_exchange::telling::Telling;
 use lane::Lane;
 
 /// The part of the idle time that the settings tell after which a connection is closed here: a write must never
@@ -98,6 +99,7 @@
     /// How long a connection may now stand idle here.
     keep: Cell<Duration>,
     last: Cell<u64>,
+    telling: Telling,
     log: Logger,
 }
 
@@ -138,6 +140,7 @@
             connections: Cell::new(0),
             uploads: Cell::new(0),
             last: Cell::new(0),
+            telling: Telling::default(),
             log,
         })
     }
@@ -272,11 +275,11 @@
         }
     }
 
-    /// Counts an answer that made no sense, and logs it if there are not many.
+    /// Counts an answer that made no sense, and logs it where no other has been in this second.
     fn tell_bad(&self, host: &SocketAddr, problem: &str) {
         let bad = &self.counters.bad_answers;
         count(bad);
-        if worth_telling(bad) {
+        if self.telling.due() {
             warn!(self.log, "bad answer"; "host" => host.to_string(), "problem" => problem, "so far" => bad.get());
         }
     }
