Call discovery so that a change is known before it counts as told

Cause: the driver waited for the module (exchange.watch_wanted), and the module asks for no watch where lists are pushed (rules.rs, 'Event::Timer(DISCOVERY) if !self.settings.subscribe').

Read line by line beside it: a silent watch was found after 5 s, a call could hang for 4 s more and the next wait was up to 6 s, over the 6 s after which a change counts as told; pieces of a list counted as signs of life; an indented list was refused; a new address whose first call failed waited for the module, which still counted the old one's failures; an old timer made a call of its own (permit kept by Notify).

The module's waits (AGAIN) run from call to call. Where lists are pushed, a watch is opened with the process and after each failure. Lists are found as objects, whatever their lines; one asked for without a version is whole.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -11,6 +11,7 @@
 
 use crate::bounds::Limits;
 use crate::clock::duration;
+use crate::discovery::budget::pushed_again;
 use crate::name_table::{Catalog, Names};
 use crate::operator::Operator;
 use crate::service::Labels;
@@ -48,6 +49,8 @@
     pub connect_timeout: Duration,
     /// How long a host keeps an idle connection.
     pub idle: Duration,
+    /// Where discovery pushes its lists, how soon it is called again; none where it has to be asked.
+    pub pushed: Option<Duration>,
 }
 
 #[derive(Deserialize)]
@@ -110,12 +113,14 @@
         let env = file.settings;
         env.check()?;
         let listen = address("listen", &file.listen)?;
+        let settings = env.settings();
         Ok(Config {
             mgmt: file.mgmt.map_or(Ok(None), |text| operators_address(listen, &text))?,
             file: None,
             operator: None,
             position: env.position,
-            settings: env.settings(),
+            pushed: (!settings.subscribe).then(|| pushed_again(duration(env.drain_grace()))),
+            settings,
             listen,
             discovery: address("discovery", &file.discovery)?,
             name: file.name,
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod bounds;
 pub mod config;
 pub mod connect;
+pub mod discovery;
 mod keeper;
 pub mod name_table;
 pub mod operator;
@@ -143,8 +144,9 @@
         info!(log, "operators' address"; "address" => address.to_string());
         spawn_local(operators.accept(listener));
     }
-    let (discovery, turns) = watch::channel(config.discovery);
-    spawn_local(name_table::follow(table, turns, Rc::clone(&exchange), successor, log.clone()));
+    let (discovery_address, turns) = watch::channel(config.discovery);
+    let calls = discovery::Calls { at_once: successor, pushed: config.pushed, seed: config.seed };
+    spawn_local(discovery::follow(table, turns, Rc::clone(&exchange), calls, log.clone()));
     spawn_local(service.accept(listener));
     let mut regular = tokio::time::interval(TELL);
     regular.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -157,10 +159,10 @@
                 info!(log, "counters"; "all" => counters.to_string());
                 exchange.tell_limits();
             }
-            _ = reload.recv() => match reread(&config.file, &discovery) {
+            _ = reload.recv() => match reread(&config.file, &discovery_address) {
                 Ok(()) => {
                     counters::count(&counters.reloads);
-                    info!(log, "configuration read"; "discovery" => discovery.borrow().to_string());
+                    info!(log, "configuration read"; "discovery" => discovery_address.borrow().to_string());
                 }
                 // What is in force stays so: a file half-written or mistyped must not stop the service.
                 Err(problem) => error!(log, "configuration not taken"; "problem" => problem),
--- /dev/null
+++ b/node/src/name_table/tests.rs
@@ -0,0 +1,44 @@
+use juniperladder::{Key, ServerId};
+
+use super::*;
+use crate::testing::log;
+use std::collections::HashSet;
+
+fn names() -> Names {
+    Names { zones: vec!["east".into(), "west".into()], kinds: vec!["m1".into(), "origin".into()] }
+}
+
+fn catalog(text: &str) -> Catalog {
+    simd_json::from_slice(&mut text.as_bytes().to_vec()).unwrap()
+}
+
+#[test]
+fn entries_are_mapped_as_the_settings_have_them() {
+    let text = r#"{"generation":41,"reset":true,"more":1,"instances":[
+        {"instanceId":"s-5be2a07c","hostPort":"127.0.0.1:5","zone":"west","machineType":"origin","cell":3,
+         "lifecycle":"terminating","weight":1.5,"startedAtMs":7},
+        {"instanceId":"s-00000001","hostPort":"nowhere","zone":"west"},
+        {"instanceId":"s-00000002","hostPort":"127.0.0.1:6","zone":"north","lifecycle":"terminated"}]}"#;
+    let mut table = NameTable::new(names());
+    let (kind, hosts) = table.take(catalog(text), &log());
+    assert_eq!(kind, ListKind::Replace);
+    let [origin, gone] = &hosts[..] else { panic!("one has no address: {hosts:?}") };
+    let entry = &origin.entry;
+    assert_eq!((entry.server, entry.zone, entry.kind, entry.cell), (ServerId(0x5be2_a07c), 1, 1, 3));
+    assert_eq!((entry.state, entry.weight, entry.started), (State::Draining, 1.5, from_ms(7)));
+    assert_eq!((gone.entry.state, gone.entry.zone), (State::Deleted, u32::MAX));
+    assert_eq!(table.path(), "/catalog/members?follow=1&since=41");
+}
+
+/// Placement hashes these numbers: another value after an update would move every key.
+#[test]
+fn numbers_of_names_and_keys_stay_the_same() {
+    assert_eq!(server("s-5be2a07c"), ServerId(0x5be2_a07c));
+    let others = ["origin", "t-5be2a07c", "s-5BE2A07C", "s-5be2a07c0", "s-05be2a07c", "5be2a07c", ""];
+    let numbers: HashSet<u64> = others.iter().map(|name| server(name).0).collect();
+    assert_eq!(numbers.len(), others.len(), "two names are two hosts");
+    assert!(numbers.iter().all(|number| *number > u64::from(u32::MAX)));
+    assert_eq!(server("origin"), ServerId(hash(b"origin") | 1 << 63), "whatever came before");
+    assert_eq!(key(b"7f3a9c21e0b4d655"), Key(0x7f3a_9c21_e0b4_d655));
+    assert_eq!(key(b"7F3A9C21E0B4D655"), Key(hash(b"7F3A9C21E0B4D655")), "another key than in lower case");
+}
--- a/protocols/src/lib.rs
+++ b/protocols/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod http;
 pub mod memcache;
 pub mod mgmt;
+pub mod objects;
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -84,6 +84,7 @@
     ask_within: u64,
     cold_share: f64,
     warm_up: u64,
+    drain_grace: u64,
 }
 
 impl Env {
@@ -116,6 +117,11 @@
         }
     }
 
+    /// How long after a host's drain or end was told something new may still go there.
+    pub fn drain_grace(&self) -> Micros {
+        Micros(self.rules.drain_grace)
+    }
+
     /// Names the first thing missing that a real balancer needs: a misspelt key must not become a zero.
     pub fn check(&self) -> Result<(), String> {
         let needed = [
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,6 +31,12 @@
 const WRITE_WAITS: f64 = 0.8;
 const QUEUE: Micros = Micros(400_000);
 const SPREAD: Micros = Micros(250_000);
+/// What the times below are parts of: the time for asking, taken as no longer than this.
+pub const ASKING: Micros = Micros(10_000_000);
+/// The part over which those that start together call discovery.
+pub const START: f64 = 0.33;
+/// The least and the most from call to call: after a watch, a failed call, the second (a start's), more.
+pub const AGAIN: [(f64, f64); 4] = [(0.005, 0.03), (0.03, 0.06), (0.3, 0.34), (0.24, 0.28)];
 /// The timer tokens of discovery and of the origin's gap; requests use higher ones.
 const DISCOVERY: u64 = 0;
 const PASS: u64 = 1;
@@ -59,7 +65,6 @@
     requests: FxHashMap<RequestId, Pending>,
     held: FxHashMap<u64, RequestId>,
     next_token: u64,
-    begun: bool,
     passing: bool,
     hedges: f64,
     together: Together,
@@ -73,7 +78,7 @@
             ladder: Ladder::new(&settings, settings.balancers),
             at_origin: Ladder::new(&settings, settings.balancers.min(FEW)),
             first_waits: vec![Micros(0); settings.classes.len()],
-            members: Members { balancers: settings.balancers, ..Members::default() },
+            members: Members { balancers: settings.balancers, failures: 2, ..Members::default() },
             settings,
             rng: fastrand::Rng::with_seed(seed),
             placement: Placement::default(),
@@ -82,7 +87,6 @@
             requests: FxHashMap::default(),
             held: FxHashMap::default(),
             next_token: PASS + 1,
-            begun: false,
             passing: false,
             hedges: HEDGES_SAVED,
             together: Together::default(),
@@ -96,7 +100,9 @@
             Event::Request(request) => self.arrived(now, request, actions),
             Event::Started(id) => self.requests.get_mut(&id).into_iter().for_each(|p| p.begun = true),
             Event::Outcome(outcome) => self.ended(now, outcome, actions),
-            Event::Timer(DISCOVERY) if !self.settings.subscribe || self.members.subscribed => {}
+            Event::Timer(DISCOVERY) if !self.settings.subscribe || self.members.failures == 0 => {}
+            // An older timer than that of the next call.
+            Event::Timer(DISCOVERY) if now < self.members.call => {}
             Event::Timer(DISCOVERY) => actions.push(Action::Watch),
             Event::Timer(PASS) => {
                 self.passing = false;
@@ -125,24 +131,24 @@
     }
 
     fn listed(&mut self, now: Micros, kind: ListKind, list: &[Entry], actions: &mut Vec<Action>) {
-        let spread = self.settings.rules.ask_within;
+        let spread = self.settings.rules.ask_within.min(ASKING);
         if kind == ListKind::Unavailable {
-            (self.members.subscribed, self.members.failures) = (false, (self.members.failures + 1).min(3));
-            let part = 0.1 * f64::from(1 << self.members.failures);
-            let at = now.plus(spread.times(part * (0.25 + 0.5 * self.rng.f64())));
+            let mut wait = |(least, most)| spread.times(least + (most - least) * self.rng.f64());
+            let soon = now.plus(wait(AGAIN[0]));
+            let at = self.members.call.plus(wait(AGAIN[self.members.failures])).max(soon);
+            self.members.failures = (self.members.failures + 1).min(AGAIN.len() - 1);
+            self.members.call = at;
             actions.push(Action::Timer { at, token: DISCOVERY });
             return;
         }
         self.members.follow(kind, list, &self.settings);
         self.together.listed(self.members.hosts());
-        if kind == ListKind::Restored && !self.begun {
-            self.begun = true;
-            if self.settings.subscribe {
-                let at = now.plus(spread.times(0.6 * self.rng.f64())).plus(self.settings.tick);
-                actions.push(Action::Timer { at, token: DISCOVERY });
-            }
+        if kind == ListKind::Restored && self.members.call.0 == 0 {
+            let at = now.plus(spread.times(START * self.rng.f64())).plus(self.settings.tick);
+            self.members.call = at;
+            actions.push(Action::Timer { at, token: DISCOVERY });
         } else if kind != ListKind::ByHand {
-            (self.members.subscribed, self.members.failures) = (true, 0);
+            self.members.failures = 0;
         }
     }
 
--- a/src/rules/members.rs
+++ b/src/rules/members.rs
@@ -29,9 +29,7 @@
     }
 
     pub(super) fn add(&mut self, now: Micros) {
-        if self.first.0 == 0 {
-            self.first = now;
-        }
+        self.first = if self.first.0 == 0 { now } else { self.first };
         self.per_s(now);
         self.count += 1.0;
     }
@@ -73,8 +71,9 @@
     pub(super) servers: Vec<Server>,
     /// The share of sends to a zone that were rejected of late: a zone is lost as a whole.
     pub(super) lost: FxHashMap<u32, f64>,
-    pub(super) subscribed: bool,
-    pub(super) failures: u32,
+    /// Calls to discovery that failed since its last list, and when the last one was due.
+    pub(super) failures: usize,
+    pub(super) call: Micros,
 }
 
 impl Members {
@@ -90,8 +89,7 @@
     }
 
     pub(super) fn find(&mut self, id: ServerId) -> Option<&mut Server> {
-        let at = self.servers.binary_search_by_key(&id, |s| s.entry.server).ok()?;
-        Some(&mut self.servers[at])
+        self.servers.binary_search_by_key(&id, |s| s.entry.server).ok().map(|at| &mut self.servers[at])
     }
 
     pub(super) fn origin(&mut self) -> Option<&mut Server> {
@@ -126,9 +124,7 @@
 /// router ramps it alike and rule 4 holds without talk.
 pub(super) fn warmth(entry: &Entry, now: Micros, rules: &Rules) -> f64 {
     let (age, whole) = (now.minus(entry.started).0 as f64, rules.warm_up.0 as f64);
-    if entry.started.0 == 0 || age >= whole {
-        return 1.0;
-    }
+    let part = if entry.started.0 == 0 { 1.0 } else { (age / whole).min(1.0) };
     let cold = if rules.cold_share > 0.0 { rules.cold_share.min(1.0) } else { 0.05 };
-    cold + (1.0 - cold) * age / whole
+    1.0 - (1.0 - cold) * (1.0 - part)
 }
--- a/src/rules/pending.rs
+++ b/src/rules/pending.rs
@@ -54,21 +54,21 @@
         let left = (self.attempts.len() as u32) < limits.max_attempts.max(1);
         let open = !self.begun && now < self.request.deadline && to.state == State::Serving;
         let twice = class.effect == Effect::Safe && limits.may_duplicate;
-        if out && !twice || !left || !open {
-            return false;
-        }
-        match class.effect {
-            Effect::Safe => true,
-            Effect::Unsafe => self.may_have_run().next().is_none(),
-            Effect::Keyed => self.may_have_run().all(|a| {
-                let near = match class.group {
-                    Group::All => true,
-                    Group::Zone => a.to.zone == to.zone,
-                    Group::Cell => a.to.cell == to.cell,
-                };
-                near && now.minus(a.sent) < class.window
-            }),
-        }
+        (!out || twice)
+            && left
+            && open
+            && match class.effect {
+                Effect::Safe => true,
+                Effect::Unsafe => self.may_have_run().next().is_none(),
+                Effect::Keyed => self.may_have_run().all(|a| {
+                    let near = match class.group {
+                        Group::All => true,
+                        Group::Zone => a.to.zone == to.zone,
+                        Group::Cell => a.to.cell == to.cell,
+                    };
+                    near && now.minus(a.sent) < class.window
+                }),
+            }
     }
 
     pub(super) fn may_refuse(&self, class: &Class) -> bool {
--- a/src/rules/placement.rs
+++ b/src/rules/placement.rs
@@ -49,13 +49,9 @@
         let homes = (share / HOT_SHARE) as usize + 1;
         let keep = homes + MAX_HOMES;
         for (at, server) in servers.iter().enumerate() {
-            let entry = &server.entry;
-            if entry.state != State::Serving || settings.is_origin(entry) {
-                continue;
-            }
-            let warm = warmth(entry, now, &settings.rules);
-            if warm < 1.0 && share > warm {
-                // A hot key would push a cold server over by itself (rule 4).
+            let (entry, warm) = (&server.entry, warmth(&server.entry, now, &settings.rules));
+            // A hot key would push a cold server over by itself (rule 4).
+            if entry.state != State::Serving || settings.is_origin(entry) || warm < 1.0 && share > warm {
                 continue;
             }
             let ok = settings.weighted && entry.weight.is_finite() && entry.weight > 0.0;
