Try a host that ends new connections once an attempt, not without end

lane.rs put an execution back whenever its connection had ended or brought something before the first byte, and the pool opened the next at once: a host that takes connections and closes them, or greets whoever comes, was connected to as fast as the loopback allows until the command's deadline. Found by reading; a resting connection that ended was what the line was for, and still is put back.

A connection that has only just come up now tells of its host: the attempt was not sent, and the decisions go on from there.

Tests over real connections: a_host_that_ends_new_connections_is_not_tried_without_end fails without the line; half_a_line_spoils_its_connection_and_no_command and a_reset_is_no_end_of_an_answer_without_a_length hold what held before.

--- a/node/src/upstream/lane.rs
+++ b/node/src/upstream/lane.rs
@@ -74,9 +74,12 @@
     pub(super) async fn carry(&self, upstream: &Upstream, mut stream: Box<dyn Stream>) {
         let (mut input, mut used) = (BytesMut::new(), false);
         loop {
-            let since = Instant::now();
+            let (since, mut fresh) = (Instant::now(), false);
             let execution = match upstream.next(self) {
-                Some(execution) => execution,
+                Some(execution) => {
+                    fresh = !used;
+                    execution
+                }
                 None => match self.rest(upstream, &mut stream, &mut input).await {
                     Some(execution) => execution,
                     None => return,
@@ -85,9 +88,16 @@
             // The runtime looks for news of the connection first: some hosts close right behind an answer.
             yield_now().await;
             // A connection that ended meanwhile is no try: nothing of the execution was written.
-            if !quiet(&mut stream, &mut input) || !upstream.is_open(self.server) {
+            if !upstream.is_open(self.server) {
                 return upstream.put_back(self.server, execution);
             }
+            if !quiet(&mut stream, &mut input) {
+                // One that has only just come up tells of its host, which would do so again without end.
+                return match fresh {
+                    true => upstream.stopped(self.server, execution.id, End::NotSent),
+                    false => upstream.put_back(self.server, execution),
+                };
+            }
             let (idle, begun) = (since.elapsed(), Instant::now());
             match self.execute(upstream, &mut stream, &mut input, execution).await {
                 After::Keep => upstream.learn(idle, false),
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -344,3 +344,113 @@
         assert_eq!(upstream.connections.get(), 0);
     });
 }
+
+/// A pool over one host on loopback, and what listens there.
+async fn world() -> (Rc<Exchange>, Rc<Upstream>, tokio::net::TcpListener) {
+    let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let upstream = testing::upstream(4);
+    let exchange = testing::exchange(testing::settings(3, Effect::Unsafe), upstream.clone(), 0);
+    upstream.attach(&exchange);
+    let mut up = host(HOST, State::Serving);
+    up.address = listener.local_addr().ok();
+    exchange.listed(ListKind::Replace, &[up]);
+    (exchange, upstream, listener)
+}
+
+/// A host that takes connections and ends them at once, or greets whoever comes, is no host that may be tried without end: each
+/// attempt opens one connection, and the command is told that it never ran.
+#[test]
+fn a_host_that_ends_new_connections_is_not_tried_without_end() {
+    for greets in [false, true] {
+        testing::run_on_sockets(async {
+            let (exchange, upstream, listener) = world().await;
+            let accepted = Rc::new(Cell::new(0));
+            let so_far = Rc::clone(&accepted);
+            let timers = Rc::clone(&exchange);
+            spawn_local(async move { timers.run().await });
+            spawn_local(async move {
+                let mut kept = Vec::new();
+                loop {
+                    let (mut stream, _) = listener.accept().await.unwrap();
+                    so_far.set(so_far.get() + 1);
+                    if greets {
+                        stream.write_all(b"SERVER_ERROR no\r\n").await.unwrap();
+                        kept.push(stream);
+                    }
+                }
+            });
+            let (_, answer) = exchange.take(testing::command("7", None)).unwrap();
+            assert!(matches!(answer.await, Ok(Answer::Nack(_) | Answer::Failed)));
+            assert!(accepted.get() <= 3, "{} connections for three attempts", accepted.get());
+            assert_eq!(upstream.counters.tries.get(), 0, "nothing of it was written");
+        });
+    }
+}
+
+/// Half a line that comes on a resting connection spoils that connection and nothing else: the next command goes out on a new
+/// one, whether the bytes come before it or in the moment in which the connection is given to it.
+#[test]
+fn half_a_line_spoils_its_connection_and_no_command() {
+    for at_once in [false, true] {
+        testing::run_on_sockets(async {
+            let (exchange, upstream, listener) = world().await;
+            let mut got = BytesMut::new();
+            let (_, first) = exchange.take(testing::command("1", None)).unwrap();
+            let (mut resting, _) = listener.accept().await.unwrap();
+            while !got.ends_with(b"\r\n") {
+                resting.read_buf(&mut got).await.unwrap();
+            }
+            resting.write_all(b"VA 1 O1\r\nv\r\n").await.unwrap();
+            assert!(first.await.is_ok());
+            settle().await;
+            let second = if at_once {
+                // The pool has not looked at the connection since: it gives it away, and the bytes are there.
+                let (_, second) = exchange.take(testing::command("2", None)).unwrap();
+                resting.try_write(b"VA 1").unwrap();
+                second
+            } else {
+                resting.write_all(b"VA 1").await.unwrap();
+                settle().await;
+                exchange.take(testing::command("2", None)).unwrap().1
+            };
+            let (mut fresh, _) = listener.accept().await.unwrap();
+            got.clear();
+            while !got.ends_with(b"\r\n") {
+                fresh.read_buf(&mut got).await.unwrap();
+            }
+            fresh.write_all(b"VA 1 O2\r\nw\r\n").await.unwrap();
+            assert_eq!(second.await, Ok(Answer::Value("w".into())));
+            assert_eq!((upstream.counters.bad_answers.get(), upstream.counters.tries.get()), (0, 2));
+        });
+    }
+}
+
+/// An answer whose length is not told ends with its connection, and only with an end: a reset is none, wherever it comes.
+#[test]
+fn a_reset_is_no_end_of_an_answer_without_a_length() {
+    for (reset, body) in [(false, true), (true, true), (true, false)] {
+        testing::run_on_sockets(async {
+            let (exchange, _upstream, listener) = world().await;
+            let mut origin = host(HOST, State::Serving);
+            origin.address = listener.local_addr().ok();
+            origin.entry.kind = testing::ORIGIN;
+            exchange.listed(ListKind::Replace, &[origin]);
+            let (_, answer) = exchange.take(testing::command("7", None)).unwrap();
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut got = BytesMut::new();
+            while !got.ends_with(b"\r\n\r\n") {
+                stream.read_buf(&mut got).await.unwrap();
+            }
+            let text: &[u8] = if body { b"HTTP/1.1 200 OK\r\n\r\nab" } else { b"HTTP/1.1 200 OK\r\n\r\n" };
+            stream.write_all(text).await.unwrap();
+            settle().await;
+            if reset {
+                stream.set_zero_linger().unwrap();
+            }
+            drop(stream);
+            let answer = answer.await.unwrap();
+            assert_eq!(answer == Answer::Value("ab".into()), !reset, "{answer:?}");
+            assert_eq!(exchange.counters().resets.get(), u64::from(reset));
+        });
+    }
+}
