See a client leave though it is not read, and take no answer with a close

Read line by line, with each order forced over real connections: - service/client.rs read on only where there was room ('read = reader.read_buf(..), if room && drained'): a client whose pipeline was full, whose answers were unread or whose value waited for the origin could leave unseen, and its requests went on and began. What stands unread then is answered busy and never sent on; a value half read is let go of. - A connection was dropped right after its idle close: a request that crossed it reset it, with what was still unsent of the answer before. It is now read off for a moment where an answer was just written; the seat is free at once, the descriptor is counted. - At the end of the time for answers a client that never rests kept its connection, unread answers and all, until the process was gone. Now no more is read then, what has been read is answered, and the connection is ended. - The backlog was taken in without a bound at the end, and operators' callers could use up the descriptors kept for discovery and hosts.

Fail without their lines (each was taken out once): a_client_that_leaves_while_it_is_not_read_has_gone, what_crosses_a_close_takes_no_answer_with_it, at_the_end_a_busy_connection_is_answered_and_ended.

--- a/node/src/bounds.rs
+++ b/node/src/bounds.rs
@@ -11,14 +11,18 @@
 
 /// Descriptors that are neither clients' nor hosts': the standard three, the listener, discovery's connection
 /// and the one it turns to, the runtime's and the signals' own, a file that is read; and some to spare.
-const OWN_SOCKETS: usize = 16;
+const OWN_SOCKETS: usize = 16 + OPERATORS;
+/// Operators' callers that have descriptors of their own. More of them take those of clients.
+pub const OPERATORS: usize = 8;
 /// The part of the other descriptors that connections to hosts may take. Clients hold a third of all for their
 /// commands; those that say nothing are told to leave, and need not be made room for.
-const HOSTS_PART: f64 = 0.55;
+const HOSTS_PART: f64 = 0.56;
 /// The part of all descriptors that clients hold for commands at most, and the part of those connections that
 /// may stay open for nothing: the rest is room for whoever has something to say.
 const CLIENTS_PART: f64 = 1.0 / 3.0;
 const KEPT_PART: f64 = 0.75;
+/// The most callers of operators at once, where there are descriptors for so many.
+const CALLERS: usize = 128;
 /// The part of the memory that clients' unfinished and open commands and unread answers may take.
 const HELD_PART: f64 = 0.25;
 
@@ -31,6 +35,8 @@
     pub kept: usize,
     /// Connections to hosts.
     pub hosts: usize,
+    /// Operators' callers.
+    pub callers: usize,
     /// Bytes that stand in hand for clients, all of them together.
     pub held: usize,
     /// Answer bytes that may stand unread on one client's connection before no more are added.
@@ -50,7 +56,16 @@
         let kept = (limits.sockets as f64 * CLIENTS_PART * KEPT_PART) as usize;
         // In four places at most, for every client at once: half of the memory.
         let piece = (limits.memory / 8 / clients).clamp(2 << 10, 16 << 10);
-        Bounds { clients, kept, hosts, held, unread: (held / clients).clamp(4 << 10, 256 << 10), piece }
+        let callers = OPERATORS.max(clients / 2).min(CALLERS);
+        Bounds {
+            clients,
+            kept,
+            hosts,
+            callers,
+            held,
+            unread: (held / clients).clamp(4 << 10, 256 << 10),
+            piece,
+        }
     }
 }
 
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -137,6 +137,7 @@
             classes,
             Rc::clone(&shutdown),
             &config.name,
+            operators::Callers { now: service.callers(), most: bounds.callers },
             peers.clone(),
             log.clone(),
         );
--- a/node/src/operators.rs
+++ b/node/src/operators.rs
@@ -27,8 +27,15 @@
 const WRITE: Duration = Duration::from_millis(500);
 /// How long a call waits for what it changed to be kept for a successor; the change holds here whether it is or not.
 const KEPT: Duration = Duration::from_millis(400);
-/// The most callers at once; one more is closed at once.
-const CALLERS: usize = 128;
+
+/// Those who call.
+#[derive(Clone, Debug)]
+pub struct Callers {
+    /// How many there are now: whoever shares the descriptors with them asks.
+    pub now: Rc<Cell<usize>>,
+    /// The most that may be; one more is closed at once.
+    pub most: usize,
+}
 
 /// The operators' side of one process.
 pub struct Operators {
@@ -37,7 +44,7 @@
     shutdown: Rc<Shutdown>,
     keeper: Rc<Keeper>,
     peers: Option<Rc<Peers>>,
-    callers: Cell<usize>,
+    callers: Callers,
     log: Logger,
 }
 
@@ -49,11 +56,12 @@
         classes: Vec<String>,
         shutdown: Rc<Shutdown>,
         name: &str,
+        callers: Callers,
         peers: Option<Rc<Peers>>,
         log: Logger,
     ) -> (Rc<Operators>, bool) {
         let file = std::env::temp_dir().join(format!("juniperladder-{}.bans", crate::state::safe(name)));
-        Operators::over(exchange, classes, shutdown, file, peers, log)
+        Operators::over(exchange, classes, shutdown, file, callers, peers, log)
     }
 
     fn over(
@@ -61,6 +69,7 @@
         classes: Vec<String>,
         shutdown: Rc<Shutdown>,
         file: PathBuf,
+        callers: Callers,
         peers: Option<Rc<Peers>>,
         log: Logger,
     ) -> (Rc<Operators>, bool) {
@@ -68,7 +77,6 @@
         // The file is there from the start, so that a successor knows that it replaces a process.
         let keeps = Rc::clone(&keeper);
         spawn_local(async move { keeps.run().await });
-        let callers = Cell::new(0);
         (Rc::new(Operators { exchange, classes, shutdown, keeper, peers, callers, log }), successor)
     }
 
@@ -85,15 +93,15 @@
 
     /// Gives a caller its slot, or none.
     fn take_in<S: AsyncRead + AsyncWrite + Unpin + 'static>(self: &Rc<Operators>, stream: S) {
-        if self.callers.get() >= CALLERS {
+        if self.callers.now.get() >= self.callers.most {
             // The newest is the one to go: those before it may be about to speak.
             return;
         }
-        self.callers.set(self.callers.get() + 1);
+        self.callers.now.set(self.callers.now.get() + 1);
         let operators = Rc::clone(self);
         spawn_local(async move {
             let _ = timeout(DEADLINE + WRITE, operators.serve(stream)).await;
-            operators.callers.set(operators.callers.get() - 1);
+            operators.callers.now.set(operators.callers.now.get() - 1);
         });
     }
 
@@ -163,14 +171,16 @@
     use tokio::io::{duplex, DuplexStream};
     use tokio::time::Instant;
 
+    const CALLERS: usize = 128;
     const HOST: &str = "s-00000009";
 
     fn process(dir: &std::path::Path) -> (Rc<Operators>, Rc<Recorder>) {
         let recorder = Rc::new(Recorder::default());
         let exchange = testing::exchange(testing::settings(1, Effect::Safe), recorder.clone(), 2);
         let classes = vec!["read".into()];
+        let callers = Callers { now: Rc::default(), most: CALLERS };
         let (operators, _) =
-            Operators::over(exchange, classes, Rc::default(), dir.join("n0.bans"), None, log());
+            Operators::over(exchange, classes, Rc::default(), dir.join("n0.bans"), callers, None, log());
         (operators, recorder)
     }
 
@@ -206,11 +216,11 @@
                     assert_eq!(reply(call(&operators, &[b"HEAL", b"TH\r\n"]).await).await, "ACK ready\n");
                 }
             }
-            assert_eq!((start.elapsed(), operators.callers.get()), (Duration::ZERO, CALLERS));
+            assert_eq!((start.elapsed(), operators.callers.now.get()), (Duration::ZERO, CALLERS));
             for far in slow {
                 assert_eq!(reply(far).await, "");
             }
-            assert_eq!((start.elapsed(), operators.callers.get()), (DEADLINE, 0));
+            assert_eq!((start.elapsed(), operators.callers.now.get()), (DEADLINE, 0));
             assert_eq!(reply(call(&operators, &[b"HEALTH\n"]).await).await, "ACK ready\n");
         });
     }
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -1,22 +1,23 @@
 //! The client side: service clients' connections, the commands on them, and the answers in their order.
 
 mod client;
+mod connection;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use slog::{warn, Logger};
-use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, timeout, Duration, Instant};
 
-use crate::bounds::Bounds;
+use crate::bounds::{Bounds, OPERATORS};
 use crate::counters::count;
 use crate::exchange::Exchange;
 use crate::shutdown::Shutdown;
-use client::{until, ServiceClient};
+use client::{linger, until, ServiceClient};
+pub use connection::{Connection, Reader};
 use juniperladder_exchange::telling::Telling;
 
 /// How long a connection that is about to close is read once more.
@@ -27,6 +28,8 @@
 const SPARE_PART: usize = 16;
 /// How long a full house waits for the one that was told to leave.
 const ROOM: Duration = Duration::from_millis(10);
+/// How long those who wait in the backlog at the end wait for seats.
+const LAST_ONES: Duration = Duration::from_millis(100);
 
 /// The names by which clients call the classes and the tenants of the settings, in the settings' order.
 #[derive(Clone, Debug, Default)]
@@ -45,6 +48,8 @@
     bounds: Bounds,
     held: Cell<usize>,
     seats: RefCell<Vec<Rc<Seat>>>,
+    callers: Rc<Cell<usize>>,
+    lingering: Cell<usize>,
     left: Notify,
     telling: Telling,
     log: Logger,
@@ -88,15 +93,47 @@
     seat: Rc<Seat>,
 }
 
+impl Seated {
+    async fn serve(self, stream: impl Connection) -> std::io::Result<()> {
+        let reader = ServiceClient::new(&self.service, &self.seat).serve(stream).await?;
+        // The seat is free at once; the descriptor is still counted.
+        let service = Rc::clone(&self.service);
+        let room = service.lingering.get() <= service.bounds.clients / SPARE_PART;
+        if let Some(reader) = reader.filter(|_| room) {
+            let _one = Lingering::one(&service);
+            drop(self);
+            linger(reader).await;
+        }
+        Ok(())
+    }
+}
+
 impl Drop for Seated {
     fn drop(&mut self) {
-        let mut seats = self.service.seats.borrow_mut();
-        seats.retain(|seat| !Rc::ptr_eq(seat, &self.seat));
-        self.service.shutdown.connections(seats.len());
+        self.service.seats.borrow_mut().retain(|seat| !Rc::ptr_eq(seat, &self.seat));
+        self.service.tell_open();
         self.service.left.notify_one();
     }
 }
 
+/// Counts a connection that is over but for what may cross its close.
+struct Lingering(Rc<Service>);
+
+impl Lingering {
+    fn one(service: &Rc<Service>) -> Lingering {
+        service.lingering.set(service.lingering.get() + 1);
+        Lingering(Rc::clone(service))
+    }
+}
+
+impl Drop for Lingering {
+    fn drop(&mut self) {
+        self.0.lingering.set(self.0.lingering.get() - 1);
+        self.0.tell_open();
+        self.0.left.notify_one();
+    }
+}
+
 impl Service {
     /// A service that knows these names and keeps within these bounds.
     pub fn new(
@@ -106,14 +143,26 @@
         bounds: Bounds,
         log: Logger,
     ) -> Rc<Service> {
-        let (held, seats, left, telling) = Default::default();
-        Rc::new(Service { exchange, labels, shutdown, bounds, held, seats, left, telling, log })
+        let (held, seats, callers, lingering, left, telling) = Default::default();
+        Rc::new(Service {
+            exchange,
+            labels,
+            shutdown,
+            bounds,
+            held,
+            seats,
+            callers,
+            lingering,
+            left,
+            telling,
+            log,
+        })
     }
 
     /// Accepts service clients for as long as it is polled.
     pub async fn accept(self: Rc<Service>, listener: TcpListener) {
         loop {
-            if self.seats.borrow().len() >= self.bounds.clients {
+            if self.full() {
                 // Connections that say nothing must not shut out those that do. Where all are at work the
                 // backlog holds who comes now until one leaves.
                 self.make_room();
@@ -124,7 +173,7 @@
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 () = self.shutdown.closing() => {
-                    self.last_ones(&listener);
+                    self.last_ones(&listener).await;
                     // Closed, the listener leaves new connections to a balancer that shares its address.
                     return;
                 }
@@ -134,7 +183,7 @@
                     self.shutdown.accepted();
                     let _ = stream.set_nodelay(true);
                     self.take_in(stream);
-                    if self.seats.borrow().len() + self.bounds.clients / SPARE_PART > self.bounds.clients {
+                    if self.taken() + self.bounds.clients / SPARE_PART > self.bounds.clients {
                         self.make_room();
                     }
                 }
@@ -151,34 +200,60 @@
         }
     }
 
-    /// Takes in the connections that wait in the backlog already: those would be reset when it closes.
-    fn last_ones(self: &Rc<Service>, listener: &TcpListener) {
+    /// Takes in the connections that wait in the backlog already: those would be reset when it closes. Where all seats are
+    /// taken they wait a moment for one, as the descriptors beyond those are others'.
+    async fn last_ones(self: &Rc<Service>, listener: &TcpListener) {
+        let until = Instant::now() + LAST_ONES;
         let mut cx = std::task::Context::from_waker(std::task::Waker::noop());
-        while let std::task::Poll::Ready(Ok((stream, _))) = listener.poll_accept(&mut cx) {
+        loop {
+            if self.full() {
+                if Instant::now() >= until {
+                    return;
+                }
+                self.make_room();
+                let _ = timeout(ROOM, self.left.notified()).await;
+                continue;
+            }
+            let std::task::Poll::Ready(Ok((stream, _))) = listener.poll_accept(&mut cx) else { return };
             let _ = stream.set_nodelay(true);
             self.take_in(stream);
         }
     }
 
+    /// Whether there is no seat for one more: operators' callers beyond those that have descriptors of their own sit here too.
+    fn full(&self) -> bool {
+        self.taken() >= self.bounds.clients
+    }
+
+    fn taken(&self) -> usize {
+        self.seats.borrow().len() + self.lingering.get() + self.callers.get().saturating_sub(OPERATORS)
+    }
+
+    /// Counts the operators' callers, who share the descriptors.
+    pub fn callers(&self) -> Rc<Cell<usize>> {
+        Rc::clone(&self.callers)
+    }
+
     /// Seats a client that has just connected and serves it.
-    pub(crate) fn take_in<S: AsyncRead + AsyncWrite + 'static>(self: &Rc<Service>, stream: S) {
+    pub(crate) fn take_in(self: &Rc<Service>, stream: impl Connection) {
         count(&self.exchange.counters().clients);
         let seated = self.seat();
-        spawn_local(async move {
-            let mut client = ServiceClient::new(&seated.service, &seated.seat);
-            // A connection that breaks has no one to be told.
-            let _ = client.serve(stream).await;
-        });
+        // A connection that breaks has no one to be told.
+        spawn_local(async move { drop(seated.serve(stream).await) });
     }
 
     fn seat(self: &Rc<Service>) -> Seated {
         let (busy, half, spoke, leave, cut) = Default::default();
         let seat = Rc::new(Seat { quiet: Cell::new(Instant::now()), busy, half, spoke, leave, cut });
         self.seats.borrow_mut().push(Rc::clone(&seat));
-        self.shutdown.connections(self.seats.borrow().len());
+        self.tell_open();
         Seated { service: Rc::clone(self), seat }
     }
 
+    fn tell_open(&self) {
+        self.shutdown.connections(self.seats.borrow().len() + self.lingering.get());
+    }
+
     /// Waits until this connection, which owes nothing, should close.
     async fn closing(&self, seat: &Seat, patience: Option<Instant>) -> Look {
         tokio::select! {
--- a/node/src/service/client.rs
+++ b/node/src/service/client.rs
@@ -4,10 +4,11 @@
 use std::io;
 
 use bytes::{BufMut, Bytes, BytesMut};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout, Duration, Instant};
 
+use super::connection::{left, Connection, Reader};
 use super::{Seat, Service};
 use crate::counters::count;
 use crate::exchange::{Answer, Command, CommandId};
@@ -69,8 +70,14 @@
     read: Instant,
     /// The long value that it is writing.
     writing: Option<Writing>,
+    /// When a part of an answer was last written to the client.
+    wrote: Option<Instant>,
     /// The client sends no more, or nothing after this can be understood.
     ended: bool,
+    /// The client has left, though not all that it sent has been read: none of that is sent on.
+    left: bool,
+    /// The process ends: what has been read is answered, and no more is.
+    last: bool,
 }
 
 impl<'a> ServiceClient<'a> {
@@ -90,7 +97,10 @@
             came: Instant::now(),
             long: None,
             read: Instant::now(),
+            wrote: None,
             ended: false,
+            left: false,
+            last: false,
         }
     }
 
@@ -150,22 +160,29 @@
         }
     }
 
-    pub(super) async fn serve<S: AsyncRead + AsyncWrite>(&mut self, stream: S) -> io::Result<()> {
-        let (mut reader, mut writer) = tokio::io::split(stream);
+    /// Serves the connection until its end. What is returned may still bring something that crossed the close.
+    pub(super) async fn serve<C: Connection>(&mut self, stream: C) -> io::Result<Option<C::Reader>> {
+        let (mut reader, mut writer) = stream.halves();
         loop {
             self.take();
             self.keep_time();
             self.keep_account();
-            if self.ended && self.owes_nothing() {
+            if (self.ended || self.last) && self.owes_nothing() {
                 writer.shutdown().await?;
-                return linger(&mut reader).await;
+                return Ok(Some(reader));
             }
             // With room here every whole command has been taken, so that the end of the client's side, which
             // is only read then, never comes before a command that it had sent.
             let blocked = self.blocked();
-            let room = !self.ended && !blocked && self.owed.len() < MAX_OWED && self.may_hold_more();
+            let room =
+                !self.ended && !self.last && !blocked && self.owed.len() < MAX_OWED && self.may_hold_more();
             // Answers to a client that does not read them wait in their small form.
             let drained = self.output.len() < self.service.bounds.unread;
+            let unread = !(room && drained || self.ended || self.left);
+            if unread && reader.has_left() {
+                self.has_left();
+                continue;
+            }
             let idle = self.idle();
             let patience = self.patience();
             let service = self.service;
@@ -180,15 +197,17 @@
                 written = writer.write_buf(&mut self.output), if !self.output.is_empty() => {
                     written?;
                     self.read = Instant::now();
+                    self.wrote = Some(self.read);
                 }
                 piece = next_piece(&self.long), if self.output.len() < service.bounds.piece => {
                     self.pass_on(piece)?;
                 }
                 () = writing::room(&self.writing), if blocked => {}
-                read = reader.read_buf(&mut self.input), if room && drained => {
-                    self.came = Instant::now();
-                    if read? == 0 {
-                        self.leave();
+                read = read(&mut reader, &mut self.input, unread), if room && drained || unread => {
+                    match read? {
+                        Some(0) => self.leave(),
+                        Some(_) => self.came = Instant::now(),
+                        None => self.has_left(),
                     }
                 }
                 look = service.closing(self.seat, patience), if idle => {
@@ -199,9 +218,15 @@
                         read = reader.read_buf(&mut self.input) => if read? == 0 {
                             self.leave();
                         },
-                        () = look.wait() => return writer.shutdown().await,
+                        () = look.wait() => {
+                            writer.shutdown().await?;
+                            // An answer that is still on its way must not be lost to what crosses the close.
+                            let answered = self.wrote.is_some_and(|wrote| wrote.elapsed() < LINGER);
+                            return Ok(answered.then_some(reader));
+                        }
                     }
                 }
+                () = service.shutdown.last(), if !self.ended && !self.last => self.last = true,
                 () = until(patience), if !idle => {
                     if !self.output.is_empty() {
                         return Err(io::ErrorKind::TimedOut.into());
@@ -249,6 +274,7 @@
                 Some(Incoming::Long(command, class, length)) => {
                     let command = self.of_class(command, &class);
                     self.writing = command.map(|command| Writing::new(command, length));
+                    self.writing.iter_mut().filter(|_| self.left).for_each(Writing::let_go);
                 }
                 Some(Incoming::Piece(piece, end)) => {
                     // Of a command that was turned away at its line the value is read past.
@@ -291,6 +317,9 @@
         self.half = None;
         let text = command.id.clone();
         let size = command.value.as_ref().map_or(0, Bytes::len);
+        if self.left {
+            return self.turn_back();
+        }
         match self.service.exchange.take(command) {
             Some((id, answer)) => {
                 self.open += size;
@@ -312,9 +341,27 @@
         self.ended |= self.malformed >= MAX_MALFORMED;
     }
 
-    /// The client has closed its side: it is gone, or waits for the answers that it is owed.
+    /// Owes a client that has left the answer to what it had sent before: it is not sent on.
+    fn turn_back(&mut self) {
+        count(&self.service.exchange.counters().left);
+        self.owed.push_back(Owed::Line("SERVER_ERROR busy"));
+    }
+
+    /// The client has closed its side, and that has been read: it is gone, or waits for the answers that it is owed.
     fn leave(&mut self) {
         self.ended = true;
+        self.let_go();
+    }
+
+    /// The client has closed its side behind what stands unread. That is still read and answered, as it was taken.
+    fn has_left(&mut self) {
+        self.left = true;
+        self.writing.iter_mut().for_each(Writing::let_go);
+        self.let_go();
+    }
+
+    /// Nothing new begins for the commands that are open.
+    fn let_go(&mut self) {
         for owed in &self.owed {
             if let Owed::Command(id, ..) = owed {
                 self.service.exchange.left(*id);
@@ -375,11 +422,19 @@
     }
 }
 
+/// Reads more, and tells how much. Where it must stay unread: waits until the client has left, which is no number.
+async fn read(reader: &mut impl Reader, input: &mut BytesMut, unread: bool) -> io::Result<Option<usize>> {
+    if unread {
+        left(reader).await;
+        return Ok(None);
+    }
+    reader.read_buf(input).await.map(Some)
+}
+
 /// Reads off for a moment what a client still sends that has been told its last answer.
-async fn linger<R: AsyncRead + Unpin>(reader: &mut R) -> io::Result<()> {
+pub(super) async fn linger(reader: impl AsyncRead + Unpin) {
     let (mut rest, mut nowhere) = (reader.take(LINGER_BYTES), tokio::io::sink());
     let _ = timeout(LINGER, tokio::io::copy(&mut rest, &mut nowhere)).await;
-    Ok(())
 }
 
 /// Waits for the next piece of a long value; for ever where none is on its way.
--- a/node/src/service/tests.rs
+++ b/node/src/service/tests.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use juniperladder::Effect;
 use proptest::prelude::*;
-use tokio::io::{duplex, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt};
 
 /// A step on a client's connection.
 #[derive(Clone, Debug)]
@@ -33,15 +33,14 @@
 
 fn service(recorder: &Rc<Recorder>) -> Rc<Service> {
     let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), recorder.clone(), 1);
-    let bounds = Bounds { clients: 8, kept: 4, hosts: 8, held: 1 << 17, unread: 1 << 16, piece: 1 << 10 };
+    let bounds =
+        Bounds { clients: 8, kept: 4, hosts: 8, callers: 8, held: 1 << 17, unread: 1 << 16, piece: 1 << 10 };
     let labels = Labels { classes: vec!["read".into()], tenants: vec!["acme".into(), "beta".into()] };
     Service::new(exchange, labels, Rc::default(), bounds, testing::log())
 }
 
-async fn serve(service: Rc<Service>, stream: impl AsyncRead + AsyncWrite) -> io::Result<()> {
-    let seated = service.seat();
-    let mut client = ServiceClient::new(&seated.service, &seated.seat);
-    client.serve(stream).await
+async fn serve(service: Rc<Service>, stream: impl Connection) -> io::Result<()> {
+    service.seat().serve(stream).await
 }
 
 proptest! {
@@ -428,3 +427,166 @@
         assert_eq!(io::read_to_string(far).unwrap(), "MN\r\n");
     });
 }
+
+async fn connected(service: &Rc<Service>) -> tokio::net::TcpStream {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let far = tokio::net::TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let (near, _) = listener.accept().await.unwrap();
+    spawn_local(serve(Rc::clone(service), near));
+    far
+}
+
+/// How a client leaves whose answers are still owed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Leaves {
+    Closes,
+    Resets,
+    EndsItsSide,
+}
+
+async fn leave(mut far: tokio::net::TcpStream, how: Leaves) -> Option<tokio::net::TcpStream> {
+    match how {
+        Leaves::Closes => drop(far),
+        Leaves::Resets => far.set_zero_linger().unwrap(),
+        Leaves::EndsItsSide => {
+            far.shutdown().await.unwrap();
+            return Some(far);
+        }
+    }
+    None
+}
+
+/// A client that leaves while nothing of it is read, as its pipeline is full or it does not take its answers, has gone all the
+/// same: what waits is let go of at once, and what it had sent behind it never begins.
+#[test]
+fn a_client_that_leaves_while_it_is_not_read_has_gone() {
+    assert!(connection::LOOK * 2 < Duration::from_millis(100));
+    for how in [Leaves::Closes, Leaves::Resets, Leaves::EndsItsSide] {
+        for answers in [false, true] {
+            testing::run_on_sockets(async {
+                let recorder = Rc::new(Recorder::default());
+                let service = service(&recorder);
+                let mut far = connected(&service).await;
+                let all = MAX_OWED + 40;
+                let text: String = (0..all).map(|id| format!("mg k v O{id} Pc=read,d=1400\r\n")).collect();
+                far.write_all(text.as_bytes()).await.unwrap();
+                // It is read up to its bound and no further.
+                let taken = || service.exchange.counters().commands.get();
+                while taken() < MAX_OWED as u64 {
+                    settle().await;
+                }
+                settle().await;
+                let begun = recorder.begun.borrow().len();
+                assert_eq!(taken(), MAX_OWED as u64);
+                if answers {
+                    // The first answers are more than the client, who takes none, has room for.
+                    let execution = recorder.begun.borrow_mut().remove(0);
+                    let value = Bytes::from(vec![b'v'; 16 << 20]);
+                    service.exchange.ended(execution.id, End::Reply(Reply::Served(Answer::Value(value))));
+                    settle().await;
+                }
+                let far = leave(far, how).await;
+                let over = |recorder: &Recorder| {
+                    let now = service.exchange.clock().now();
+                    recorder.begun.borrow().iter().all(|execution| execution.over(now))
+                };
+                let start = Instant::now();
+                while !over(&recorder) {
+                    sleep(Duration::from_millis(1)).await;
+                    assert!(start.elapsed() < Duration::from_secs(1), "{how:?}, {answers}: not noticed");
+                }
+                // What is out still ends; nothing begins any more.
+                let out: Vec<_> = recorder.begun.take();
+                assert_eq!(out.len() + usize::from(answers), begun);
+                for execution in out {
+                    service.exchange.ended(execution.id, End::CalledOff);
+                }
+                if let Some(mut far) = far {
+                    // Who only ended its side has an answer for each all the same.
+                    let mut got = Vec::new();
+                    far.read_to_end(&mut got).await.unwrap();
+                    let told =
+                        got.split(|byte| *byte == b'\n').filter(|line| line.starts_with(b"SERVER_ERROR"));
+                    assert_eq!(told.count() + usize::from(answers), all);
+                }
+                while !service.seats.borrow().is_empty() {
+                    sleep(Duration::from_millis(1)).await;
+                }
+                assert!(recorder.begun.borrow().is_empty(), "{how:?}, {answers}: begun for nobody");
+                assert_eq!(service.exchange.in_progress(), 0);
+            });
+        }
+    }
+}
+
+/// A request that comes in the moment in which its resting connection is closed is not sent on, and its crossing takes nothing of
+/// the answer before it: the client has that whole, and an end that is no reset.
+#[test]
+fn what_crosses_a_close_takes_no_answer_with_it() {
+    testing::run_on_sockets(async {
+        let recorder = Rc::new(Recorder::default());
+        let service = service(&recorder);
+        let mut far = connected(&service).await;
+        far.write_all(b"mg a v O1 Pc=read,d=1400\r\n").await.unwrap();
+        let execution = loop {
+            settle().await;
+            if let Some(execution) = recorder.begun.borrow_mut().pop() {
+                break execution;
+            }
+        };
+        // More than the client's machine takes while its client does not read, and less than the own one does.
+        const LENGTH: usize = 200 << 10;
+        let value = Bytes::from(vec![b'v'; LENGTH]);
+        service.exchange.ended(execution.id, End::Reply(Reply::Served(Answer::Value(value))));
+        service.shutdown.close();
+        // The connection is shut for writing by now, and its client, who has read nothing yet, sends one more.
+        while !service.seats.borrow().is_empty() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        far.write_all(b"mg b v O2 Pc=read,d=1400\r\n").await.unwrap();
+        let mut got = Vec::new();
+        far.read_to_end(&mut got).await.unwrap();
+        assert_eq!(got.len(), "VA 204800 O1\r\n".len() + LENGTH + 2);
+        assert!(recorder.begun.borrow().is_empty(), "nothing that came after the close is sent on");
+    });
+}
+
+/// At the very end no more is read, what has been read is answered, and the connection ends in a way that takes no answer with it,
+/// though its client never stops to send.
+#[test]
+fn at_the_end_a_busy_connection_is_answered_and_ended() {
+    testing::run_on_sockets(async {
+        let recorder = Rc::new(Recorder::default());
+        let service = service(&recorder);
+        let far = connected(&service).await;
+        let exchange = Rc::clone(&service.exchange);
+        let timers = Rc::clone(&exchange);
+        spawn_local(async move { timers.run().await });
+        let (mut reader, mut writer) = far.into_split();
+        spawn_local(async move {
+            for id in 0.. {
+                let some = format!("mg a v O{id} Pc=read,d=1400\r\n");
+                if writer.write_all(some.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        });
+        while exchange.counters().commands.get() < 50 {
+            settle().await;
+        }
+        let end = spawn_local(async move {
+            let mut got = Vec::new();
+            reader.read_to_end(&mut got).await.map(|_| got)
+        });
+        // The time for answers is up in a moment.
+        let last = crate::shutdown::last_answer(Duration::from_millis(600));
+        let signal = Instant::now() - (last - Duration::from_millis(100));
+        exchange.end_by(exchange.clock().now().plus(juniperladder::Micros(100_000)));
+        service.shutdown.run(signal, last + crate::shutdown::WAY_OUT).await;
+        let got = timeout(Duration::from_secs(5), end).await.expect("the connection ends").unwrap().unwrap();
+        assert!(got.ends_with(b"\r\n"));
+        let answers =
+            got.split(|byte| *byte == b'\n').filter(|line| line.starts_with(b"SERVER_ERROR")).count();
+        assert_eq!(answers as u64, exchange.counters().commands.get(), "one answer for each that was taken");
+    });
+}
--- a/node/src/shutdown.rs
+++ b/node/src/shutdown.rs
@@ -30,6 +30,7 @@
 pub struct Shutdown {
     last: Cell<Option<Instant>>,
     closing: Cell<bool>,
+    over: Cell<bool>,
     stopping: Cell<bool>,
     open: Cell<usize>,
     changed: Notify,
@@ -59,6 +60,13 @@
         }
     }
 
+    /// Waits until no more commands are read: the last answers are on their way.
+    pub async fn last(&self) {
+        while !self.over.get() {
+            self.changed.notified().await;
+        }
+    }
+
     /// From now on connections close between commands.
     pub fn close(&self) {
         self.closing.set(true);
@@ -83,8 +91,14 @@
                 self.changed.notified().await;
             }
         };
-        // What is cut off then owes nothing.
-        let _ = timeout_at(signal + most, closed).await;
+        tokio::pin!(closed);
+        if timeout_at(signal + most.saturating_sub(WAY_OUT), &mut closed).await.is_err() {
+            // All that was read has its answer now; who goes on sending is told so by the end of the connection.
+            self.over.set(true);
+            self.changed.notify_waiters();
+            // What is cut off then owes nothing.
+            let _ = timeout_at(signal + most, closed).await;
+        }
     }
 }
 
--- a/node/src/storm.rs
+++ b/node/src/storm.rs
@@ -153,8 +153,15 @@
         let shutdown = Rc::new(Shutdown::default());
         let classes = CLASSES.map(|(name, ..)| name.to_owned()).into();
         let labels = Labels { classes, tenants: vec![] };
-        let bounds =
-            Bounds { clients: 16, kept: 12, hosts: 24, held: 1 << 17, unread: 1 << 16, piece: 1 << 12 };
+        let bounds = Bounds {
+            clients: 16,
+            kept: 12,
+            hosts: 24,
+            callers: 8,
+            held: 1 << 17,
+            unread: 1 << 16,
+            piece: 1 << 12,
+        };
         let service = Service::new(Rc::clone(&exchange), labels, Rc::clone(&shutdown), bounds, log());
         // The pools live as long as the exchange, which holds them.
         World { exchange, service, shutdown, hosts, ledger }
--- a/node/src/testing.rs
+++ b/node/src/testing.rs
@@ -4,8 +4,11 @@
 
 pub use juniperladder_exchange::testing::*;
 
+use tokio::io::{DuplexStream, ReadHalf, WriteHalf};
+
 use crate::clock::Clock;
 use crate::counters::Counters;
+use crate::service::{Connection, Reader};
 use crate::upstream::Upstream;
 
 /// Pools with room for so many connections.
@@ -22,3 +25,19 @@
     };
     Upstream::new(limits, Rc::new(crate::connect::Tcp), Clock::start(), Rc::new(Counters::default()), log())
 }
+
+impl Connection for DuplexStream {
+    type Reader = ReadHalf<DuplexStream>;
+    type Writer = WriteHalf<DuplexStream>;
+
+    fn halves(self) -> (Self::Reader, Self::Writer) {
+        tokio::io::split(self)
+    }
+}
+
+impl Reader for ReadHalf<DuplexStream> {
+    /// What is in memory is only read in its order.
+    fn has_left(&self) -> bool {
+        false
+    }
+}
--- a/node/src/upstream/uploads.rs
+++ b/node/src/upstream/uploads.rs
@@ -124,7 +124,15 @@
         let mut up = host(ServerId(HOST.0 + 1), State::Serving);
         (up.entry.kind, up.address) = (ORIGIN, origin.local_addr().ok());
         exchange.listed(ListKind::Replace, &[up]);
-        let bounds = Bounds { clients: 8, kept: 4, hosts: 8, held: 1 << 17, unread: 1 << 16, piece: 1 << 12 };
+        let bounds = Bounds {
+            clients: 8,
+            kept: 4,
+            hosts: 8,
+            callers: 8,
+            held: 1 << 17,
+            unread: 1 << 16,
+            piece: 1 << 12,
+        };
         let labels = Labels { classes: vec!["read".into()], tenants: vec![] };
         let service = Service::new(exchange, labels, Rc::default(), bounds, log());
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
--- a/node/src/writing.rs
+++ b/node/src/writing.rs
@@ -29,6 +29,13 @@
         Writing { command, length, ahead: BytesMut::new(), begun: false, way: None }
     }
 
+    /// Lets go of what is on its way: its client has left. The value is still read to its end.
+    pub fn let_go(&mut self) {
+        self.begun = true;
+        self.way = None;
+        self.ahead.clear();
+    }
+
     /// How many bytes of it are in hand here.
     pub fn ahead(&self) -> usize {
         self.ahead.len()
