Show the cold ramp of 3, 30 and 300 balancers together, and of 30 processes

N is 1.5 times what the host can do then; sites bear three or four times that. Only those that had heard of the start are counted in the miniature, as the operators count.

Both pass with the program as it is.

--- a/lab/tests/fleet.rs
+++ b/lab/tests/fleet.rs
@@ -8,6 +8,7 @@
 use juniperladder_fleet::{play, Options, Played};
 use juniperladder_world::experiment::read;
 use juniperladder_world::judge::{judge, Terms, Verdict};
+use juniperladder_world::ledger::At;
 use juniperladder_world::SECOND;
 
 /// Two at a time.
@@ -263,3 +264,43 @@
     );
     assert_eq!(run.started, 14);
 }
+
+/// Hosts come back cold while thirty processes that do not talk send to them, most of the load at few of them, and while some of
+/// these are replaced: in no second does one get more than it bears by the settings and what chance adds, 2 roots and 2, counted
+/// where it arrives.
+#[test]
+fn thirty_processes_together_ramp_a_cold_host() {
+    const COLD_FROM: f64 = 0.1;
+    const COLD_S: f64 = 5.0;
+    const BEARS: f64 = 1.5;
+    let load = format!(
+        "writes = 0.05\nwarm = 5\nuneven = {{ share = 0.6, at = 0.2 }}\n[origin]\ncapacity = 120\n\
+         [hosts]\nwork_ms = 20.0\ncold_from = {COLD_FROM}\ncold_s = {COLD_S}\nfall_times = {BEARS}\n"
+    );
+    let faults = "[[fault]]\nat = 3\nwhat = \"restart\"\nwho = \"hosts:2-3\"\n\
+                  [[fault]]\nat = 4.5\nwhat = \"kill\"\nwho = \"balancers:0-7\"\nback = 0.5\n\
+                  [[fault]]\nat = 6\nwhat = \"kill\"\nwho = \"balancers:20-25\"\nback = 0.5\n";
+    let (run, _) = played("cold-ramp", 30, &load, faults);
+    assert_eq!(run.started, 44);
+    for host in [2, 3] {
+        let mut cold: Vec<u64> = run
+            .ledger
+            .attempts
+            .iter()
+            .filter(|attempt| attempt.at == At::Host(host) && attempt.cold)
+            .map(|attempt| attempt.begun)
+            .collect();
+        cold.sort_unstable();
+        assert!(cold.len() > 15, "host {host}: {} sends while it warms up", cold.len());
+        // It had started by then.
+        let started = cold[0];
+        for (last, at) in cold.iter().enumerate() {
+            let sends = last + 1 - cold.partition_point(|before| before + SECOND <= *at);
+            let warm = COLD_FROM + (1.0 - COLD_FROM) * (at - started) as f64 / (COLD_S * SECOND as f64);
+            // A core does 50 a second.
+            let n = BEARS * 50.0 * warm.min(1.0);
+            let most = n + 2.0 * n.sqrt() + 2.0;
+            assert!(sends as f64 <= most, "host {host}: {sends} in a second for {most:.1}");
+        }
+    }
+}
--- a/src/rules/tests/fleet.rs
+++ b/src/rules/tests/fleet.rs
@@ -58,6 +58,22 @@
     }
 }
 
+/// Hosts that come back cold under a busy day's load bear what all balancers together send: no more than 1.5 times
+/// what they can do then (sites bear three or four times), and what chance adds to that, whether three send or three hundred, with retries and second copies counted.
+#[test]
+fn a_cold_host_is_ramped_by_all_balancers_together() {
+    for balancers in [3, 30, 300] {
+        for seed in [5, 6, 7] {
+            let (slow, silent) = ((0, 0, 1.0), (6, 9, 6));
+            let plan = Plan { seed, balancers, caches: 24, rate: 360.0, seconds: 19, slow, silent };
+            let day = play_fleet(plan);
+            println!("{balancers:4} balancers: cold host at {:.2}, {:.1} over", day.pushed, day.over_chance);
+            assert!(day.pushed > 0.2, "{balancers}: it is sent something");
+            assert!(day.over_chance <= 0.0, "{balancers}, seed {seed}: {:.1} sends over", day.over_chance);
+        }
+    }
+}
+
 /// More than all caches can do, by few or by many balancers: what is over is turned away and the rest is served.
 #[test]
 fn overload_by_many_balancers_costs_no_more_than_what_is_over() {
--- a/src/rules/tests/miniature.rs
+++ b/src/rules/tests/miniature.rs
@@ -47,6 +47,9 @@
     pub attempts: f64,
     /// The most sends in a second to one cache that started anew, in parts of what it can do then.
     pub pushed: f64,
+    /// The most by which those of balancers that had heard of its start were over what it bears, 1.5 times what it can do
+    /// then, and what chance adds to that, 2 roots and 2.
+    pub over_chance: f64,
 }
 
 /// What is played.
@@ -83,6 +86,9 @@
     workers: Vec<Vec<u64>>,
     plan: Plan,
     cold: HashMap<(u64, u64), f64>,
+    /// The balancers that have heard of the start, and what was sent to each cold cache by these, by second.
+    told: HashSet<usize>,
+    cold_told: HashMap<(u64, u64), f64>,
     day: Day,
 }
 
@@ -113,9 +119,23 @@
     let day = Day { asked: zeros(), served: zeros(), fetches: zeros(), lost: zeros(), ..Day::default() };
     let rng = fastrand::Rng::with_seed(seed);
     let (due, tries) = (BinaryHeap::new(), HashMap::new());
-    let cold = HashMap::new();
-    let mut world =
-        Miniature { rng, now: SECOND, due, count: 0, routers, tries, kept, workers, plan, cold, day };
+    let (cold, told, cold_told) = Default::default();
+    let now = SECOND;
+    let mut world = Miniature {
+        rng,
+        now,
+        due,
+        count: 0,
+        routers,
+        tries,
+        kept,
+        workers,
+        plan,
+        cold,
+        told,
+        cold_told,
+        day,
+    };
     world.plan(SECOND, Due::Arrival);
     for router in 0..if silent.1 > 0 { balancers } else { 0 } {
         let late = world.rng.u64(..2 * SECOND);
@@ -147,6 +167,7 @@
                 let started = Micros(silent.1 * SECOND);
                 let back = |n: &u64| n.is_multiple_of(silent.2);
                 let list: Vec<_> = (0..caches).filter(back).map(|n| Entry { started, ..entry(n) }).collect();
+                world.told.insert(router);
                 world.tell(router, Event::Endpoints(ListKind::Update, &list));
             }
         }
@@ -203,7 +224,15 @@
             let warm = 0.32 + 0.68 * (self.now - to * SECOND) as f64 / (9 * SECOND) as f64;
             let sends = self.cold.entry((server, second)).or_default();
             *sends += 1.0;
-            self.day.pushed = self.day.pushed.max(*sends / (2.0 / HIT * warm));
+            let can = 2.0 / HIT * warm;
+            self.day.pushed = self.day.pushed.max(*sends / can);
+            if self.told.contains(&self.tries[&n].at) {
+                let sends = self.cold_told.entry((server, second)).or_default();
+                *sends += 1.0;
+                let bears = 1.5 * can;
+                let over = *sends - (bears + 2.0 * bears.sqrt() + 2.0);
+                self.day.over_chance = self.day.over_chance.max(over);
+            }
         }
         let silent = ill && (from..to).contains(&second);
         self.day.attempts += 1.0;
