Write nothing on a connection to where its host stood before

A resting connection is given its next execution, and the list that moves the host to another address may come before the first byte: lane.rs asked only whether the host may be sent to ('upstream.is_open'), and wrote to the old address. Found by reading; ruled out: a drain or an end that crosses in the same way, which was asked for.

It now asks whether the host still stands there, and the execution goes to the new place. The test a_list_that_crosses_a_hand_over_comes_first forces the order over real connections for a drain, an end and a move; the move fails without it.

--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -232,10 +232,6 @@
         self.pools.borrow().get(&lane.server).is_some_and(|pool| pool.is_at(lane))
     }
 
-    fn is_open(&self, server: ServerId) -> bool {
-        self.pools.borrow().get(&server).is_some_and(|pool| pool.open)
-    }
-
     /// A connection did not come up: one execution fails if fewer connections than executions are left.
     fn not_up(&self, server: ServerId) {
         let failed = {
--- a/node/src/upstream/lane.rs
+++ b/node/src/upstream/lane.rs
@@ -88,7 +88,7 @@
             // The runtime looks for news of the connection first: some hosts close right behind an answer.
             yield_now().await;
             // A connection that ended meanwhile is no try: nothing of the execution was written.
-            if !upstream.is_open(self.server) {
+            if !upstream.is_at(self) {
                 return upstream.put_back(self.server, execution);
             }
             if !quiet(&mut stream, &mut input) {
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -454,3 +454,48 @@
         });
     }
 }
+
+/// Reads one command's line.
+async fn command_at(stream: &mut tokio::net::TcpStream) -> String {
+    let mut got = BytesMut::new();
+    while !got.ends_with(b"\r\n") {
+        assert!(stream.read_buf(&mut got).await.unwrap() > 0, "it ends");
+    }
+    String::from_utf8_lossy(&got).into_owned()
+}
+
+/// A list that crosses a hand-over: the resting connection has been given its next command, and before a byte of that is written
+/// the host drains, is gone, or stands elsewhere. Nothing goes out on the old connection.
+#[test]
+fn a_list_that_crosses_a_hand_over_comes_first() {
+    for change in [State::Draining, State::Deleted, State::Serving] {
+        testing::run_on_sockets(async {
+            let (exchange, upstream, old) = world().await;
+            let new = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+            let (_, first) = exchange.take(testing::command("1", None)).unwrap();
+            let (mut resting, _) = old.accept().await.unwrap();
+            command_at(&mut resting).await;
+            resting.write_all(b"VA 1 O1\r\nv\r\n").await.unwrap();
+            assert!(first.await.is_ok());
+            settle().await;
+            assert_eq!(upstream.connections.get(), 1, "it rests");
+            // Without a moment between: the command is given to the connection, and the list comes.
+            let (_, second) = exchange.take(testing::command("2", None)).unwrap();
+            let mut listed = host(HOST, change);
+            listed.address = new.local_addr().ok();
+            exchange.listed(ListKind::Update, &[listed]);
+            if change == State::Serving {
+                let accepted = timeout(Duration::from_secs(5), new.accept()).await;
+                let (mut stream, _) = accepted.expect("it goes to the new place").unwrap();
+                assert!(command_at(&mut stream).await.contains(" O2 "));
+                stream.write_all(b"VA 1 O2\r\nw\r\n").await.unwrap();
+                assert_eq!(second.await, Ok(Answer::Value("w".into())));
+            } else {
+                assert!(matches!(second.await, Ok(Answer::Nack(_))));
+            }
+            let mut more = Vec::new();
+            resting.read_to_end(&mut more).await.unwrap();
+            assert!(more.is_empty(), "{change:?}: {:?}", String::from_utf8_lossy(&more));
+        });
+    }
+}
