Set no timer for discovery where lists are pushed, as before

The module asks for a timer again only where lists have to be asked for. The timer did nothing where it was not wanted (Event::Timer(DISCOVERY) is passed over there).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -143,7 +143,7 @@
         }
         self.members.follow(kind, list, &self.settings);
         self.together.listed(self.members.hosts());
-        if kind == ListKind::Restored && self.members.call.0 == 0 {
+        if kind == ListKind::Restored && self.members.call.0 == 0 && self.settings.subscribe {
             let at = now.plus(spread.times(START * self.rng.f64())).plus(self.settings.tick);
             self.members.call = at;
             actions.push(Action::Timer { at, token: DISCOVERY });
