--- a/exchange/src/counters.rs
+++ b/exchange/src/counters.rs
@@ -59,27 +59,27 @@
     overdue,
     /// Listed hosts that were more than may be known.
     hosts_left_out,
-    /// Executions begun.
-    executions,
-    /// Executions written in full to a host.
+    /// Attempts begun.
+    attempts,
+    /// Attempts written in full to a host.
     tries,
-    /// Executions that a host answered with a value or a receipt.
+    /// Attempts that a host answered with a value or a receipt.
     ok,
-    /// Executions that a cache host answered with a miss.
+    /// Attempts that a cache host answered with a miss.
     misses,
-    /// Executions that ended in an error.
+    /// Attempts that ended in an error.
     errors,
-    /// Executions turned away.
+    /// Attempts turned away.
     full,
-    /// Executions that timed out.
+    /// Attempts that timed out.
     timeouts,
-    /// Executions that found no connection.
+    /// Attempts that found no connection.
     connect_failed,
-    /// Executions whose connection broke.
+    /// Attempts whose connection broke.
     resets,
-    /// Executions called off before their first byte, as the host drains or is gone.
+    /// Attempts called off before their first byte, as the host drains or is gone.
     moot,
-    /// Answers that came after their execution had timed out.
+    /// Answers that came after their attempt had timed out.
     late_answers,
     /// Commands served by such an answer.
     served_late,
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -1,5 +1,5 @@
 //! Where the client side and the server side meet. The exchange owns the module, the open commands, the
-//! executions and the timers; it knows no protocol, and neither side knows the other.
+//! attempts and the timers; it knows no protocol, and neither side knows the other.
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -21,7 +21,7 @@
 use crate::clock::{to_ms, Clock};
 use crate::counters::{count, Counters};
 use crate::long::{long, ticket, Feed, Going, Long, Ticket};
-pub use crate::numbers::ExecutionId;
+pub use crate::numbers::AttemptId;
 use crate::tally::{Ended, Tally};
 use crate::telling::Telling;
 pub use crate::values::{Answer, Command, Host, Reply};
@@ -37,7 +37,7 @@
 /// A time that does not come.
 const NEVER: Micros = Micros(u64::MAX);
 
-/// How an execution ended on the network.
+/// How an attempt ended on the network.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum End {
     /// With a reply.
@@ -71,9 +71,9 @@
 
 /// One attempt at a command at one host.
 #[derive(Clone, Debug)]
-pub struct Execution {
+pub struct Attempt {
     /// Its name.
-    pub id: ExecutionId,
+    pub id: AttemptId,
     /// What to send.
     pub command: Rc<Command>,
     /// Where to.
@@ -85,10 +85,10 @@
     over: Over,
 }
 
-/// Set once a command has its final answer, or its client is gone or sends no more: shared by all its executions.
+/// Set once a command has its final answer, or its client is gone or sends no more: shared by all its attempts.
 type Over = Rc<Cell<bool>>;
 
-impl Execution {
+impl Attempt {
     /// Whether no byte of it may be written any more: nobody waits for it, so that a host would do work that is for nobody,
     /// after the command's final answer; or it is a repeat, and hosts may no longer know the command to drop it. Whoever
     /// carries it asks before each write.
@@ -98,7 +98,7 @@
 }
 
 /// A long value that a client writes, to be sent to the origin while it still comes: all but its last byte, which
-/// waits for the execution.
+/// waits for the attempt.
 #[derive(Debug)]
 pub struct Upload {
     /// What it is about: a write, whose value is the one below.
@@ -107,20 +107,20 @@
     pub server: ServerId,
     /// The value. Whoever lets go of it takes no more.
     pub value: Long,
-    /// Brings the execution that sends the last byte. If none comes the connection has to end as it is.
+    /// Brings the attempt that sends the last byte. If none comes the connection has to end as it is.
     pub going: Going,
 }
 
-/// Carries executions to hosts. No method may call the exchange: what is to be told comes from a task.
+/// Carries attempts to hosts. No method may call the exchange: what is to be told comes from a task.
 pub trait Carrier {
     /// The name table has news.
     fn listed(&self, kind: ListKind, hosts: &[Host]);
-    /// Start an execution.
-    fn begin(&self, execution: Execution);
-    /// Begin to send a long value. The execution that ends it comes by its ticket.
+    /// Start an attempt.
+    fn begin(&self, attempt: Attempt);
+    /// Begin to send a long value. The attempt that ends it comes by its ticket.
     fn upload(&self, upload: Upload);
     /// Its answer is not waited for any longer. Tells whether its last byte has been written.
-    fn abandon(&self, id: ExecutionId, server: ServerId) -> bool;
+    fn abandon(&self, id: AttemptId, server: ServerId) -> bool;
 }
 
 struct Open {
@@ -146,7 +146,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Module(u64),
-    Execution(ExecutionId),
+    Attempt(AttemptId),
     Command(CommandId),
 }
 
@@ -156,9 +156,9 @@
     commands: FxHashMap<CommandId, Open>,
     /// The clients' ids of the open commands; peers choose them, so that their hash is seeded.
     ids: HashSet<Bytes>,
-    executions: FxHashMap<ExecutionId, Running>,
-    /// Executions that have timed out and whose answer may still come.
-    late: FxHashMap<ExecutionId, CommandId>,
+    attempts: FxHashMap<AttemptId, Running>,
+    /// Attempts that have timed out and whose answer may still come.
+    late: FxHashMap<AttemptId, CommandId>,
     timers: BinaryHeap<Reverse<(Micros, Due)>>,
     actions: Vec<Action>,
     last: u64,
@@ -196,7 +196,7 @@
 }
 
 impl Exchange {
-    /// An exchange that sends executions by this carrier.
+    /// An exchange that sends attempts by this carrier.
     pub fn new(
         settings: Settings,
         seed: u64,
@@ -215,7 +215,7 @@
             carrier,
             commands: FxHashMap::default(),
             ids: HashSet::new(),
-            executions: FxHashMap::default(),
+            attempts: FxHashMap::default(),
             late: FxHashMap::default(),
             timers: BinaryHeap::new(),
             actions: Vec::new(),
@@ -360,7 +360,7 @@
     }
 
     /// The client sends no more. It may be gone or wait for its answer, which cannot be told apart: no
-    /// new execution begins for it, and what is out already may still answer it.
+    /// new attempt begins for it, and what is out already may still answer it.
     pub fn left(&self, id: CommandId) {
         let mut inner = self.inner.borrow_mut();
         let Some(open) = inner.commands.get_mut(&id) else { return };
@@ -377,10 +377,10 @@
         }
     }
 
-    /// An execution has ended.
-    pub fn ended(&self, id: ExecutionId, end: End) {
+    /// An attempt has ended.
+    pub fn ended(&self, id: AttemptId, end: End) {
         let mut inner = self.inner.borrow_mut();
-        let Some(running) = inner.executions.remove(&id) else { return self.ended_late(&mut inner, id, end) };
+        let Some(running) = inner.attempts.remove(&id) else { return self.ended_late(&mut inner, id, end) };
         let fetching = matches!(end, End::Reply(Reply::Miss { fetching: true }));
         let (status, answer) = match end {
             End::Reply(Reply::Served(answer)) => (Status::Ok, Some(answer)),
@@ -395,9 +395,9 @@
         self.conclude(&mut inner, running, status, fetching, answer);
     }
 
-    /// An execution has ended that had timed out before. Its answer was made for the command all the same:
+    /// An attempt has ended that had timed out before. Its answer was made for the command all the same:
     /// where that is open, while it is tried elsewhere, a client that waits is better served than not.
-    fn ended_late(&self, inner: &mut Inner, id: ExecutionId, end: End) {
+    fn ended_late(&self, inner: &mut Inner, id: AttemptId, end: End) {
         let Some(command) = inner.late.remove(&id) else { return };
         let End::Reply(Reply::Served(answer)) = end else { return };
         count(&self.counters.late_answers);
@@ -502,14 +502,14 @@
             let Some(Reverse((_, due))) = inner.timers.pop() else { continue };
             match due {
                 Due::Module(token) => self.handle(&mut inner, now, Event::Timer(token)),
-                Due::Execution(id) => self.expire(&mut inner, id),
+                Due::Attempt(id) => self.expire(&mut inner, id),
                 // Most are over by now.
                 Due::Command(id) if !inner.commands.contains_key(&id) => {}
                 Due::Command(id) => {
-                    // The executions' time-outs come first and let the module end it; this guards against
+                    // The attempts' time-outs come first and let the module end it; this guards against
                     // a command that it has forgotten.
                     let out: Vec<_> =
-                        inner.executions.iter().filter(|(_, r)| r.command == id).map(|(id, _)| *id).collect();
+                        inner.attempts.iter().filter(|(_, r)| r.command == id).map(|(id, _)| *id).collect();
                     out.into_iter().for_each(|id| self.expire(&mut inner, id));
                     if inner.commands.contains_key(&id) {
                         count(&self.counters.overdue);
@@ -521,8 +521,8 @@
         }
     }
 
-    fn expire(&self, inner: &mut Inner, id: ExecutionId) {
-        let Some(running) = inner.executions.remove(&id) else { return };
+    fn expire(&self, inner: &mut Inner, id: AttemptId) {
+        let Some(running) = inner.attempts.remove(&id) else { return };
         // What was never written whole cannot have run.
         let written = inner.carrier.abandon(id, running.server);
         let status = if written { Status::Timeout } else { Status::ConnectFailed };
@@ -633,11 +633,11 @@
                 open.out += 1;
                 let (command, over) = (Rc::clone(&open.command), Rc::clone(&open.over));
                 inner.last += 1;
-                let id = ExecutionId(inner.last);
-                count(&self.counters.executions);
-                inner.executions.insert(id, running);
-                inner.timers.push(Reverse((until, Due::Execution(id))));
-                inner.carrier.begin(Execution { id, command, server, until, by, over });
+                let id = AttemptId(inner.last);
+                count(&self.counters.attempts);
+                inner.attempts.insert(id, running);
+                inner.timers.push(Reverse((until, Due::Attempt(id))));
+                inner.carrier.begin(Attempt { id, command, server, until, by, over });
             }
             Action::Refuse { id, retry_after, why } => {
                 count(self.counters.refusals(why));
@@ -677,9 +677,7 @@
                 assert!(matches!(answer.await, Ok(Answer::Failed | Answer::Nack(_))));
                 assert!(start.elapsed() < Duration::from_millis(480), "{:?}", start.elapsed());
                 assert!(!recorder.begun.borrow().is_empty());
-                assert!(
-                    exchange.inner.borrow().executions.is_empty() || exchange.counters.timeouts.get() > 0
-                );
+                assert!(exchange.inner.borrow().attempts.is_empty() || exchange.counters.timeouts.get() > 0);
                 assert_eq!(exchange.counters.overdue.get(), 0, "the module ends it, not the net below it");
             }
         });
@@ -692,8 +690,8 @@
             let (exchange, recorder) = with_timers(1, Effect::Safe, 1);
             let start = Instant::now();
             let (_, answer) = exchange.take(command("1", None)).unwrap();
-            let execution = recorder.begun.borrow_mut().pop().unwrap();
-            exchange.ended(execution.id, End::NotSent);
+            let attempt = recorder.begun.borrow_mut().pop().unwrap();
+            exchange.ended(attempt.id, End::NotSent);
             assert!(matches!(answer.await, Ok(Answer::Nack(_))));
             assert_eq!(start.elapsed(), Duration::ZERO);
         });
@@ -706,11 +704,11 @@
             for served in [true, false] {
                 let (exchange, recorder) = with_timers(3, Effect::Safe, 3);
                 let (id, answer) = exchange.take(command("1", None)).unwrap();
-                let execution = recorder.begun.borrow_mut().pop().unwrap();
+                let attempt = recorder.begun.borrow_mut().pop().unwrap();
                 exchange.left(id);
                 let value = Answer::Value(Bytes::from_static(b"v"));
                 let reply = if served { Reply::Served(value.clone()) } else { Reply::Error };
-                exchange.ended(execution.id, End::Reply(reply));
+                exchange.ended(attempt.id, End::Reply(reply));
                 assert_eq!(answer.await, Ok(if served { value } else { Answer::Failed }));
                 settle().await;
                 assert!(recorder.begun.borrow().is_empty());
@@ -742,7 +740,7 @@
         });
     }
 
-    /// With a command's final answer, or its client's end, all its executions are over: those that no byte has gone out of
+    /// With a command's final answer, or its client's end, all its attempts are over: those that no byte has gone out of
     /// must never begin.
     #[test]
     fn what_is_out_is_over_with_its_command() {
@@ -780,11 +778,11 @@
             let first = exchange.clock.now();
             let _answer = exchange.take(command("1", Some(vec![]))).unwrap();
             tokio::time::sleep(Duration::from_millis(100)).await;
-            let execution = recorder.begun.borrow_mut().pop().unwrap();
-            exchange.ended(execution.id, End::Broken);
+            let attempt = recorder.begun.borrow_mut().pop().unwrap();
+            exchange.ended(attempt.id, End::Broken);
             let repeat = recorder.begun.borrow_mut().pop().unwrap();
             let end = first.plus(window);
-            assert!(!execution.over(end) && !repeat.over(end.minus(Micros(1))) && repeat.over(end));
+            assert!(!attempt.over(end) && !repeat.over(end.minus(Micros(1))) && repeat.over(end));
         });
     }
 
@@ -842,8 +840,8 @@
             for _ in 0..2 {
                 let (_, answer) = exchange.take(command("1", None)).unwrap();
                 assert!(exchange.take(command("1", None)).is_none());
-                let execution = recorder.begun.borrow_mut().pop().unwrap();
-                exchange.ended(execution.id, End::Spoilt);
+                let attempt = recorder.begun.borrow_mut().pop().unwrap();
+                exchange.ended(attempt.id, End::Spoilt);
                 assert!(matches!(answer.await, Ok(Answer::Nack(_) | Answer::Failed)));
             }
             assert!(exchange.inner.borrow().ids.is_empty());
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -1,6 +1,6 @@
 //! Where the client side and the server side of a balancer meet. It knows no protocol and no socket.
 //!
-//! [`exchange::Exchange`] owns the decision module, the open commands, the executions and the timers;
+//! [`exchange::Exchange`] owns the decision module, the open commands, the attempts and the timers;
 //! [`values`] are what every front and every protocol shares.
 
 pub mod bans;
--- a/exchange/src/long.rs
+++ b/exchange/src/long.rs
@@ -12,7 +12,7 @@
 use juniperladder::ServerId;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::exchange::Execution;
+use crate::exchange::Attempt;
 use crate::tally::{Passing, Tally};
 
 /// Pieces that may wait between the two sides.
@@ -128,16 +128,16 @@
     }
 }
 
-/// The execution that a long value waits for, to send its last byte.
+/// The attempt that a long value waits for, to send its last byte.
 #[derive(Debug)]
 pub struct Go {
     /// What to send, where to and until when.
-    pub execution: Execution,
+    pub attempt: Attempt,
     /// The last byte.
     pub last: Bytes,
 }
 
-/// Where a connection that has all but the last byte of a value hears of the execution.
+/// Where a connection that has all but the last byte of a value hears of the attempt.
 pub type Going = oneshot::Receiver<Go>;
 
 /// Stands in a command for a long value, all of which but the last byte is on its way to one server. The way ends
@@ -161,13 +161,13 @@
         Ticket { last, ..self }
     }
 
-    /// Sends the last byte as this execution. False where that cannot be: it has been used, leads to another
+    /// Sends the last byte as this attempt. False where that cannot be: it has been used, leads to another
     /// server, or its connection has ended.
-    pub fn give(&self, execution: Execution) -> bool {
-        if execution.server != self.server || self.last.is_empty() {
+    pub fn give(&self, attempt: Attempt) -> bool {
+        if attempt.server != self.server || self.last.is_empty() {
             return false;
         }
-        let go = Go { execution, last: self.last.clone() };
+        let go = Go { attempt, last: self.last.clone() };
         self.go.take().is_some_and(|sender| sender.send(go).is_ok())
     }
 }
--- a/exchange/src/numbers.rs
+++ b/exchange/src/numbers.rs
@@ -1,11 +1,11 @@
 //! The numbers of hosts and keys: the same at every balancer and after every restart, from the names alone. And
-//! those of executions, which are this process's own.
+//! those of attempts, which are this process's own.
 
 use juniperladder::{Key, ServerId};
 
-/// Names one execution for as long as the program runs.
+/// Names one attempt for as long as the program runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct ExecutionId(pub u64);
+pub struct AttemptId(pub u64);
 
 /// A hash of 64 bits that is the same at every balancer and after every restart (FNV-1a, then mixed).
 pub fn hash(bytes: &[u8]) -> u64 {
--- a/exchange/src/operators.rs
+++ b/exchange/src/operators.rs
@@ -125,9 +125,9 @@
             let mut asked = command("1", None);
             asked.key = Bytes::from(format!("{n:016x}"));
             let (_, answer) = exchange.take(asked).unwrap();
-            for execution in recorder.begun.take() {
-                there += usize::from(execution.server == HOST);
-                exchange.ended(execution.id, End::Reply(Reply::Served(Answer::Value("v".into()))));
+            for attempt in recorder.begun.take() {
+                there += usize::from(attempt.server == HOST);
+                exchange.ended(attempt.id, End::Reply(Reply::Served(Answer::Value("v".into()))));
             }
             assert!(matches!(answer.await, Ok(Answer::Value(_) | Answer::Nack(_))));
             tokio::time::sleep(Duration::from_millis(10)).await;
--- a/exchange/src/testing.rs
+++ b/exchange/src/testing.rs
@@ -1,4 +1,4 @@
-//! The one helper of the tests of commands and of the network: an exchange over one host whose executions are only written down.
+//! The one helper of the tests of commands and of the network: an exchange over one host whose attempts are only written down.
 
 use std::cell::RefCell;
 use std::future::Future;
@@ -11,7 +11,7 @@
 
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::exchange::{self, Carrier, Exchange, Execution, ExecutionId, Host, Upload};
+use crate::exchange::{self, Attempt, AttemptId, Carrier, Exchange, Host, Upload};
 
 /// The only host.
 pub const HOST: ServerId = ServerId(9);
@@ -20,22 +20,22 @@
 #[derive(Default)]
 pub struct Recorder {
     /// What has begun, oldest first.
-    pub begun: RefCell<Vec<Execution>>,
+    pub begun: RefCell<Vec<Attempt>>,
     /// The long values that are being written.
     pub uploads: RefCell<Vec<Upload>>,
     /// What was abandoned.
-    pub abandoned: RefCell<Vec<ExecutionId>>,
+    pub abandoned: RefCell<Vec<AttemptId>>,
 }
 
 impl Carrier for Recorder {
     fn listed(&self, _: ListKind, _: &[Host]) {}
-    fn begin(&self, execution: Execution) {
-        self.begun.borrow_mut().push(execution);
+    fn begin(&self, attempt: Attempt) {
+        self.begun.borrow_mut().push(attempt);
     }
     fn upload(&self, upload: Upload) {
         self.uploads.borrow_mut().push(upload);
     }
-    fn abandon(&self, id: ExecutionId, _: ServerId) -> bool {
+    fn abandon(&self, id: AttemptId, _: ServerId) -> bool {
         self.abandoned.borrow_mut().push(id);
         true
     }
--- a/exchange/src/values.rs
+++ b/exchange/src/values.rs
@@ -45,7 +45,7 @@
     Failed,
 }
 
-/// What a host replied to an execution.
+/// What a host replied to an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
     /// A final answer.
--- a/node/src/operators.rs
+++ b/node/src/operators.rs
@@ -261,8 +261,8 @@
                 [End::Reply(value.clone()), End::NotSent, End::Reply(value)].into_iter().enumerate()
             {
                 answers.push(exchange.take(command(&n.to_string(), None)).unwrap());
-                let execution = recorder.begun.borrow_mut().pop().unwrap();
-                exchange.ended(execution.id, end);
+                let attempt = recorder.begun.borrow_mut().pop().unwrap();
+                exchange.ended(attempt.id, end);
             }
             let _open = exchange.take(command("9", None)).unwrap();
             assert!(operators.answer(Call::Offline(HOST.into())).await.starts_with("ACK"));
--- a/node/src/service/tests.rs
+++ b/node/src/service/tests.rs
@@ -16,7 +16,7 @@
 enum Step {
     /// The client sends this; the answer is known at once where there is one.
     Line(&'static str, Option<&'static str>),
-    /// The oldest execution that is out, or the newest, ends.
+    /// The oldest attempt that is out, or the newest, ends.
     End { newest: bool, served: bool },
 }
 
@@ -56,7 +56,7 @@
             let service = service(&recorder);
             let (near, mut far) = duplex(1 << 16);
             let task = spawn_local(serve(Rc::clone(&service), near));
-            // The model: the answers owed, and which executions they wait for.
+            // The model: the answers owed, and which attempts they wait for.
             let mut owed: Vec<Option<String>> = Vec::new();
             let mut out: Vec<usize> = Vec::new();
             for step in steps {
@@ -75,7 +75,7 @@
                     }
                     Step::End { newest, served } if !out.is_empty() => {
                         let at = if newest { out.len() - 1 } else { 0 };
-                        let execution = recorder.begun.borrow_mut().remove(at);
+                        let attempt = recorder.begun.borrow_mut().remove(at);
                         let value = Bytes::from_static(b"x\r\ny");
                         let place = out.remove(at);
                         let (reply, answer) = if served {
@@ -84,7 +84,7 @@
                         } else {
                             (Reply::Error, "SERVER_ERROR failed\r\n".into())
                         };
-                        service.exchange.ended(execution.id, End::Reply(reply));
+                        service.exchange.ended(attempt.id, End::Reply(reply));
                         owed[place] = Some(answer);
                     }
                     Step::End { .. } => {}
@@ -93,8 +93,8 @@
             }
             far.shutdown().await.unwrap();
             settle().await;
-            for execution in recorder.begun.take() {
-                service.exchange.ended(execution.id, End::Broken);
+            for attempt in recorder.begun.take() {
+                service.exchange.ended(attempt.id, End::Broken);
             }
             let mut got = String::new();
             far.read_to_string(&mut got).await.unwrap();
@@ -144,8 +144,8 @@
             spawn_local(serve(Rc::clone(&service), near));
             far.write_all(format!("mg k v O{id} Pc=read,d=480\r\n").as_bytes()).await.unwrap();
             settle().await;
-            let execution = recorder.begun.borrow_mut().pop().unwrap();
-            service.exchange.ended(execution.id, End::Reply(Reply::Error));
+            let attempt = recorder.begun.borrow_mut().pop().unwrap();
+            service.exchange.ended(attempt.id, End::Reply(Reply::Error));
             clients.push(far);
             sleep(Duration::from_millis(5)).await;
         }
@@ -311,8 +311,8 @@
         let mut got = String::new();
         far.read_to_string(&mut got).await.unwrap();
         assert_eq!(got, "ERROR\r\n".repeat(MAX_MALFORMED - 5));
-        let execution = recorder.begun.borrow_mut().pop().unwrap();
-        service.exchange.ended(execution.id, End::Reply(Reply::Served(Answer::Value("v".into()))));
+        let attempt = recorder.begun.borrow_mut().pop().unwrap();
+        service.exchange.ended(attempt.id, End::Reply(Reply::Served(Answer::Value("v".into()))));
         let mut got = [0; 12];
         honest.read_exact(&mut got).await.unwrap();
         assert_eq!(&got, b"VA 1 O1\r\nv\r\n");
@@ -330,9 +330,9 @@
         for (named, place) in [(",t=beta", 1), (",t=acme", 0), (",t=acm", 2), (",t=", 2), ("", 2)] {
             far.write_all(format!("mg k v O1 Pc=read{named},d=480\r\n").as_bytes()).await.unwrap();
             settle().await;
-            let execution = recorder.begun.borrow_mut().pop().unwrap();
-            assert_eq!(execution.command.tenant, place, "{named}");
-            service.exchange.ended(execution.id, End::Reply(Reply::Served(Answer::Value("v".into()))));
+            let attempt = recorder.begun.borrow_mut().pop().unwrap();
+            assert_eq!(attempt.command.tenant, place, "{named}");
+            service.exchange.ended(attempt.id, End::Reply(Reply::Served(Answer::Value("v".into()))));
             let mut got = [0; 12];
             far.read_exact(&mut got).await.unwrap();
             assert_eq!(&got, b"VA 1 O1\r\nv\r\n");
@@ -377,8 +377,8 @@
         let task = spawn_local(serve(Rc::clone(&service), near));
         while !task.is_finished() {
             settle().await;
-            for execution in recorder.begun.take() {
-                service.exchange.ended(execution.id, End::Reply(Reply::Error));
+            for attempt in recorder.begun.take() {
+                service.exchange.ended(attempt.id, End::Reply(Reply::Error));
             }
         }
         let mut got = String::new();
@@ -402,9 +402,9 @@
         settle().await;
         service.shutdown.run(Instant::now(), Duration::from_secs(3)).await;
         settle().await;
-        let execution = recorder.begun.borrow_mut().pop().unwrap();
+        let attempt = recorder.begun.borrow_mut().pop().unwrap();
         let value = Answer::Value(Bytes::from_static(b"v"));
-        service.exchange.ended(execution.id, End::Reply(Reply::Served(value)));
+        service.exchange.ended(attempt.id, End::Reply(Reply::Served(value)));
         let mut got = String::new();
         far.read_to_string(&mut got).await.unwrap();
         assert_eq!(got, "VA 1 O1\r\nv\r\n");
@@ -480,15 +480,15 @@
                 assert_eq!(taken(), MAX_OWED as u64);
                 if answers {
                     // The first answers are more than the client, who takes none, has room for.
-                    let execution = recorder.begun.borrow_mut().remove(0);
+                    let attempt = recorder.begun.borrow_mut().remove(0);
                     let value = Bytes::from(vec![b'v'; 16 << 20]);
-                    service.exchange.ended(execution.id, End::Reply(Reply::Served(Answer::Value(value))));
+                    service.exchange.ended(attempt.id, End::Reply(Reply::Served(Answer::Value(value))));
                     settle().await;
                 }
                 let far = leave(far, how).await;
                 let over = |recorder: &Recorder| {
                     let now = service.exchange.clock().now();
-                    recorder.begun.borrow().iter().all(|execution| execution.over(now))
+                    recorder.begun.borrow().iter().all(|attempt| attempt.over(now))
                 };
                 let start = Instant::now();
                 while !over(&recorder) {
@@ -498,8 +498,8 @@
                 // What is out still ends; nothing begins any more.
                 let out: Vec<_> = recorder.begun.take();
                 assert_eq!(out.len() + usize::from(answers), begun);
-                for execution in out {
-                    service.exchange.ended(execution.id, End::CalledOff);
+                for attempt in out {
+                    service.exchange.ended(attempt.id, End::CalledOff);
                 }
                 if let Some(mut far) = far {
                     // Who only ended its side has an answer for each all the same.
@@ -528,16 +528,16 @@
         let service = service(&recorder);
         let mut far = connected(&service).await;
         far.write_all(b"mg a v O1 Pc=read,d=1400\r\n").await.unwrap();
-        let execution = loop {
+        let attempt = loop {
             settle().await;
-            if let Some(execution) = recorder.begun.borrow_mut().pop() {
-                break execution;
+            if let Some(attempt) = recorder.begun.borrow_mut().pop() {
+                break attempt;
             }
         };
         // More than the client's machine takes while its client does not read, and less than the own one does.
         const LENGTH: usize = 200 << 10;
         let value = Bytes::from(vec![b'v'; LENGTH]);
-        service.exchange.ended(execution.id, End::Reply(Reply::Served(Answer::Value(value))));
+        service.exchange.ended(attempt.id, End::Reply(Reply::Served(Answer::Value(value))));
         service.shutdown.close();
         // The connection is shut for writing by now, and its client, who has read nothing yet, sends one more.
         while !service.seats.borrow().is_empty() {
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -1,4 +1,4 @@
-//! The server side: pools of connections to the cache hosts and the origin, and the executions on them.
+//! The server side: pools of connections to the cache hosts and the origin, and the attempts on them.
 
 mod lane;
 mod uploads;
@@ -18,7 +18,7 @@
 use crate::clock::Clock;
 use crate::connect::Connect;
 use crate::counters::{count, Counters};
-use crate::exchange::{Carrier, End, Exchange, Execution, ExecutionId, Host, Upload};
+use crate::exchange::{Attempt, AttemptId, Carrier, End, Exchange, Host, Upload};
 use juniperladder_exchange::telling::Telling;
 use lane::Lane;
 
@@ -43,21 +43,21 @@
     pub connect_timeout: Duration,
     /// How long a host keeps an idle one.
     pub idle: Duration,
-    /// How long an answer is awaited whose execution has timed out.
+    /// How long an answer is awaited whose attempt has timed out.
     pub late: Duration,
-    /// Whether an execution may go on elsewhere while an earlier one is out on an open connection.
+    /// Whether an attempt may go on elsewhere while an earlier one is out on an open connection.
     pub may_duplicate: bool,
     /// The kind of the origin, which speaks HTTP.
     pub origin: Option<u32>,
 }
 
-/// An idle connection: it is given its next execution here.
+/// An idle connection: it is given its next attempt here.
 struct Idle {
     id: u64,
-    next: oneshot::Sender<Execution>,
+    next: oneshot::Sender<Attempt>,
 }
 
-/// An execution that a connection has.
+/// An attempt that a connection has.
 #[derive(Default)]
 struct Carried {
     /// Whether its last byte is written.
@@ -71,10 +71,10 @@
     address: Option<SocketAddr>,
     origin: bool,
     open: bool,
-    waiting: VecDeque<Execution>,
+    waiting: VecDeque<Attempt>,
     idle: Vec<Idle>,
     connecting: usize,
-    running: FxHashMap<ExecutionId, Carried>,
+    running: FxHashMap<AttemptId, Carried>,
 }
 
 impl Pool {
@@ -145,30 +145,30 @@
         })
     }
 
-    /// Tells which exchange hears of the executions' ends.
+    /// Tells which exchange hears of the attempts' ends.
     pub fn attach(&self, exchange: &Rc<Exchange>) {
         *self.exchange.borrow_mut() = Rc::downgrade(exchange);
     }
 
-    fn ended(&self, id: ExecutionId, end: End) {
+    fn ended(&self, id: AttemptId, end: End) {
         if let Some(exchange) = self.exchange.borrow().upgrade() {
             exchange.ended(id, end);
         }
     }
 
-    /// Ends an execution from a task of its own, as the exchange may be the caller.
-    fn end_later(&self, id: ExecutionId, end: End) {
+    /// Ends an attempt from a task of its own, as the exchange may be the caller.
+    fn end_later(&self, id: AttemptId, end: End) {
         if let Some(this) = self.this.upgrade() {
             spawn_local(async move { this.ended(id, end) });
         }
     }
 
-    /// Opens connections for the executions that wait, one for each, as far as there is room.
+    /// Opens connections for the attempts that wait, one for each, as far as there is room.
     fn connect(&self, server: ServerId, pool: &mut Pool) {
         let (Some(this), Some(address)) = (self.this.upgrade(), pool.address) else { return };
         if pool.connecting < pool.waiting.len() {
             // No connection is opened for what nobody waits for. One that is on its way already still tells of its host.
-            self.call_off(&mut pool.waiting, |execution| self.over(execution));
+            self.call_off(&mut pool.waiting, |attempt| self.over(attempt));
         }
         while pool.connecting < pool.waiting.len() && self.connections.get() < self.limits.connections {
             pool.connecting += 1;
@@ -183,16 +183,16 @@
         }
     }
 
-    fn over(&self, execution: &Execution) -> bool {
-        execution.over(self.clock.now())
+    fn over(&self, attempt: &Attempt) -> bool {
+        attempt.over(self.clock.now())
     }
 
-    /// Ends those of the executions that are like this, none of which has begun.
-    fn call_off(&self, waiting: &mut VecDeque<Execution>, like: impl Fn(&Execution) -> bool) {
-        waiting.retain(|execution| {
-            let stays = !like(execution);
+    /// Ends those of the attempts that are like this, none of which has begun.
+    fn call_off(&self, waiting: &mut VecDeque<Attempt>, like: impl Fn(&Attempt) -> bool) {
+        waiting.retain(|attempt| {
+            let stays = !like(attempt);
             if !stays {
-                self.end_later(execution.id, End::CalledOff);
+                self.end_later(attempt.id, End::CalledOff);
             }
             stays
         });
@@ -205,25 +205,25 @@
         }
     }
 
-    /// The next execution for a connection that has nothing to do.
-    fn next(&self, lane: &Lane) -> Option<Execution> {
+    /// The next attempt for a connection that has nothing to do.
+    fn next(&self, lane: &Lane) -> Option<Attempt> {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(&lane.server).filter(|pool| pool.address == Some(lane.address))?;
-        self.call_off(&mut pool.waiting, |execution| self.over(execution));
-        let execution = pool.waiting.pop_front()?;
-        pool.running.insert(execution.id, Carried::default());
-        Some(execution)
+        self.call_off(&mut pool.waiting, |attempt| self.over(attempt));
+        let attempt = pool.waiting.pop_front()?;
+        pool.running.insert(attempt.id, Carried::default());
+        Some(attempt)
     }
 
-    /// Puts an execution back of which nothing was written.
-    fn put_back(&self, server: ServerId, execution: Execution) {
+    /// Puts an attempt back of which nothing was written.
+    fn put_back(&self, server: ServerId, attempt: Attempt) {
         let mut pools = self.pools.borrow_mut();
-        let Some(pool) = pools.get_mut(&server) else { return self.end_later(execution.id, End::CalledOff) };
-        pool.running.remove(&execution.id);
+        let Some(pool) = pools.get_mut(&server) else { return self.end_later(attempt.id, End::CalledOff) };
+        pool.running.remove(&attempt.id);
         if !pool.open {
-            return self.end_later(execution.id, End::CalledOff);
+            return self.end_later(attempt.id, End::CalledOff);
         }
-        pool.waiting.push_front(execution);
+        pool.waiting.push_front(attempt);
         self.connect(server, pool);
     }
 
@@ -232,7 +232,7 @@
         self.pools.borrow().get(&lane.server).is_some_and(|pool| pool.is_at(lane))
     }
 
-    /// A connection did not come up: one execution fails if fewer connections than executions are left.
+    /// A connection did not come up: one attempt fails if fewer connections than attempts are left.
     fn not_up(&self, server: ServerId) {
         let failed = {
             let mut pools = self.pools.borrow_mut();
@@ -244,13 +244,13 @@
                 None
             }
         };
-        if let Some(execution) = failed {
-            self.ended(execution.id, End::NotSent);
+        if let Some(attempt) = failed {
+            self.ended(attempt.id, End::NotSent);
         }
     }
 
-    /// Notes that an execution's last byte is written, and returns what tells its connection to close.
-    fn written(&self, server: ServerId, id: ExecutionId) -> Rc<Notify> {
+    /// Notes that an attempt's last byte is written, and returns what tells its connection to close.
+    fn written(&self, server: ServerId, id: AttemptId) -> Rc<Notify> {
         match self.pools.borrow_mut().get_mut(&server).and_then(|pool| pool.running.get_mut(&id)) {
             Some(carried) => {
                 carried.written = true;
@@ -280,15 +280,15 @@
         }
     }
 
-    fn stopped(&self, server: ServerId, id: ExecutionId, end: End) {
+    fn stopped(&self, server: ServerId, id: AttemptId, end: End) {
         if let Some(pool) = self.pools.borrow_mut().get_mut(&server) {
             pool.running.remove(&id);
         }
         self.ended(id, end);
     }
 
-    /// Waits for the next execution on an idle connection.
-    fn rest(&self, lane: &Lane) -> Option<(u64, oneshot::Receiver<Execution>)> {
+    /// Waits for the next attempt on an idle connection.
+    fn rest(&self, lane: &Lane) -> Option<(u64, oneshot::Receiver<Attempt>)> {
         let mut pools = self.pools.borrow_mut();
         // A host that has moved has nothing to do with whoever listens at its old address now.
         let pool = pools.get_mut(&lane.server).filter(|pool| pool.is_at(lane))?;
@@ -329,35 +329,35 @@
         pools.retain(|_, pool| pool.open || pool.connecting > 0 || !pool.running.is_empty());
     }
 
-    fn begin(&self, execution: Execution) {
+    fn begin(&self, attempt: Attempt) {
         let mut pools = self.pools.borrow_mut();
-        let server = execution.server;
+        let server = attempt.server;
         let Some(pool) = pools.get_mut(&server).filter(|pool| pool.open && pool.address.is_some()) else {
-            return self.end_later(execution.id, End::CalledOff);
+            return self.end_later(attempt.id, End::CalledOff);
         };
-        if let Some(ticket) = &execution.command.ticket {
+        if let Some(ticket) = &attempt.command.ticket {
             // All else is written; where that has failed it never ran, and nobody has it to send it again.
-            let id = execution.id;
-            if ticket.give(execution.clone()) {
+            let id = attempt.id;
+            if ticket.give(attempt.clone()) {
                 pool.running.insert(id, Carried::default());
             } else {
                 self.end_later(id, End::CalledOff);
             }
             return;
         }
-        let mut execution = execution;
+        let mut attempt = attempt;
         // The connection used last is taken first, so that those that are not needed grow old.
         while let Some(idle) = pool.idle.pop() {
-            let id = execution.id;
-            match idle.next.send(execution) {
+            let id = attempt.id;
+            match idle.next.send(attempt) {
                 Ok(()) => {
                     pool.running.insert(id, Carried::default());
                     return;
                 }
-                Err(back) => execution = back,
+                Err(back) => attempt = back,
             }
         }
-        pool.waiting.push_back(execution);
+        pool.waiting.push_back(attempt);
         self.connect(server, pool);
         if pool.connecting < pool.waiting.len() {
             // All connections that may be are: one that is idle elsewhere makes room.
@@ -371,10 +371,10 @@
         self.begin_upload(upload);
     }
 
-    fn abandon(&self, id: ExecutionId, server: ServerId) -> bool {
+    fn abandon(&self, id: AttemptId, server: ServerId) -> bool {
         let mut pools = self.pools.borrow_mut();
         let Some(pool) = pools.get_mut(&server) else { return false };
-        pool.waiting.retain(|execution| execution.id != id);
+        pool.waiting.retain(|attempt| attempt.id != id);
         let Some(carried) = pool.running.get(&id) else { return false };
         // A late answer is read off as long as there is room: it may still serve its command, and a new
         // connection costs the host work.
--- a/node/src/upstream/lane.rs
+++ b/node/src/upstream/lane.rs
@@ -1,4 +1,4 @@
-//! One connection to a host: it comes up, carries executions one after the other, and rests between them.
+//! One connection to a host: it comes up, carries attempts one after the other, and rests between them.
 
 use std::future::poll_fn;
 use std::net::SocketAddr;
@@ -16,7 +16,7 @@
 use super::Upstream;
 use crate::connect::Stream;
 use crate::counters::count;
-use crate::exchange::{Answer, End, Execution, Reply};
+use crate::exchange::{Answer, Attempt, End, Reply};
 use crate::http::{self, Response};
 use crate::memcache;
 use crate::passing::{self, Body};
@@ -45,7 +45,7 @@
     Long(usize, Body),
 }
 
-/// What a connection does after an execution.
+/// What a connection does after an attempt.
 #[derive(Debug, PartialEq, Eq)]
 pub(super) enum After {
     Keep,
@@ -75,31 +75,31 @@
         let (mut input, mut used) = (BytesMut::new(), false);
         loop {
             let (since, mut fresh) = (Instant::now(), false);
-            let execution = match upstream.next(self) {
-                Some(execution) => {
+            let attempt = match upstream.next(self) {
+                Some(attempt) => {
                     fresh = !used;
-                    execution
+                    attempt
                 }
                 None => match self.rest(upstream, &mut stream, &mut input).await {
-                    Some(execution) => execution,
+                    Some(attempt) => attempt,
                     None => return,
                 },
             };
             // The runtime looks for news of the connection first: some hosts close right behind an answer.
             yield_now().await;
-            // A connection that ended meanwhile is no try: nothing of the execution was written.
+            // A connection that ended meanwhile is no try: nothing of the attempt was written.
             if !upstream.is_at(self) {
-                return upstream.put_back(self.server, execution);
+                return upstream.put_back(self.server, attempt);
             }
             if !quiet(&mut stream, &mut input) {
                 // One that has only just come up tells of its host, which would do so again without end.
                 return match fresh {
-                    true => upstream.stopped(self.server, execution.id, End::NotSent),
-                    false => upstream.put_back(self.server, execution),
+                    true => upstream.stopped(self.server, attempt.id, End::NotSent),
+                    false => upstream.put_back(self.server, attempt),
                 };
             }
             let (idle, begun) = (since.elapsed(), Instant::now());
-            match self.execute(upstream, &mut stream, &mut input, execution).await {
+            match self.execute(upstream, &mut stream, &mut input, attempt).await {
                 After::Keep => upstream.learn(idle, false),
                 After::Broke if used && begun.elapsed() < AT_ONCE => return upstream.learn(idle, true),
                 After::Broke | After::Close => return,
@@ -108,13 +108,13 @@
         }
     }
 
-    /// Waits idle for an execution; none when the connection has to close.
+    /// Waits idle for an attempt; none when the connection has to close.
     async fn rest<S: AsyncRead + Unpin>(
         &self,
         upstream: &Upstream,
         stream: &mut S,
         input: &mut BytesMut,
-    ) -> Option<Execution> {
+    ) -> Option<Attempt> {
         let (id, mut next) = upstream.rest(self)?;
         let old = sleep(upstream.keep.get());
         tokio::select! {
@@ -125,8 +125,8 @@
             () = old => {}
         }
         upstream.unrest(self.server, id);
-        if let Ok(execution) = next.try_recv() {
-            upstream.put_back(self.server, execution);
+        if let Ok(attempt) = next.try_recv() {
+            upstream.put_back(self.server, attempt);
         }
         None
     }
@@ -136,38 +136,38 @@
         upstream: &Upstream,
         stream: &mut S,
         input: &mut BytesMut,
-        execution: Execution,
+        attempt: Attempt,
     ) -> After {
-        let wait = execution.until.minus(upstream.clock.now());
-        if wait.0 == 0 || upstream.over(&execution) {
+        let wait = attempt.until.minus(upstream.clock.now());
+        if wait.0 == 0 || upstream.over(&attempt) {
             // It timed out on its way here, or its command was answered; to write it now would be work for nobody.
             let end = if wait.0 == 0 { End::NotSent } else { End::CalledOff };
-            upstream.stopped(self.server, execution.id, end);
+            upstream.stopped(self.server, attempt.id, end);
             return After::Keep;
         }
         let mut output = BytesMut::new();
         if self.origin {
-            http::write_command(&mut output, &execution.command, &self.address.to_string(), wait);
+            http::write_command(&mut output, &attempt.command, &self.address.to_string(), wait);
         } else {
-            memcache::write_command(&mut output, &execution.command, wait);
+            memcache::write_command(&mut output, &attempt.command, wait);
         }
-        self.send(upstream, stream, input, execution, &output, wait).await
+        self.send(upstream, stream, input, attempt, &output, wait).await
     }
 
-    /// Writes the last that is to be written of an execution, and waits for its reply.
+    /// Writes the last that is to be written of an attempt, and waits for its reply.
     pub(super) async fn send<S: AsyncRead + AsyncWrite + Unpin>(
         &self,
         upstream: &Upstream,
         stream: &mut S,
         input: &mut BytesMut,
-        execution: Execution,
+        attempt: Attempt,
         output: &[u8],
         wait: Micros,
     ) -> After {
-        let id = execution.id;
+        let id = attempt.id;
         let most = crate::clock::duration(wait);
-        if !timeout(most, write(upstream, stream, output, &execution)).await.unwrap_or(false) {
-            let end = if upstream.over(&execution) { End::CalledOff } else { End::NotSent };
+        if !timeout(most, write(upstream, stream, output, &attempt)).await.unwrap_or(false) {
+            let end = if upstream.over(&attempt) { End::CalledOff } else { End::NotSent };
             upstream.stopped(self.server, id, end);
             return After::Close;
         }
@@ -175,7 +175,7 @@
         let stop = upstream.written(self.server, id);
         let read = tokio::select! {
             biased;
-            read = timeout(most + upstream.limits.late, self.reply(stream, input, &execution)) => {
+            read = timeout(most + upstream.limits.late, self.reply(stream, input, &attempt)) => {
                 read.map_err(|_| Stopped)
             }
             () = stop.notified() => Err(Stopped),
@@ -203,9 +203,9 @@
         &self,
         stream: &mut S,
         input: &mut BytesMut,
-        execution: &Execution,
+        attempt: &Attempt,
     ) -> Result<Heard, Option<String>> {
-        let write = execution.command.value.is_some();
+        let write = attempt.command.value.is_some();
         let mut response = Response::default();
         loop {
             input.reserve(READ);
@@ -216,7 +216,7 @@
                     response.ended();
                 }
                 let id = response.head.as_ref().and_then(|head| head.id.as_ref());
-                if id.is_some_and(|id| *id != execution.command.id) {
+                if id.is_some_and(|id| *id != attempt.command.id) {
                     return Err(Some("a response for another id".into()));
                 }
                 if let Some(length) = response.long().filter(|_| !write) {
@@ -230,7 +230,7 @@
                     let reply = http::reply(&response, write).map_err(Some)?;
                     return Ok(Heard::Whole(reply, after(&response)));
                 }
-            } else if let Some(heard) = memcache::answered(input, &execution.command).map_err(Some)? {
+            } else if let Some(heard) = memcache::answered(input, &attempt.command).map_err(Some)? {
                 return Ok(match heard {
                     memcache::Answered::Whole(reply) => Heard::Whole(reply, After::Keep),
                     memcache::Answered::Long(length, rest) => Heard::Long(length, Body::Meta(rest)),
@@ -275,17 +275,17 @@
     }
 }
 
-/// Writes this of an execution, and tells whether all of it has gone out: no byte goes once the execution is over, though
+/// Writes this of an attempt, and tells whether all of it has gone out: no byte goes once the attempt is over, though
 /// the way were full until then.
 async fn write<S: AsyncWrite + Unpin>(
     upstream: &Upstream,
     stream: &mut S,
     output: &[u8],
-    execution: &Execution,
+    attempt: &Attempt,
 ) -> bool {
     let mut left = output;
     while !left.is_empty() {
-        let written = poll_fn(|cx| match upstream.over(execution) {
+        let written = poll_fn(|cx| match upstream.over(attempt) {
             true => Poll::Ready(Ok(0)),
             false => Pin::new(&mut *stream).poll_write(cx, left),
         });
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -11,7 +11,7 @@
 use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt};
 use tokio::time::{sleep, timeout};
 
-/// What a host does with one execution.
+/// What a host does with one attempt.
 #[derive(Clone, Debug)]
 enum Peer {
     /// Reads so many bytes and closes.
@@ -43,21 +43,21 @@
     #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None,
         rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..ProptestConfig::default() })]
 
-    /// An execution ends by what was written and what came back: it never ran while its last byte
+    /// An attempt ends by what was written and what came back: it never ran while its last byte
     /// was not written, and an answer for another id is none.
     #[test]
-    fn an_execution_ends_by_what_was_written(peer in peer(), size in 0..300usize, cut in 1..9usize, room in 1..200usize) {
+    fn an_attempt_ends_by_what_was_written(peer in peer(), size in 0..300usize, cut in 1..9usize, room in 1..200usize) {
         testing::run(async {
             let recorder = Rc::new(Recorder::default());
             let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), recorder.clone(), 1);
             let upstream = testing::upstream(1);
             upstream.attach(&exchange);
             let (_, answer) = exchange.take(testing::command("7", Some(vec![b'x'; size]))).unwrap();
-            let execution = recorder.begun.borrow_mut().pop().unwrap();
+            let attempt = recorder.begun.borrow_mut().pop().unwrap();
             let (mut near, mut far) = duplex(room);
             let lane = Lane { server: HOST, origin: false, address: ([127, 0, 0, 1], 1).into() };
             let mut wire = BytesMut::new();
-            memcache::write_command(&mut wire, &execution.command, juniperladder::Micros(470_000));
+            memcache::write_command(&mut wire, &attempt.command, juniperladder::Micros(470_000));
             let length = wire.len();
             let want = match &peer {
                 Peer::Leaves(n) if n + room >= length => "resets",
@@ -87,13 +87,13 @@
             };
             let mut input = BytesMut::new();
             let carry = async {
-                let after = lane.execute(&upstream, &mut near, &mut input, execution).await;
+                let after = lane.execute(&upstream, &mut near, &mut input, attempt).await;
                 drop(near);
                 after
             };
             let (after, ()) = tokio::join!(carry, host);
             let counted: Vec<_> = exchange.counters().all().into_iter()
-                .filter(|(name, n)| *n > 0 && !name.starts_with("nack_") && !["commands", "executions", "served", "nacked", "failed", "bad_answers"].contains(name))
+                .filter(|(name, n)| *n > 0 && !name.starts_with("nack_") && !["commands", "attempts", "served", "nacked", "failed", "bad_answers"].contains(name))
                 .collect();
             assert_eq!(counted, [(want, 1)]);
             assert_eq!(after == After::Broke, leaves && want == "resets");
@@ -159,7 +159,7 @@
         let upstream = testing::upstream(1);
         upstream.attach(&exchange);
         let (id, _answer) = exchange.take(testing::command("7", Some(vec![b'x'; 300]))).unwrap();
-        let execution = recorder.begun.borrow_mut().pop().unwrap();
+        let attempt = recorder.begun.borrow_mut().pop().unwrap();
         let (mut near, mut far) = duplex(100);
         let lane = Lane { server: HOST, origin: false, address: ([127, 0, 0, 1], 1).into() };
         let host = async {
@@ -170,7 +170,7 @@
             got.len()
         };
         let carry = async {
-            let after = lane.execute(&upstream, &mut near, &mut BytesMut::new(), execution).await;
+            let after = lane.execute(&upstream, &mut near, &mut BytesMut::new(), attempt).await;
             drop(near);
             after
         };
@@ -179,7 +179,7 @@
     });
 }
 
-/// Connections are bounded over all hosts: one that is idle gives way to an execution elsewhere.
+/// Connections are bounded over all hosts: one that is idle gives way to an attempt elsewhere.
 #[test]
 fn an_idle_connection_makes_room() {
     testing::run_on_sockets(async {
@@ -232,12 +232,12 @@
             let upstream = testing::upstream(1);
             upstream.attach(&exchange);
             let (_, answer) = exchange.take(testing::command("7", None)).unwrap();
-            let execution = recorder.begun.borrow_mut().pop().unwrap();
+            let attempt = recorder.begun.borrow_mut().pop().unwrap();
             let (mut near, mut far) = duplex(1 << 12);
             let lane = Lane { server: HOST, origin: true, address: ([127, 0, 0, 1], 1).into() };
             far.write_all(text.as_bytes()).await.unwrap();
             let mut input = BytesMut::new();
-            lane.execute(&upstream, &mut near, &mut input, execution).await;
+            lane.execute(&upstream, &mut near, &mut input, attempt).await;
             assert_eq!(upstream.counters.bad_answers.get(), spoilt, "{text:?}");
             let chunked = text.contains("chunked");
             let value = Answer::Value(bytes::Bytes::from_static(b"ab"));
@@ -255,7 +255,7 @@
         let upstream = testing::upstream(1);
         upstream.attach(&exchange);
         let _answer = exchange.take(testing::command("7", None)).unwrap();
-        let execution = recorder.begun.borrow_mut().pop().unwrap();
+        let attempt = recorder.begun.borrow_mut().pop().unwrap();
         let (mut near, mut far) = duplex(1 << 12);
         let lane = Lane { server: HOST, origin: true, address: ([127, 0, 0, 1], 1).into() };
         spawn_local(async move {
@@ -264,7 +264,7 @@
             while far.write_all(&[b'x'; 4096]).await.is_ok() {}
         });
         let mut input = BytesMut::new();
-        assert_eq!(lane.execute(&upstream, &mut near, &mut input, execution).await, After::Close);
+        assert_eq!(lane.execute(&upstream, &mut near, &mut input, attempt).await, After::Close);
         assert_eq!(upstream.counters.bad_answers.get(), 1);
     });
 }
@@ -279,7 +279,7 @@
             let mut listed = host(HOST, State::Serving);
             listed.entry.kind = kind;
             upstream.listed(ListKind::Replace, &[listed]);
-            let id = ExecutionId(1);
+            let id = AttemptId(1);
             upstream.pools.borrow_mut().entry(HOST).or_default().running.insert(id, Carried::default());
             let stop = upstream.written(HOST, id);
             assert!(upstream.abandon(id, HOST));
@@ -325,7 +325,7 @@
     });
 }
 
-/// A host that refuses connections fails each execution once, as one that never ran.
+/// A host that refuses connections fails each attempt once, as one that never ran.
 #[test]
 fn a_refused_connection_never_ran() {
     testing::run_on_sockets(async {
--- a/node/src/upstream/uploads.rs
+++ b/node/src/upstream/uploads.rs
@@ -2,7 +2,7 @@
 //!
 //! A host begins a command with its last byte. So all of a long value but that byte can go ahead, at the pace of its
 //! client and a few pieces at a time, before the command is whole and before the decisions hear of it; the last byte
-//! is the execution. A value that breaks off, or whose command is refused, never ran: its connection ends.
+//! is the attempt. A value that breaks off, or whose command is refused, never ran: its connection ends.
 
 use std::rc::Rc;
 
@@ -66,18 +66,18 @@
         let Some(mut stream) = stream else {
             upload.going.close();
             if let Ok(go) = upload.going.try_recv() {
-                upstream.stopped(self.server, go.execution.id, End::NotSent);
+                upstream.stopped(self.server, go.attempt.id, End::NotSent);
             }
             return;
         };
         let Ok(go) = upload.going.await else { return };
         drop(on_its_way);
-        let wait = go.execution.until.minus(upstream.clock.now());
+        let wait = go.attempt.until.minus(upstream.clock.now());
         if wait.0 == 0 || !upstream.is_at(self) {
-            return upstream.stopped(self.server, go.execution.id, End::CalledOff);
+            return upstream.stopped(self.server, go.attempt.id, End::CalledOff);
         }
         let input = &mut BytesMut::new();
-        let after = self.send(upstream, &mut stream, input, go.execution, &go.last, wait).await;
+        let after = self.send(upstream, &mut stream, input, go.attempt, &go.last, wait).await;
         if after == After::Keep {
             self.carry(upstream, stream).await;
         }
@@ -163,7 +163,7 @@
     }
 
     /// A value of four megabytes reaches the origin while the client is still writing, all but its last byte, which
-    /// is the execution. The connection is good for the next one.
+    /// is the attempt. The connection is good for the next one.
     #[test]
     fn a_long_write_goes_on_while_it_comes() {
         testing::run_on_sockets(async {
--- a/node/src/writing.rs
+++ b/node/src/writing.rs
@@ -1,6 +1,6 @@
 //! The client's side of a long value that is being written: its pieces go on to the origin as they come.
 //!
-//! Who carries executions has the origin's side of it; the two meet in the exchange.
+//! Who carries attempts has the origin's side of it; the two meet in the exchange.
 
 use bytes::{BufMut, Bytes, BytesMut};
 use juniperladder::ServerId;
--- a/node/tests/two_deployments.rs
+++ b/node/tests/two_deployments.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use juniperladder::Micros;
-use juniperladder_exchange::exchange::{End, Exchange, Execution};
+use juniperladder_exchange::exchange::{Attempt, End, Exchange};
 use juniperladder_exchange::testing::{self, Recorder};
 use juniperladder_node::bounds::Bounds;
 use juniperladder_node::config::Config;
@@ -61,10 +61,10 @@
         line
     }
 
-    async fn begun(&self) -> Execution {
+    async fn begun(&self) -> Attempt {
         loop {
-            if let Some(execution) = self.recorder.begun.borrow_mut().pop() {
-                return execution;
+            if let Some(attempt) = self.recorder.begun.borrow_mut().pop() {
+                return attempt;
             }
             tokio::task::yield_now().await;
         }
@@ -82,7 +82,7 @@
         let (at_first, at_second) = (first.begun().await, second.begun().await);
         assert_eq!((at_first.command.class, at_first.command.tenant), (1, 0));
         assert_eq!((at_second.command.class, at_second.command.tenant), (0, 1));
-        let left = |of: &Deployment, execution: &Execution| execution.until.minus(of.exchange.clock().now());
+        let left = |of: &Deployment, attempt: &Attempt| attempt.until.minus(of.exchange.clock().now());
         let (left_first, left_second) = (left(&first, &at_first), left(&second, &at_second));
         assert!(left_first > Micros(400_000) && left_first < Micros(3_000_000), "{left_first:?}");
         assert!(left_second < Micros(400_000), "{left_second:?}");
