Call a rejection a rejection: nack renamed throughout

The settings and the field say rejection; the exchange, the codec, the counters and the operators' pages said nack. Nothing else changes: the tests of exchange, protocols and node pass.

--- a/exchange/src/counters.rs
+++ b/exchange/src/counters.rs
@@ -37,22 +37,22 @@
     left,
     /// Commands answered with a value or a receipt.
     served,
-    /// Commands answered with a nack.
-    nacked,
-    /// Nacks: an answer would have come too late to be worth anything.
-    nack_late,
-    /// Nacks: all attempts were used up.
-    nack_spent,
-    /// Nacks: no host was left that the command might be sent to.
-    nack_nowhere,
-    /// Nacks: too little time was left for the origin's usual pace.
-    nack_hopeless,
-    /// Nacks: the command had waited for a place at the origin for as long as it may.
-    nack_waited,
-    /// Nacks: too many commands that are worth more waited for a place at the origin.
-    nack_outranked,
-    /// Nacks: all hosts of the command were gapped.
-    nack_gapped,
+    /// Commands answered with a rejection.
+    rejected,
+    /// Rejections: an answer would have come too late to be worth anything.
+    rejected_late,
+    /// Rejections: all attempts were used up.
+    rejected_spent,
+    /// Rejections: no host was left that the command might be sent to.
+    rejected_nowhere,
+    /// Rejections: too little time was left for the origin's usual pace.
+    rejected_hopeless,
+    /// Rejections: the command had waited for a place at the origin for as long as it may.
+    rejected_waited,
+    /// Rejections: too many commands that are worth more waited for a place at the origin.
+    rejected_outranked,
+    /// Rejections: all hosts of the command were gapped.
+    rejected_gapped,
     /// Commands answered as failed.
     failed,
     /// Commands that the module had not ended at their deadline.
@@ -102,16 +102,16 @@
 }
 
 impl Counters {
-    /// The counter of nacks for this reason.
+    /// The counter of rejections for this reason.
     pub fn refusals(&self, why: Why) -> &Cell<u64> {
         match why {
-            Why::Late => &self.nack_late,
-            Why::Spent => &self.nack_spent,
-            Why::Nowhere => &self.nack_nowhere,
-            Why::Hopeless => &self.nack_hopeless,
-            Why::Waited => &self.nack_waited,
-            Why::Outranked => &self.nack_outranked,
-            Why::Gapped => &self.nack_gapped,
+            Why::Late => &self.rejected_late,
+            Why::Spent => &self.rejected_spent,
+            Why::Nowhere => &self.rejected_nowhere,
+            Why::Hopeless => &self.rejected_hopeless,
+            Why::Waited => &self.rejected_waited,
+            Why::Outranked => &self.rejected_outranked,
+            Why::Gapped => &self.rejected_gapped,
         }
     }
 }
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -582,7 +582,7 @@
                 Answer::Value(_) | Answer::Receipt(_) => (&self.counters.served, Some(Ended::Passed)),
                 // It has passed, or failed, once its client has it or it broke off.
                 Answer::Long(_) => (&self.counters.served, None),
-                Answer::Nack(_) => (&self.counters.nacked, Some(Ended::Dropped)),
+                Answer::Rejected(_) => (&self.counters.rejected, Some(Ended::Dropped)),
                 Answer::Failed => (&self.counters.failed, Some(Ended::Failed)),
             };
             count(counter);
@@ -641,7 +641,7 @@
             }
             Action::Refuse { id, retry_after, why } => {
                 count(self.counters.refusals(why));
-                self.finish(inner, CommandId::of(&id), Answer::Nack(retry_after));
+                self.finish(inner, CommandId::of(&id), Answer::Rejected(retry_after));
             }
             Action::Fail { id } => self.finish(inner, CommandId::of(&id), Answer::Failed),
             Action::Timer { at, token } => inner.timers.push(Reverse((at, Due::Module(token)))),
@@ -674,7 +674,7 @@
                 let (exchange, recorder) = with_timers(attempts, effect, 3);
                 let start = Instant::now();
                 let (_, answer) = exchange.take(command("1", None)).unwrap();
-                assert!(matches!(answer.await, Ok(Answer::Failed | Answer::Nack(_))));
+                assert!(matches!(answer.await, Ok(Answer::Failed | Answer::Rejected(_))));
                 assert!(start.elapsed() < Duration::from_millis(480), "{:?}", start.elapsed());
                 assert!(!recorder.begun.borrow().is_empty());
                 assert!(exchange.inner.borrow().attempts.is_empty() || exchange.counters.timeouts.get() > 0);
@@ -692,7 +692,7 @@
             let (_, answer) = exchange.take(command("1", None)).unwrap();
             let attempt = recorder.begun.borrow_mut().pop().unwrap();
             exchange.ended(attempt.id, End::NotSent);
-            assert!(matches!(answer.await, Ok(Answer::Nack(_))));
+            assert!(matches!(answer.await, Ok(Answer::Rejected(_))));
             assert_eq!(start.elapsed(), Duration::ZERO);
         });
     }
@@ -842,7 +842,7 @@
                 assert!(exchange.take(command("1", None)).is_none());
                 let attempt = recorder.begun.borrow_mut().pop().unwrap();
                 exchange.ended(attempt.id, End::Spoilt);
-                assert!(matches!(answer.await, Ok(Answer::Nack(_) | Answer::Failed)));
+                assert!(matches!(answer.await, Ok(Answer::Rejected(_) | Answer::Failed)));
             }
             assert!(exchange.inner.borrow().ids.is_empty());
         });
--- a/exchange/src/operators.rs
+++ b/exchange/src/operators.rs
@@ -129,7 +129,7 @@
                 there += usize::from(attempt.server == HOST);
                 exchange.ended(attempt.id, End::Reply(Reply::Served(Answer::Value("v".into()))));
             }
-            assert!(matches!(answer.await, Ok(Answer::Value(_) | Answer::Nack(_))));
+            assert!(matches!(answer.await, Ok(Answer::Value(_) | Answer::Rejected(_))));
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
         there
--- a/exchange/src/tally.rs
+++ b/exchange/src/tally.rs
@@ -15,7 +15,7 @@
 pub enum Ended {
     /// With a value or a receipt.
     Passed,
-    /// With a nack.
+    /// With a rejection.
     Dropped,
     /// Without either.
     Failed,
--- a/exchange/src/values.rs
+++ b/exchange/src/values.rs
@@ -39,8 +39,8 @@
     Long(Long),
     /// Served: the receipt of a write.
     Receipt(Bytes),
-    /// A nack: trying again is harmless, after this time if it is not zero.
-    Nack(Micros),
+    /// A rejection: trying again is harmless, after this time if it is not zero.
+    Rejected(Micros),
     /// Failed.
     Failed,
 }
--- a/node/src/storm/clients.rs
+++ b/node/src/storm/clients.rs
@@ -157,7 +157,7 @@
                 world.ledger.met(match &answer {
                     Answer::Value(value) if value.starts_with(format!("v-{id}").as_bytes()) => "served",
                     Answer::Receipt(receipt) if receipt.as_ref() == format!("r-{id}").as_bytes() => "served",
-                    Answer::Nack(_) => "refused",
+                    Answer::Rejected(_) => "refused",
                     Answer::Failed => "failed",
                     other => {
                         world.ledger.broken(&id, format!("no host made this for it: {other:?}"));
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -93,7 +93,7 @@
             };
             let (after, ()) = tokio::join!(carry, host);
             let counted: Vec<_> = exchange.counters().all().into_iter()
-                .filter(|(name, n)| *n > 0 && !name.starts_with("nack_") && !["commands", "attempts", "served", "nacked", "failed", "bad_answers"].contains(name))
+                .filter(|(name, n)| *n > 0 && !name.starts_with("rejected_") && !["commands", "attempts", "served", "rejected", "failed", "bad_answers"].contains(name))
                 .collect();
             assert_eq!(counted, [(want, 1)]);
             assert_eq!(after == After::Broke, leaves && want == "resets");
@@ -116,7 +116,7 @@
         settle().await;
         assert_eq!(exchange.counters().moot.get(), 0, "it waits for a connection");
         exchange.listed(ListKind::Update, &[host(HOST, State::Draining)]);
-        assert!(matches!(answer.await, Ok(Answer::Nack(_))));
+        assert!(matches!(answer.await, Ok(Answer::Rejected(_))));
         assert_eq!(exchange.counters().moot.get(), 1);
     });
 }
@@ -339,7 +339,7 @@
         exchange.listed(ListKind::Restored, &[down]);
         let (_, first) = exchange.take(testing::command("7", None)).unwrap();
         let (_, second) = exchange.take(testing::command("8", None)).unwrap();
-        assert!(matches!((first.await, second.await), (Ok(Answer::Nack(_)), Ok(Answer::Nack(_)))));
+        assert!(matches!((first.await, second.await), (Ok(Answer::Rejected(_)), Ok(Answer::Rejected(_)))));
         assert_eq!(exchange.counters().connect_failed.get(), 2);
         assert_eq!(upstream.connections.get(), 0);
     });
@@ -380,7 +380,7 @@
                 }
             });
             let (_, answer) = exchange.take(testing::command("7", None)).unwrap();
-            assert!(matches!(answer.await, Ok(Answer::Nack(_) | Answer::Failed)));
+            assert!(matches!(answer.await, Ok(Answer::Rejected(_) | Answer::Failed)));
             assert!(accepted.get() <= 3, "{} connections for three attempts", accepted.get());
             assert_eq!(upstream.counters.tries.get(), 0, "nothing of it was written");
         });
@@ -491,7 +491,7 @@
                 stream.write_all(b"VA 1 O2\r\nw\r\n").await.unwrap();
                 assert_eq!(second.await, Ok(Answer::Value("w".into())));
             } else {
-                assert!(matches!(second.await, Ok(Answer::Nack(_))));
+                assert!(matches!(second.await, Ok(Answer::Rejected(_))));
             }
             let mut more = Vec::new();
             resting.read_to_end(&mut more).await.unwrap();
--- a/protocols/src/memcache.rs
+++ b/protocols/src/memcache.rs
@@ -237,8 +237,8 @@
             out.put_slice(b" c");
             out.put_slice(receipt);
         }
-        Answer::Nack(Micros(0)) => out.put_slice(b"SERVER_ERROR busy"),
-        Answer::Nack(wait) => out.put_slice(format!("SERVER_ERROR busy {}", to_ms(*wait)).as_bytes()),
+        Answer::Rejected(Micros(0)) => out.put_slice(b"SERVER_ERROR busy"),
+        Answer::Rejected(wait) => out.put_slice(format!("SERVER_ERROR busy {}", to_ms(*wait)).as_bytes()),
         Answer::Failed => out.put_slice(b"SERVER_ERROR failed"),
     }
     out.put_slice(b"\r\n");
@@ -435,8 +435,8 @@
     };
     let told: Vec<&[u8]> = input[..bare].split(|b| *b == b' ').filter(|word| !word.is_empty()).collect();
     let plain = match told[..] {
-        [b"SERVER_ERROR", b"busy"] => Answer::Nack(Micros(0)),
-        [b"SERVER_ERROR", b"busy", ms] => Answer::Nack(number(ms).map_or(Micros(0), from_ms)),
+        [b"SERVER_ERROR", b"busy"] => Answer::Rejected(Micros(0)),
+        [b"SERVER_ERROR", b"busy", ms] => Answer::Rejected(number(ms).map_or(Micros(0), from_ms)),
         [b"VA" | b"HD", ..] => {
             return Ok(answer(input, command)?.map(|reply| match reply {
                 Reply::Served(answer) => answer,
@@ -521,10 +521,10 @@
     }
 
     #[test]
-    fn a_nack_tells_when_to_come_back() {
+    fn a_rejected_tells_when_to_come_back() {
         let mut out = BytesMut::new();
-        write_answer(&mut out, b"1", &Answer::Nack(Micros(1)));
-        write_answer(&mut out, b"1", &Answer::Nack(Micros(0)));
+        write_answer(&mut out, b"1", &Answer::Rejected(Micros(1)));
+        write_answer(&mut out, b"1", &Answer::Rejected(Micros(0)));
         assert_eq!(out, b"SERVER_ERROR busy 1\r\nSERVER_ERROR busy\r\n"[..]);
     }
 }
