Open a watch that ended right after its list only after a second

Found by reading.

From the call of a watch to the next call are now 1.2 to 1.5 s at least; a watch that falls silent has lasted longer, so that the six seconds are kept.

a_watch_that_ends_at_once_is_not_opened_without_end is new; the sums in a_change_is_known_before_it_counts_as_told have two chains more.

--- a/node/src/discovery/tests.rs
+++ b/node/src/discovery/tests.rs
@@ -4,7 +4,7 @@
 use super::*;
 use crate::name_table::Names;
 use crate::testing::{self, log, settle, Recorder};
-use juniperladder::{Effect, AGAIN, ASKING, START};
+use juniperladder::{Effect, AGAIN, ASKING, SOON, START};
 use std::cell::RefCell;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
@@ -56,14 +56,19 @@
 fn a_change_is_known_before_it_counts_as_told() {
     let asking = Duration::from_micros(ASKING.0);
     let most = |at: usize| asking.mul_f64(AGAIN[at].1);
+    let soon = asking.mul_f64(SOON.1);
     let call = CONNECT + ANSWER;
     let last = AGAIN.len() - 1;
+    // A watch that falls silent has lasted longer than calls are apart.
+    assert!(SILENCE > most(0));
     let chains = [
-        ("silent, called, answered slowly", SILENCE + most(0) + call),
-        ("silent, refused, called, answered slowly", SILENCE + most(0) + most(1) + call),
-        ("silent, given up, called", SILENCE + most(0) + call + most(0) + ROUND),
+        ("silent, called, answered slowly", SILENCE + soon + call),
+        ("silent, refused, called, answered slowly", SILENCE + soon + most(1).max(soon) + call),
+        ("silent, given up, called", SILENCE + soon + call + soon + ROUND),
+        ("ended at once, called, answered slowly", most(0).max(soon) + call),
+        ("ended at once, refused, called, answered slowly", most(0).max(soon) + most(1).max(soon) + call),
         ("back right after a call was refused, answered slowly", most(last) + call),
-        ("back right after a call began that hangs, answered slowly", most(last).max(call + most(0)) + call),
+        ("back right after a call began that hangs, answered slowly", most(last).max(call + soon) + call),
         ("back, refused once, called", most(last) + most(last) + ROUND),
         ("started, answered slowly", asking.mul_f64(START) + call),
     ];
@@ -93,6 +98,8 @@
     Busy,
     /// Tells this list, and goes on with an empty line every two seconds.
     Tells(u64),
+    /// Tells this list, and ends the watch.
+    Ends(u64),
     /// Tells this list, and falls silent.
     FallsSilent(u64),
     /// Tells this list, and then brings the next a byte at a time, never to its end.
@@ -140,7 +147,11 @@
 
 async fn play(peer: Peer, mut stream: TcpStream) {
     let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
-    let (Peer::Tells(generation) | Peer::FallsSilent(generation) | Peer::Trickles(generation)) = peer else {
+    let (Peer::Tells(generation)
+    | Peer::Ends(generation)
+    | Peer::FallsSilent(generation)
+    | Peer::Trickles(generation)) = peer
+    else {
         if peer == Peer::Busy {
             let _ = stream.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").await;
         } else {
@@ -152,6 +163,9 @@
         chunk(&format!("{{\n  \"generation\": {generation},\n  \"reset\": true,\n  \"instances\": []\n}}\n"));
     let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     let _ = stream.write_all(format!("{head}{list}").as_bytes()).await;
+    if matches!(peer, Peer::Ends(_)) {
+        return;
+    }
     let mut more =
         "{\"generation\":99,\"reset\":true,\"instances\":[ ".bytes().chain(std::iter::repeat(b' '));
     loop {
@@ -256,6 +270,20 @@
     }
 }
 
+/// Discovery that ends each watch right behind its list is not called without end for that.
+#[test]
+fn a_watch_that_ends_at_once_is_not_opened_without_end() {
+    testing::run(async {
+        let discovery = Discovery::new(vec![Peer::Ends(1)]).await;
+        let _balancer = balancer(&discovery, Calls { at_once: false, ..NOW }, true);
+        sleep(Duration::from_secs(60)).await;
+        let asked = discovery.asked.borrow();
+        let apart = |calls: &[(Instant, String)]| calls[1].0 - calls[0].0;
+        assert!(asked.windows(2).all(|calls| apart(calls) >= Duration::from_millis(1_100)), "{asked:?}");
+        assert!(asked.windows(2).all(|calls| apart(calls) <= TOLD - CONNECT - ANSWER));
+    });
+}
+
 /// A new address is called at once and asked for its whole list, also where its first calls fail, and what the old one had to
 /// do with it is over.
 #[test]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,4 +68,4 @@
 
 pub use interface::*;
 pub use rules::view::LimitView;
-pub use rules::{Balancer, AGAIN, ASKING, START};
+pub use rules::{Balancer, AGAIN, ASKING, SOON, START};
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,7 +36,9 @@
 /// The part over which those that start together call discovery.
 pub const START: f64 = 0.33;
 /// The least and the most from call to call: after a watch, a failed call, the second (a start's), more.
-pub const AGAIN: [(f64, f64); 4] = [(0.005, 0.03), (0.03, 0.06), (0.3, 0.34), (0.24, 0.28)];
+pub const AGAIN: [(f64, f64); 4] = [(0.12, 0.15), (0.03, 0.06), (0.3, 0.34), (0.24, 0.28)];
+/// The same from the end of a call or a watch to the next call, if that is later.
+pub const SOON: (f64, f64) = (0.005, 0.03);
 /// The timer tokens of discovery and of the origin's gap; requests use higher ones.
 const DISCOVERY: u64 = 0;
 const PASS: u64 = 1;
@@ -134,7 +136,7 @@
         let spread = self.settings.rules.ask_within.min(ASKING);
         if kind == ListKind::Unavailable {
             let mut wait = |(least, most)| spread.times(least + (most - least) * self.rng.f64());
-            let soon = now.plus(wait(AGAIN[0]));
+            let soon = now.plus(wait(SOON));
             let at = self.members.call.plus(wait(AGAIN[self.members.failures])).max(soon);
             self.members.failures = (self.members.failures + 1).min(AGAIN.len() - 1);
             self.members.call = at;
@@ -148,7 +150,7 @@
             self.members.call = at;
             actions.push(Action::Timer { at, token: DISCOVERY });
         } else if kind != ListKind::ByHand {
-            self.members.failures = 0;
+            (self.members.failures, self.members.call) = (0, self.members.call.min(now));
         }
     }
 
