--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -126,23 +126,13 @@
 #[test]
 fn a_connection_that_comes_up_late_gets_nothing_of_a_command_that_is_over() {
     testing::run_on_sockets(async {
-        let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
-        let upstream = testing::upstream(4);
-        let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), upstream.clone(), 0);
-        upstream.attach(&exchange);
-        let mut up = host(HOST, State::Serving);
-        up.address = listener.local_addr().ok();
-        exchange.listed(ListKind::Replace, &[up]);
+        let (exchange, upstream, listener) = world(1).await;
         let (id, _answer) = exchange.take(testing::command("1", None)).unwrap();
         exchange.gone(id);
         let (mut stream, _) = listener.accept().await.unwrap();
         settle().await;
         let (_, answer) = exchange.take(testing::command("2", None)).unwrap();
-        let mut got = BytesMut::new();
-        while !got.ends_with(b"\r\n") {
-            assert!(stream.read_buf(&mut got).await.unwrap() > 0);
-        }
-        let got = String::from_utf8_lossy(&got).into_owned();
+        let got = command_at(&mut stream).await;
         assert!(got.starts_with("mg ") && got.contains(" O2 ") && !got.contains(" O1 "), "{got}");
         stream.write_all(b"VA 1 O2\r\nv\r\n").await.unwrap();
         assert_eq!(answer.await, Ok(Answer::Value("v".into())));
@@ -345,11 +335,11 @@
     });
 }
 
-/// A pool over one host on loopback, and what listens there.
-async fn world() -> (Rc<Exchange>, Rc<Upstream>, tokio::net::TcpListener) {
+/// A pool over one host on loopback, with so many attempts for each command, and what listens there.
+async fn world(attempts: u32) -> (Rc<Exchange>, Rc<Upstream>, tokio::net::TcpListener) {
     let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
     let upstream = testing::upstream(4);
-    let exchange = testing::exchange(testing::settings(3, Effect::Unsafe), upstream.clone(), 0);
+    let exchange = testing::exchange(testing::settings(attempts, Effect::Unsafe), upstream.clone(), 0);
     upstream.attach(&exchange);
     let mut up = host(HOST, State::Serving);
     up.address = listener.local_addr().ok();
@@ -363,7 +353,7 @@
 fn a_host_that_ends_new_connections_is_not_tried_without_end() {
     for greets in [false, true] {
         testing::run_on_sockets(async {
-            let (exchange, upstream, listener) = world().await;
+            let (exchange, upstream, listener) = world(3).await;
             let accepted = Rc::new(Cell::new(0));
             let so_far = Rc::clone(&accepted);
             let timers = Rc::clone(&exchange);
@@ -393,13 +383,10 @@
 fn half_a_line_spoils_its_connection_and_no_command() {
     for at_once in [false, true] {
         testing::run_on_sockets(async {
-            let (exchange, upstream, listener) = world().await;
-            let mut got = BytesMut::new();
+            let (exchange, upstream, listener) = world(3).await;
             let (_, first) = exchange.take(testing::command("1", None)).unwrap();
             let (mut resting, _) = listener.accept().await.unwrap();
-            while !got.ends_with(b"\r\n") {
-                resting.read_buf(&mut got).await.unwrap();
-            }
+            command_at(&mut resting).await;
             resting.write_all(b"VA 1 O1\r\nv\r\n").await.unwrap();
             assert!(first.await.is_ok());
             settle().await;
@@ -414,10 +401,7 @@
                 exchange.take(testing::command("2", None)).unwrap().1
             };
             let (mut fresh, _) = listener.accept().await.unwrap();
-            got.clear();
-            while !got.ends_with(b"\r\n") {
-                fresh.read_buf(&mut got).await.unwrap();
-            }
+            command_at(&mut fresh).await;
             fresh.write_all(b"VA 1 O2\r\nw\r\n").await.unwrap();
             assert_eq!(second.await, Ok(Answer::Value("w".into())));
             assert_eq!((upstream.counters.bad_answers.get(), upstream.counters.tries.get()), (0, 2));
@@ -430,7 +414,7 @@
 fn a_reset_is_no_end_of_an_answer_without_a_length() {
     for (reset, body) in [(false, true), (true, true), (true, false)] {
         testing::run_on_sockets(async {
-            let (exchange, _upstream, listener) = world().await;
+            let (exchange, _upstream, listener) = world(3).await;
             let mut origin = host(HOST, State::Serving);
             origin.address = listener.local_addr().ok();
             origin.entry.kind = testing::ORIGIN;
@@ -470,7 +454,7 @@
 fn a_list_that_crosses_a_hand_over_comes_first() {
     for change in [State::Draining, State::Deleted, State::Serving] {
         testing::run_on_sockets(async {
-            let (exchange, upstream, old) = world().await;
+            let (exchange, upstream, old) = world(3).await;
             let new = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
             let (_, first) = exchange.take(testing::command("1", None)).unwrap();
             let (mut resting, _) = old.accept().await.unwrap();
