Let several silent connections make room at once while others wait to be accepted

In the flood the event loop never rested for 1.5 s while about 1,200 connections a second were accepted, one for each silent one that left: `Service::accept` told one connection to leave and waited for it, and each leave costs a whole turn of the event loop (`Look::Short` yields to the driver). Requests waited up to 0.4 s in that queue, and their time was counted from the read. Ruled out: descriptors held by the balancer, a wait for an upstream connection, `accepts_failed` (0).

Change: while connections have waited for over 20 ms, up to 16 silent ones are told to leave in one turn (`evict`). `service/backlog.rs` accepts connections and bounds how long each may have waited: since the queue was last empty. That bound, at most half of the time, comes off the deadline of what a connection brings in its first 20 ms (`Exchange::take_after`).

With one connection a turn the new flood test takes 193 turns for 200 connections and fails; now it takes fewer than 100.

--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -286,6 +286,16 @@
     /// Takes a command; its one answer comes on the receiver. None if a command with its id is open: hosts
     /// could not tell the two apart, and one would be answered for the other.
     pub fn take(&self, command: Command) -> Option<(CommandId, oneshot::Receiver<Answer>)> {
+        self.take_after(command, Micros(0))
+    }
+
+    /// Takes a command that may have waited for so long, at most, before it could be read. That comes off its time, by half of
+    /// it where the wait may have been longer: it is a bound and may be far over the truth.
+    pub fn take_after(
+        &self,
+        command: Command,
+        waited: Micros,
+    ) -> Option<(CommandId, oneshot::Receiver<Answer>)> {
         if !self.inner.borrow_mut().ids.insert(command.id.clone()) {
             return None;
         }
@@ -299,7 +309,8 @@
         let most = self.longest.get(command.class as usize).or(self.longest.last());
         let most = most.copied().unwrap_or(Micros(1_000_000));
         let wait = command.wait.map_or(most, |wait| wait.min(most));
-        let deadline = now.plus(wait.minus(MARGIN)).min(self.last.get());
+        let left = wait.minus(waited.min(wait.times(0.5)));
+        let deadline = now.plus(left.minus(MARGIN)).min(self.last.get());
         let request = Request {
             id: id.request(),
             deadline,
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -1,5 +1,6 @@
 //! The client side: service clients' connections, the commands on them, and the answers in their order.
 
+mod backlog;
 mod client;
 mod connection;
 
@@ -16,6 +17,7 @@
 use crate::counters::count;
 use crate::exchange::Exchange;
 use crate::shutdown::Shutdown;
+use backlog::{Accepted, Backlog};
 use client::{linger, until, ServiceClient};
 pub use connection::{Connection, Reader};
 use juniperladder_exchange::telling::Telling;
@@ -28,6 +30,11 @@
 const SPARE_PART: usize = 16;
 /// How long a full house waits for the one that was told to leave.
 const ROOM: Duration = Duration::from_millis(10);
+/// How long connections may wait unaccepted before several silent ones at once make room for them.
+const BACKLOG_PATIENCE: Duration = Duration::from_millis(20);
+/// How many silent connections are told to leave at once where more wait to be accepted. Each turn of the event loop costs as
+/// much as some of them, and one for each connection lets the queue of a flood grow to hundreds.
+const EVICTIONS_AT_ONCE: usize = 16;
 /// How long those who wait in the backlog at the end wait for seats.
 const LAST_ONES: Duration = Duration::from_millis(100);
 
@@ -75,6 +82,9 @@
 /// A connection's place among those that the limit allows.
 #[derive(Debug)]
 struct Seat {
+    /// When it was accepted, and how long it may have waited for that at most.
+    accepted: Instant,
+    waited: Duration,
     /// Since when it has had no command open.
     quiet: Cell<Instant>,
     busy: Cell<bool>,
@@ -161,28 +171,26 @@
 
     /// Accepts service clients for as long as it is polled.
     pub async fn accept(self: Rc<Service>, listener: TcpListener) {
+        let mut backlog = Backlog::new(listener);
         loop {
             if self.full() {
                 // Connections that say nothing must not shut out those that do. Where all are at work the
                 // backlog holds who comes now until one leaves.
-                self.make_room();
-                // The one that was told may have brought a command meanwhile: then another is.
-                let _ = timeout(ROOM, self.left.notified()).await;
+                self.make_room_for(&backlog).await;
                 continue;
             }
             let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
+                accepted = backlog.accept() => accepted,
                 () = self.shutdown.closing() => {
-                    self.last_ones(&listener).await;
+                    self.last_ones(&mut backlog).await;
                     // Closed, the listener leaves new connections to a balancer that shares its address.
                     return;
                 }
             };
             match accepted {
-                Ok((stream, _)) => {
+                Ok(accepted) => {
                     self.shutdown.accepted();
-                    let _ = stream.set_nodelay(true);
-                    self.take_in(stream);
+                    self.take_accepted(accepted);
                     if self.taken() + self.bounds.clients / SPARE_PART > self.bounds.clients {
                         self.make_room();
                     }
@@ -202,24 +210,29 @@
 
     /// Takes in the connections that wait in the backlog already: those would be reset when it closes. Where all seats are
     /// taken they wait a moment for one, as the descriptors beyond those are others'.
-    async fn last_ones(self: &Rc<Service>, listener: &TcpListener) {
+    async fn last_ones(self: &Rc<Service>, backlog: &mut Backlog) {
         let until = Instant::now() + LAST_ONES;
-        let mut cx = std::task::Context::from_waker(std::task::Waker::noop());
         loop {
             if self.full() {
                 if Instant::now() >= until {
                     return;
                 }
-                self.make_room();
-                let _ = timeout(ROOM, self.left.notified()).await;
+                self.make_room_for(backlog).await;
                 continue;
             }
-            let std::task::Poll::Ready(Ok((stream, _))) = listener.poll_accept(&mut cx) else { return };
-            let _ = stream.set_nodelay(true);
-            self.take_in(stream);
+            let Some(accepted) = backlog.accept_waiting() else { return };
+            self.take_accepted(accepted);
         }
     }
 
+    /// Tells one connection to leave, or several where others have waited for long, and waits for a moment until one has left.
+    async fn make_room_for(&self, backlog: &Backlog) {
+        let behind = backlog.waited() > BACKLOG_PATIENCE;
+        self.evict(if behind { EVICTIONS_AT_ONCE } else { 1 });
+        // The one that was told may have brought a command meanwhile: then another is.
+        let _ = timeout(ROOM, self.left.notified()).await;
+    }
+
     /// Whether there is no seat for one more: operators' callers beyond those that have descriptors of their own sit here too.
     fn full(&self) -> bool {
         self.taken() >= self.bounds.clients
@@ -234,17 +247,24 @@
         Rc::clone(&self.callers)
     }
 
-    /// Seats a client that has just connected and serves it.
-    pub(crate) fn take_in(self: &Rc<Service>, stream: impl Connection) {
+    fn take_accepted(self: &Rc<Service>, accepted: Accepted) {
+        let _ = accepted.stream.set_nodelay(true);
+        self.take_in(accepted.stream, accepted.waited);
+    }
+
+    /// Seats a client that has just connected, after at most this wait to be accepted, and serves it.
+    pub(crate) fn take_in(self: &Rc<Service>, stream: impl Connection, waited: Duration) {
         count(&self.exchange.counters().clients);
-        let seated = self.seat();
+        let seated = self.seat(waited);
         // A connection that breaks has no one to be told.
         spawn_local(async move { drop(seated.serve(stream).await) });
     }
 
-    fn seat(self: &Rc<Service>) -> Seated {
+    fn seat(self: &Rc<Service>, waited: Duration) -> Seated {
         let (busy, half, spoke, leave, cut) = Default::default();
-        let seat = Rc::new(Seat { quiet: Cell::new(Instant::now()), busy, half, spoke, leave, cut });
+        let accepted = Instant::now();
+        let quiet = Cell::new(accepted);
+        let seat = Rc::new(Seat { accepted, waited, quiet, busy, half, spoke, leave, cut });
         self.seats.borrow_mut().push(Rc::clone(&seat));
         self.tell_open();
         Seated { service: Rc::clone(self), seat }
@@ -283,14 +303,28 @@
     /// one, or else of the others, then one that has only just come, and one in the middle of a command only when
     /// there is no other.
     fn make_room(&self) {
+        self.evict(1);
+    }
+
+    /// Tells as many as this to leave in that order. Beyond the first only those go that have brought nothing.
+    fn evict(&self, most: usize) {
         let seats = self.seats.borrow();
-        let quiet = seats.iter().filter(|seat| !seat.busy.get());
+        let mut idle: Vec<&Rc<Seat>> = seats.iter().filter(|seat| !seat.busy.get()).collect();
         let now = Instant::now();
         // Who has just come may be about to speak, and to close on it loses what it says; who has been answered and
         // is idle has nothing to lose.
         let fresh = |seat: &Seat| !seat.spoke.get() && now.duration_since(seat.quiet.get()) < FRESH;
-        let last = |seat: &&Rc<Seat>| (seat.half.get(), fresh(seat), seat.spoke.get(), seat.quiet.get());
-        if let Some(seat) = quiet.min_by_key(last) {
+        let order = |seat: &Rc<Seat>| (seat.half.get(), fresh(seat), seat.spoke.get(), seat.quiet.get());
+        if idle.len() > most {
+            idle.select_nth_unstable_by_key(most, |seat| order(seat));
+            idle.truncate(most);
+        }
+        idle.sort_unstable_by_key(|seat| order(seat));
+        let silent = |seat: &Seat| !seat.half.get() && !seat.spoke.get();
+        for (place, seat) in idle.into_iter().enumerate() {
+            if place > 0 && !silent(seat) {
+                continue;
+            }
             // Who is told to close while idle and then begins a command may finish it.
             if seat.half.get() { &seat.cut } else { &seat.leave }.notify_one();
         }
--- /dev/null
+++ b/node/src/service/backlog/tests.rs
@@ -0,0 +1,96 @@
+//! How long connections may have waited unaccepted, and what that means for what they bring.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use juniperladder::Micros;
+use tokio::io::{duplex, AsyncWriteExt};
+use tokio::task::{spawn_local, yield_now};
+use tokio::time::advance;
+
+use super::*;
+use crate::service::tests::{serve_after, service};
+use crate::testing::{self, settle, Recorder};
+
+const CLIENTS: usize = 200;
+/// How long a turn of the event loop takes in these tests.
+const TURN: Duration = Duration::from_millis(1);
+
+fn connect(address: std::net::SocketAddr) -> std::net::TcpStream {
+    std::net::TcpStream::connect(address).unwrap()
+}
+
+/// One that was awaited has not waited; one that was there already may have come right after the queue was last empty.
+#[test]
+fn a_wait_is_counted_from_when_the_queue_was_last_empty() {
+    testing::run(async {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut backlog = Backlog::new(listener);
+        let wait = Duration::from_millis(300);
+        for _ in 0..2 {
+            let (first, awaited) = tokio::join!(backlog.accept(), async { connect(address) });
+            assert_eq!(first.unwrap().waited, Duration::ZERO);
+            let behind = [connect(address), connect(address)];
+            advance(wait).await;
+            assert_eq!(backlog.accept().await.unwrap().waited, wait);
+            assert_eq!(backlog.accept_waiting().unwrap().waited, wait);
+            assert!(backlog.accept_waiting().is_none());
+            drop((awaited, behind));
+        }
+    });
+}
+
+/// In a flood of silent connections several leave at once, so that the queue is worked off in few turns of the event loop.
+#[test]
+fn a_flood_of_silent_connections_is_accepted_in_few_turns() {
+    testing::run(async {
+        let service = service(&Rc::new(Recorder::default()));
+        let listener = crate::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        spawn_local(Rc::clone(&service).accept(listener));
+        settle().await;
+        let flood: Vec<_> = (0..CLIENTS).map(|_| connect(address)).collect();
+        let turns = Rc::new(Cell::new(0));
+        let counted = Rc::clone(&turns);
+        spawn_local(async move {
+            loop {
+                advance(TURN).await;
+                counted.set(counted.get() + 1);
+            }
+        });
+        while (service.exchange.counters().clients.get() as usize) < CLIENTS {
+            yield_now().await;
+        }
+        assert!(
+            turns.get() < CLIENTS / 2,
+            "{} turns of the event loop for {CLIENTS} connections",
+            turns.get()
+        );
+        drop(flood);
+    });
+}
+
+/// What a connection brings right behind its accept may have waited as long as that did, and its time ends sooner by it; what
+/// comes later has all its time. A wait that may be far over the truth leaves half of the time.
+#[test]
+fn a_wait_to_be_accepted_comes_off_the_time_of_a_request() {
+    for (waited, early) in [(0, 0), (100, 100), (2_000, 240)] {
+        testing::run(async {
+            let recorder = Rc::new(Recorder::default());
+            let service = service(&recorder);
+            let (near, mut far) = duplex(1 << 10);
+            spawn_local(serve_after(Rc::clone(&service), near, Duration::from_millis(waited)));
+            let now = service.exchange.clock().now();
+            far.write_all(b"mg a v O1 Pc=read,d=480\r\nmg b v O2 Pc=read,d=480\r\n").await.unwrap();
+            settle().await;
+            advance(Duration::from_millis(50)).await;
+            far.write_all(b"mg c v O3 Pc=read,d=480\r\n").await.unwrap();
+            settle().await;
+            let times: Vec<_> =
+                recorder.begun.borrow().iter().map(|attempt| attempt.until.minus(now)).collect();
+            let right_behind = Micros((480 - 10 - early) * 1_000);
+            assert_eq!(times, [right_behind, right_behind, Micros((480 - 10 + 50) * 1_000)]);
+        });
+    }
+}
--- a/node/src/service/client.rs
+++ b/node/src/service/client.rs
@@ -4,12 +4,14 @@
 use std::io;
 
 use bytes::{BufMut, Bytes, BytesMut};
+use juniperladder::Micros;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout, Duration, Instant};
 
 use super::connection::{left, Connection, Reader};
 use super::{Seat, Service};
+use crate::clock;
 use crate::counters::count;
 use crate::exchange::{Answer, Command, CommandId};
 use crate::memcache::{write_answer, Commands, Incoming};
@@ -32,6 +34,8 @@
 const HALF: Duration = Duration::from_millis(2500);
 /// How long a value may take to come to its end while pieces of it keep coming.
 const VALUE: Duration = Duration::from_secs(15);
+/// For how long after the accept of a connection what it brings is taken to have come before that.
+const RIGHT_BEHIND_ACCEPT: Duration = Duration::from_millis(20);
 /// How long a client may take to read any part of the answers that wait for it.
 const UNREAD: Duration = Duration::from_secs(5);
 /// How long, and how far, what a client still sends is read off after its last answer, as a close over
@@ -320,7 +324,7 @@
         if self.left {
             return self.turn_back();
         }
-        match self.service.exchange.take(command) {
+        match self.service.exchange.take_after(command, self.unread_wait()) {
             Some((id, answer)) => {
                 self.open += size;
                 self.owed.push_back(Owed::Command(id, text, answer, size));
@@ -333,6 +337,16 @@
         }
     }
 
+    /// The longest that a command which is read now may have waited before: what comes right behind the accept of its
+    /// connection may have come long before that.
+    fn unread_wait(&self) -> Micros {
+        if self.seat.accepted.elapsed() < RIGHT_BEHIND_ACCEPT {
+            clock::micros(self.seat.waited)
+        } else {
+            Micros(0)
+        }
+    }
+
     /// Owes this line for what was no command. Whoever goes on sending such things loses the connection.
     fn turn_away(&mut self, line: &'static str) {
         count(&self.service.exchange.counters().malformed);
--- a/node/src/service/tests.rs
+++ b/node/src/service/tests.rs
@@ -31,7 +31,7 @@
     prop_oneof![3 => lines, 2 => any::<(bool, bool)>().prop_map(|(newest, served)| Step::End { newest, served })]
 }
 
-fn service(recorder: &Rc<Recorder>) -> Rc<Service> {
+pub(super) fn service(recorder: &Rc<Recorder>) -> Rc<Service> {
     let exchange = testing::exchange(testing::settings(1, Effect::Unsafe), recorder.clone(), 1);
     let bounds =
         Bounds { clients: 8, kept: 4, hosts: 8, callers: 8, held: 1 << 17, unread: 1 << 16, piece: 1 << 10 };
@@ -40,7 +40,16 @@
 }
 
 async fn serve(service: Rc<Service>, stream: impl Connection) -> io::Result<()> {
-    service.seat().serve(stream).await
+    serve_after(service, stream, Duration::ZERO).await
+}
+
+/// Serves a connection that may have waited so long to be accepted.
+pub(super) async fn serve_after(
+    service: Rc<Service>,
+    stream: impl Connection,
+    waited: Duration,
+) -> io::Result<()> {
+    service.seat(waited).serve(stream).await
 }
 
 proptest! {
@@ -237,7 +246,7 @@
         let mut clients = Vec::new();
         for (spoke, wait) in [(false, 900), (true, 100), (true, 100), (false, 0)] {
             let (near, mut far) = duplex(1 << 10);
-            let seated = service.seat();
+            let seated = service.seat(Duration::ZERO);
             seated.seat.spoke.set(spoke);
             spawn_local(async move {
                 let _ = ServiceClient::new(&seated.service, &seated.seat).serve(near).await;
@@ -348,7 +357,7 @@
         let service = service(&recorder);
         let (near, mut far) = duplex(1 << 16);
         far.write_all(b"mg a v O1 Pc=read,d=480\r\nmg b v O2 Pc=read,d=480\r\n").await.unwrap();
-        let seated = service.seat();
+        let seated = service.seat(Duration::ZERO);
         let mut client = ServiceClient::new(&seated.service, &seated.seat);
         tokio::select! {
             biased;
