Give the laboratory's exit codes a file, so that commands and report import one way

lab/src/commands.rs wrote reports by report.rs, and report.rs took its exit codes from commands.rs, as compare, overview and replay did; and commands.rs took the arguments of a run from the crate's root, which calls it. The exit codes stand in lab/src/exit.rs now, which imports nothing, and the arguments of a run beside the command that reads them. No code that runs is changed.

--- a/lab/src/commands.rs
+++ b/lab/src/commands.rs
@@ -1,7 +1,7 @@
 //! `run`, `check`, `schema` and `demo`.
 
 use std::io::IsTerminal;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
@@ -12,16 +12,8 @@
 use juniperladder_world::judge::{judge, Terms, Verdict};
 use juniperladder_world::schedule::schedule;
 
-use crate::{report, tables, Run};
-
-/// Played, every rule and stated bound kept.
-pub const KEPT: u8 = 0;
-/// Played, something broken.
-pub const BROKEN: u8 = 1;
-/// The file or the machine does not allow it; nothing was started.
-pub const NOT_ALLOWED: u8 = 2;
-/// The rig was late: the run does not count.
-pub const LATE: u8 = 3;
+use crate::exit::{BROKEN, KEPT, LATE, NOT_ALLOWED};
+use crate::{report, tables};
 
 /// The rig's lag in milliseconds, at the 99th percentile, over which a run does not count.
 const LATE_MS: f64 = 20.0;
@@ -29,6 +21,25 @@
 /// The demonstration: twelve processes, a host in six falls silent.
 const DEMO: &str = include_str!("../demo.toml");
 
+/// How an experiment is played.
+#[derive(Debug, clap::Args)]
+pub struct Run {
+    /// The file
+    pub file: PathBuf,
+    /// The folder for what the run leaves
+    #[arg(long)]
+    pub out: PathBuf,
+    /// The seed; the file's own by default
+    #[arg(long)]
+    pub seed: Option<u64>,
+    /// So many seeds in turn, each in a folder of its own below OUT
+    #[arg(long)]
+    pub seeds: Option<u64>,
+    /// Overrides one value, as in load.rate=300; may be given more than once
+    #[arg(long, value_name = "PATH=VALUE")]
+    pub set: Vec<String>,
+}
+
 /// Reads an experiment; its problems are told.
 fn experiment(file: &Path, set: &[String], seed: Option<u64>) -> Result<Experiment, u8> {
     let text = std::fs::read_to_string(file).map_err(|e| {
--- a/lab/src/compare.rs
+++ b/lab/src/compare.rs
@@ -8,7 +8,7 @@
 use juniperladder_world::summary::Summary;
 use rand::Rng;
 
-use crate::commands::{BROKEN, KEPT, NOT_ALLOWED};
+use crate::exit::{BROKEN, KEPT, NOT_ALLOWED};
 
 /// Resamples of an interval.
 const RESAMPLES: usize = 10_000;
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod charts;
 pub mod commands;
 pub mod compare;
+pub mod exit;
 pub mod overview;
 pub mod replay;
 pub mod report;
@@ -27,7 +28,7 @@
 pub enum Command {
     /// Plays an experiment: 0 played and every rule and stated bound kept, 1 something broken, 2 not allowed (nothing
     /// was started), 3 the rig was late and the run does not count
-    Run(Run),
+    Run(commands::Run),
     /// Checks an experiment's file without playing it
     Check {
         /// The file
@@ -74,25 +75,6 @@
     },
 }
 
-/// How an experiment is played.
-#[derive(Debug, clap::Args)]
-pub struct Run {
-    /// The file
-    pub file: PathBuf,
-    /// The folder for what the run leaves
-    #[arg(long)]
-    pub out: PathBuf,
-    /// The seed; the file's own by default
-    #[arg(long)]
-    pub seed: Option<u64>,
-    /// So many seeds in turn, each in a folder of its own below OUT
-    #[arg(long)]
-    pub seeds: Option<u64>,
-    /// Overrides one value, as in load.rate=300; may be given more than once
-    #[arg(long, value_name = "PATH=VALUE")]
-    pub set: Vec<String>,
-}
-
 /// Does what the arguments say; the exit code is the page's.
 pub fn main(args: Args) -> ExitCode {
     let code = match args.command {
--- a/lab/src/overview.rs
+++ b/lab/src/overview.rs
@@ -8,8 +8,8 @@
 use juniperladder_world::summary::Summary;
 
 use crate::charts::by_size;
-use crate::commands::{BROKEN, KEPT, NOT_ALLOWED};
 use crate::compare::summaries;
+use crate::exit::{BROKEN, KEPT, NOT_ALLOWED};
 
 /// A column: its name, how many decimals, and the figure.
 type Column = (&'static str, usize, fn(&Summary) -> Option<f64>);
--- a/lab/src/replay.rs
+++ b/lab/src/replay.rs
@@ -9,7 +9,7 @@
 use juniperladder_world::experiment::Experiment;
 use rand::Rng;
 
-use crate::commands::{KEPT, NOT_ALLOWED};
+use crate::exit::{KEPT, NOT_ALLOWED};
 
 type Error = Box<dyn std::error::Error>;
 
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -12,7 +12,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::charts;
-use crate::commands::{KEPT, NOT_ALLOWED};
+use crate::exit::{KEPT, NOT_ALLOWED};
 
 type Error = Box<dyn std::error::Error>;
 
