Read experiments' files in a module of its own: check, experiment and group no longer import in a circle

experiment.rs called check.rs when it read a file, check.rs took the file's types from experiment.rs, and group.rs stood between the two; the unit tests of check, group and links closed more circles. The reading (`read`, values set over a file) is world/src/reader.rs now, above check and experiment; experiment.rs holds the types of a file alone. `juniperladder_world::experiment::read` is `juniperladder_world::reader::read` at its users in lab/ and fleet/.

--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -142,7 +142,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use juniperladder_world::experiment::read;
+    use juniperladder_world::reader::read;
     use juniperladder_world::schedule::schedule;
     use std::time::Duration;
     use tokio::task::LocalSet;
--- a/fleet/tests/controls.rs
+++ b/fleet/tests/controls.rs
@@ -4,8 +4,8 @@
 use std::path::PathBuf;
 
 use juniperladder_fleet::{play, Options, Problem};
-use juniperladder_world::experiment::read;
 use juniperladder_world::judge::{judge, Terms};
+use juniperladder_world::reader::read;
 use juniperladder_world::summary::Summary;
 use juniperladder_world::SECOND;
 
--- a/lab/src/charts.rs
+++ b/lab/src/charts.rs
@@ -240,7 +240,7 @@
 
     #[test]
     fn charts_are_whole_and_show_what_they_are_given() {
-        let e = juniperladder_world::experiment::read(include_str!("../demo.toml"), &[]).unwrap();
+        let e = juniperladder_world::reader::read(include_str!("../demo.toml"), &[]).unwrap();
         let seconds: Vec<Second> = (0..14)
             .map(|second| Second { second, commands: 200, served: 150, ..Second::default() })
             .collect();
--- a/lab/src/commands.rs
+++ b/lab/src/commands.rs
@@ -7,9 +7,10 @@
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
 use juniperladder_fleet::keeper::{keep, Keeper};
 use juniperladder_fleet::{play, Options, Played, Problem, Progress};
-use juniperladder_world::experiment::{read, Experiment};
+use juniperladder_world::experiment::Experiment;
 use juniperladder_world::judge::told::told;
 use juniperladder_world::judge::{judge, Terms, Verdict};
+use juniperladder_world::reader::read;
 use juniperladder_world::schedule::schedule;
 
 use crate::exit::{BROKEN, KEPT, LATE, NOT_ALLOWED};
--- a/lab/tests/fleet.rs
+++ b/lab/tests/fleet.rs
@@ -6,9 +6,9 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use juniperladder_fleet::{play, Options, Played};
-use juniperladder_world::experiment::read;
 use juniperladder_world::judge::{judge, Terms, Verdict};
 use juniperladder_world::ledger::At;
+use juniperladder_world::reader::read;
 use juniperladder_world::SECOND;
 
 /// Two at a time.
--- a/world/src/experiment.rs
+++ b/world/src/experiment.rs
@@ -6,8 +6,6 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use crate::check;
-
 /// One experiment.
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -385,59 +383,6 @@
     }
 }
 
-/// Reads a file's text with these values set over it (`load.rate=300`), and checks it.
-///
-/// # Errors
-/// All that is wrong, at least one problem.
-pub fn read(text: &str, set: &[String]) -> Result<Experiment, Vec<Problem>> {
-    let mut experiment: Experiment = toml::from_str(text).map_err(|e| vec![parse_problem(text, &e)])?;
-    if !set.is_empty() {
-        let plain = |what: String| vec![Problem { line: None, field: String::new(), what }];
-        let mut table: toml::Table = toml::from_str(text).map_err(|e| plain(e.message().to_owned()))?;
-        for one in set {
-            override_value(&mut table, one).map_err(plain)?;
-        }
-        experiment =
-            table.try_into().map_err(|e: toml::de::Error| plain(format!("--set: {}", e.message())))?;
-    }
-    let problems = check::check(&experiment, text);
-    if problems.is_empty() {
-        Ok(experiment)
-    } else {
-        Err(problems)
-    }
-}
-
-/// Sets one value, given as `path=value`, in a file's table.
-fn override_value(table: &mut toml::Table, text: &str) -> Result<(), String> {
-    let (path, value) =
-        text.split_once('=').ok_or(format!("--set {text}: write it as path=value, as in load.rate=300"))?;
-    // What is no value of TOML is a plain word.
-    let value = toml::from_str::<toml::Table>(&format!("x = {value}"))
-        .ok()
-        .and_then(|mut table| table.remove("x"))
-        .unwrap_or_else(|| toml::Value::String(value.to_owned()));
-    let mut names: Vec<&str> = path.trim().split('.').collect();
-    let last = names.pop().unwrap_or_default();
-    let mut table = table;
-    for name in names {
-        let inner = table.entry(name).or_insert_with(|| toml::Value::Table(toml::Table::new()));
-        table = inner.as_table_mut().ok_or(format!("--set {text}: {name} is no table"))?;
-    }
-    // A rate given as 300 stays a number with a fraction where the file has one.
-    let value = match (table.get(last), value) {
-        (Some(toml::Value::Float(_)), toml::Value::Integer(whole)) => toml::Value::Float(whole as f64),
-        (_, value) => value,
-    };
-    table.insert(last.to_owned(), value);
-    Ok(())
-}
-
-fn parse_problem(text: &str, error: &toml::de::Error) -> Problem {
-    let line = error.span().map(|span| text[..span.start.min(text.len())].matches('\n').count() + 1);
-    Problem { line, field: String::new(), what: error.message().replace('\n', " ") }
-}
-
 fn one() -> u64 {
     1
 }
@@ -465,33 +410,3 @@
 fn one_times() -> f64 {
     1.0
 }
-
-#[cfg(test)]
-pub(crate) mod tests {
-    use super::*;
-
-    pub const SOUND: &str = "name = \"t\"\nseconds = 40\n[fleet]\nbalancers = 10\nhosts = 6\nzones = 3\n\
-                             [load]\nrate = 100\nkeys = 200\n";
-
-    #[test]
-    fn a_file_is_read_and_values_are_set_over_it() {
-        let set = ["load.rate=300", "seed=7", "fleet.program=x/y", "origin.capacity=55"].map(String::from);
-        let e = read(SOUND, &set).unwrap();
-        assert_eq!(
-            (e.load.rate, e.seed, e.fleet.program.as_str(), e.origin.capacity),
-            (300.0, 7, "x/y", 55.0)
-        );
-        assert_eq!(read(SOUND, &[]).unwrap().fleet.weights, [1.0]);
-        assert!(read(SOUND, &["rate".into()]).unwrap_err()[0].what.contains("path=value"));
-    }
-
-    #[test]
-    fn an_unknown_field_is_told_with_its_line() {
-        let text = SOUND.replace("rate = 100", "rats = 100");
-        let problem = &read(&text, &[]).unwrap_err()[0];
-        assert_eq!(problem.line, Some(8));
-        assert!(problem.what.contains("rats") && problem.what.contains("rate"), "{problem}");
-        let problem = &read(SOUND, &["load.rats=1".into()]).unwrap_err()[0];
-        assert!(problem.what.contains("rats"), "{problem}");
-    }
-}
--- a/world/src/group.rs
+++ b/world/src/group.rs
@@ -1,5 +1,8 @@
 //! Groups of an experiment's file: `balancers:0-49`, `hosts:12.5%`, `zone:1`, `origin`, `discovery`.
 
+#[cfg(test)]
+mod tests;
+
 use rand::seq::index::sample;
 
 use crate::chance::Chance;
@@ -81,29 +84,3 @@
     }
     Ok((from..=to).collect())
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::chance::{chance, Purpose};
-    use crate::experiment::{read, tests::SOUND};
-
-    #[test]
-    fn groups_name_their_members() {
-        let fleet = read(SOUND, &[]).unwrap().fleet;
-        let of = |text: &str| members(text, &fleet, &mut chance(1, Purpose::Groups));
-        assert_eq!(of("balancers:2-4").unwrap().balancers, [2, 3, 4]);
-        assert_eq!(of("hosts:5").unwrap().hosts, [5]);
-        assert_eq!(of("hosts:50%").unwrap().hosts.len(), 3);
-        assert_eq!(of("hosts:1%").unwrap().hosts.len(), 1, "a share names at least one");
-        assert_eq!(of("zone:1").unwrap().balancers, [1, 4, 7]);
-        assert!(of("origin").unwrap().origin && of("discovery").unwrap().discovery);
-        assert_eq!(of("balancers:30%"), of("balancers:30%"), "the same seed draws the same");
-        for wrong in
-            ["hosts:6", "hosts:4-2", "zone:3", "balancers:0%", "balancers:120%", "host:1", "hosts:x", "zone:"]
-        {
-            let problem = of(wrong).unwrap_err();
-            assert!(problem.contains(wrong), "{problem}");
-        }
-    }
-}
--- a/world/src/lib.rs
+++ b/world/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod links;
 pub mod load;
 pub mod origin;
+pub mod reader;
 pub mod schedule;
 pub mod summary;
 
--- a/world/src/load.rs
+++ b/world/src/load.rs
@@ -105,7 +105,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::experiment::{read, tests::SOUND};
+    use crate::reader::{read, tests::SOUND};
 
     fn drawn(more: &str) -> Vec<Arrival> {
         draw(&read(&format!("{SOUND}{more}"), &[]).unwrap())
--- a/world/src/schedule.rs
+++ b/world/src/schedule.rs
@@ -144,7 +144,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::experiment::{read, tests::SOUND};
+    use crate::reader::{read, tests::SOUND};
     use crate::SECOND;
 
     #[test]
