--- a/cluster/src/budget.rs
+++ b/cluster/src/budget.rs
@@ -19,6 +19,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::interval::Interval;
+use crate::open_requests::OpenRequests;
 use crate::{Us, SECOND};
 
 /// How long a question may wait for its answer, and how long what came by it is kept.
@@ -90,8 +92,8 @@
     own: f64,
     most: f64,
     got: VecDeque<(Us, f64)>,
-    open: Vec<(Us, SocketAddr)>,
-    asked: Us,
+    requests: OpenRequests,
+    rounds: Interval,
     /// When one was last wanted and there was none.
     short: Option<Us>,
     out: Vec<(SocketAddr, Message)>,
@@ -109,8 +111,8 @@
             own: 0.0,
             most,
             got: VecDeque::new(),
-            open: Vec::new(),
-            asked: 0,
+            requests: OpenRequests::new(OPEN),
+            rounds: Interval::default(),
             short: None,
             out: Vec::new(),
             figures: Figures::default(),
@@ -159,16 +161,14 @@
 
     /// Asks others while there was lately none; to be called every 50 ms or so.
     pub fn tick(&mut self, now: Us, mut peer: impl FnMut() -> Option<SocketAddr>) {
-        self.open.retain(|(sent, _)| now < sent + OPEN);
+        self.requests.expire(now);
         let short = self.short.is_some_and(|at| now < at + OPEN);
-        if !short || now < self.asked + EVERY || self.own >= 1.0 || self.got(now) >= 1.0 {
+        if !short || self.own >= 1.0 || self.got(now) >= 1.0 || !self.rounds.is_due(now, EVERY) {
             return;
         }
-        self.asked = now;
         for _ in 0..ASKED {
             let Some(to) = peer() else { return };
-            let sent = self.open.last().map_or(now, |(last, _)| now.max(last + 1));
-            self.open.push((sent, to));
+            let sent = self.requests.open(now, to);
             self.out.push((to, Message::Ask { life: self.life, sent, rights: MOST }));
         }
     }
@@ -186,10 +186,9 @@
                 }
             }
             Message::Give { life, sent, rights } => {
-                let open = self.open.iter().position(|(at, to)| *at == sent && *to == from);
-                let Some(at) = open.filter(|_| life == self.life && now < sent + OPEN) else { return };
-                self.open.swap_remove(at);
-                self.got.push_back((now, f64::from(rights.min(MOST))));
+                if life == self.life && self.requests.close(now, from, sent) {
+                    self.got.push_back((now, f64::from(rights.min(MOST))));
+                }
             }
         }
     }
--- a/cluster/src/lib.rs
+++ b/cluster/src/lib.rs
@@ -8,7 +8,10 @@
 pub mod budget;
 pub mod cluster;
 pub mod cold;
+mod injected_defect;
+mod interval;
 pub mod membership;
+mod open_requests;
 pub mod packet;
 pub mod shares;
 pub mod verdicts;
--- a/cluster/src/shares.rs
+++ b/cluster/src/shares.rs
@@ -34,8 +34,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::injected_defect::InjectedDefect;
+use crate::interval::{Backoff, Interval};
 use crate::{Us, SECOND};
-use lending::{Borrowed, Loan};
+use lending::{Borrowed, Flaw, Loan};
 
 /// How long a borrower asks before it asks the same lender again that gave it nothing.
 const ASK_AGAIN: Us = 600_000;
@@ -203,10 +205,9 @@
     uses: VecDeque<Us>,
     rate: f64,
     counted: Us,
-    asked: Us,
-    ask_every: Us,
+    asking: Backoff,
     held_then: u32,
-    recall: Us,
+    recalls: Interval,
     surplus: Option<Us>,
     contact: Option<Us>,
     short: Us,
@@ -215,9 +216,7 @@
     /// Whether a command has found no unit free since the last tick.
     pressed: bool,
     out: Vec<(SocketAddr, Message)>,
-    /// Broken on purpose, in a test.
-    #[cfg(test)]
-    flaw: Option<lending::Flaw>,
+    flaw: InjectedDefect<Flaw>,
 }
 
 impl Shares {
@@ -239,10 +238,9 @@
             uses: VecDeque::new(),
             rate: 0.0,
             counted: now,
-            asked: 0,
-            ask_every: ASK_EVERY,
+            asking: Backoff::new(ASK_EVERY, ASK_SELDOM),
             held_then: 0,
-            recall: 0,
+            recalls: Interval::default(),
             surplus: None,
             contact: None,
             short: 0,
@@ -250,8 +248,7 @@
             denied: 0,
             pressed: false,
             out: Vec::new(),
-            #[cfg(test)]
-            flaw: None,
+            flaw: InjectedDefect::none(),
         }
     }
 
@@ -389,16 +386,18 @@
         if self.surplus.is_some_and(|since| since + KEEP <= now) {
             self.give_back(now, held - wanted);
         }
-        if held < wanted && now >= self.asked + self.ask_every {
+        if held >= wanted {
+            self.asking.reset();
+        } else if self.asking.is_due(now) {
             // Where there was nothing to be had, there soon is none again.
-            let more = held > self.held_then;
-            self.ask_every = if more { ASK_EVERY } else { (2 * self.ask_every).min(ASK_SELDOM) };
-            (self.asked, self.held_then) = (now, held);
+            if held > self.held_then {
+                self.asking.reset();
+            } else {
+                self.asking.lengthen();
+            }
+            self.held_then = held;
             self.ask(now, wanted - held, &mut peer);
         }
-        if held >= wanted {
-            self.ask_every = ASK_EVERY;
-        }
         self.renew(now);
     }
 }
--- a/cluster/src/shares/lending.rs
+++ b/cluster/src/shares/lending.rs
@@ -76,7 +76,8 @@
     /// A borrower says how many it wants or still holds.
     pub(super) fn asked_for(&mut self, now: Us, from: SocketAddr, hold: Hold) {
         let lendable = self.lendable(now);
-        let same = |loan: &Loan| loan.to == from && (loan.life == hold.life || self.is(Flaw::OldLifeObeyed));
+        let same =
+            |loan: &Loan| loan.to == from && (loan.life == hold.life || self.flaw.is(Flaw::OldLifeObeyed));
         let place = self.lent.iter().position(|loan| same(loan) && loan.until > now);
         let mut loan = match place {
             // What was sent before the newest question is old: it must neither give back nor take.
@@ -99,24 +100,23 @@
     }
 
     fn is_old(&self, loan: &Loan, hold: &Hold) -> bool {
-        hold.sent <= loan.sent && loan.life == hold.life && !self.is(Flaw::OrderNotKept)
+        hold.sent <= loan.sent && loan.life == hold.life && !self.flaw.is(Flaw::OrderNotKept)
     }
 
     /// How many an owner that is short itself asks back now: the answer names so many fewer, and they stay locked until
     /// the borrower has said that it holds no more. Not of all borrowers at once.
     fn recalled(&mut self, now: Us) -> u32 {
         let short = self.wanted().saturating_sub(self.held(now));
-        if short == 0 || now < self.recall + RECALL_AGAIN {
+        if short == 0 || !self.recalls.is_due(now, RECALL_AGAIN) {
             return 0;
         }
-        self.recall = now;
         short
     }
 
     /// A lender has answered.
     pub(super) fn answered(&mut self, now: Us, from: SocketAddr, lent: Lent) {
         let lease = self.terms.lease;
-        let from_receipt = self.is(Flaw::LeaseFromReceipt);
+        let from_receipt = self.flaw.is(Flaw::LeaseFromReceipt);
         let Some(one) = self.borrowed.iter_mut().find(|one| one.from == from) else { return };
         let known = one.asked.iter().any(|(at, _)| *at == lent.sent);
         if lent.life != self.life || lent.sent <= one.heard || !known {
@@ -243,17 +243,6 @@
         // A lender is forgotten once nothing that was borrowed of it was used within the window.
         self.borrowed.retain(|one| now < one.until + window || now < one.last_asked() + window);
     }
-
-    /// Whether a machine is broken on purpose, in a test.
-    #[cfg(test)]
-    fn is(&self, flaw: Flaw) -> bool {
-        self.flaw == Some(flaw)
-    }
-
-    #[cfg(not(test))]
-    fn is(&self, _flaw: Flaw) -> bool {
-        false
-    }
 }
 
 /// The ways in which tests break a machine on purpose.
--- a/cluster/src/shares/tests.rs
+++ b/cluster/src/shares/tests.rs
@@ -7,7 +7,6 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::lending::Flaw;
 use super::*;
 
 /// What happens in a fleet's time.
@@ -187,7 +186,7 @@
         let one = &mut self.all[who];
         one.life += 1;
         let mut shares = Shares::new(terms(&self.world), position, u64::from(one.life), now);
-        shares.flaw = self.world.flaw;
+        shares.flaw = InjectedDefect::given(self.world.flaw);
         if self.world.hasty || one.life == 1 {
             // The first of all lives has nothing before it.
             shares.from = now;
--- a/cluster/src/verdicts.rs
+++ b/cluster/src/verdicts.rs
@@ -32,6 +32,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cold::Start;
+use crate::injected_defect::InjectedDefect;
+use crate::interval::Interval;
+use crate::open_requests::OpenRequests;
 use crate::{Us, MOST_HOSTS, SECOND};
 use known::Known;
 
@@ -175,10 +178,9 @@
     against: BTreeMap<Start, Option<Us>>,
     tried: BTreeMap<Start, Us>,
     own: VecDeque<(Us, u64, bool)>,
-    open: VecDeque<(Us, SocketAddr)>,
-    sent: Us,
-    asked: Us,
-    hasted: Us,
+    requests: OpenRequests,
+    rounds: Interval,
+    hasty_rounds: Interval,
     haste: Us,
     /// Until then an own word is spread with haste.
     own_haste: Us,
@@ -190,9 +192,7 @@
     changed: bool,
     out: Vec<(SocketAddr, Message)>,
     figures: Figures,
-    /// Broken on purpose, in a test.
-    #[cfg(test)]
-    flaw: Option<Flaw>,
+    flaw: InjectedDefect<Flaw>,
 }
 
 impl Verdicts {
@@ -208,10 +208,9 @@
             against: BTreeMap::new(),
             tried: BTreeMap::new(),
             own: VecDeque::new(),
-            open: VecDeque::new(),
-            sent: 0,
-            asked: 0,
-            hasted: 0,
+            requests: OpenRequests::new(OPEN),
+            rounds: Interval::default(),
+            hasty_rounds: Interval::default(),
             haste: now + 2 * SECOND,
             own_haste: 0,
             answers: 0,
@@ -221,8 +220,7 @@
             changed: false,
             out: Vec::new(),
             figures: Figures::default(),
-            #[cfg(test)]
-            flaw: None,
+            flaw: InjectedDefect::none(),
         }
     }
 
@@ -318,9 +316,9 @@
                 }
             }
             Message::Told { sent, entries } => {
-                let open = self.open.iter().position(|(at, to)| *at == sent && *to == from);
-                let Some(at) = open.filter(|_| now < sent + OPEN) else { return };
-                self.open.remove(at);
+                if !self.requests.close(now, from, sent) {
+                    return;
+                }
                 for entry in entries.into_iter().take(MOST_TOLD) {
                     self.told(now, sent, entry);
                 }
@@ -331,9 +329,9 @@
     fn told(&mut self, now: Us, sent: Us, entry: Entry) {
         let Entry { start, witness, zone, stamp, age, silent, back } = entry;
         // It was written after the question was sent: no younger than this can be proven.
-        let age = if self.is(Flaw::AgeNotCarried) { 0.0 } else { age as f64 };
+        let age = if self.flaw.is(Flaw::AgeNotCarried) { 0.0 } else { age as f64 };
         let mut born = (sent as f64 - age * (1.0 + 2.0 * self.terms.drift)) as i64;
-        if self.is(Flaw::RenewedByHearsay) {
+        if self.flaw.is(Flaw::RenewedByHearsay) {
             born = now as i64;
         }
         // Of itself a member knows better; what is over does not come back.
@@ -374,10 +372,7 @@
     }
 
     fn ask(&mut self, now: Us, to: SocketAddr, about: What) {
-        // Each question has a time of its own, so that an answer counts once.
-        let sent = now.max(self.sent + 1);
-        self.sent = sent;
-        self.open.push_back((sent, to));
+        let sent = self.requests.open(now, to);
         self.out.push((to, Message::Ask { sent, digest: self.digest(about), about }));
     }
 
@@ -385,9 +380,7 @@
     pub fn tick(&mut self, now: Us, members: usize, mut peer: impl FnMut() -> Option<SocketAddr>) {
         self.members = members.max(1);
         self.answers = 0;
-        while self.open.front().is_some_and(|(sent, _)| now >= sent + OPEN) || self.open.len() > 64 {
-            self.open.pop_front();
-        }
+        self.requests.expire(now);
         let expiry = self.expiry();
         for all in self.hosts.values_mut() {
             let before = all.len();
@@ -402,8 +395,7 @@
             self.hot = known::hot_digest(&self.hosts, HASTY, self.terms.witnesses);
             self.judge(now);
         }
-        if now < self.haste.max(self.own_haste) && now >= self.hasted + URGENT {
-            self.hasted = now;
+        if now < self.haste.max(self.own_haste) && self.hasty_rounds.is_due(now, URGENT) {
             // Words that are missing may be with members that have but one and no haste: they are asked for all that they hold.
             let missing =
                 |all: &Vec<Known>| known::is_hot(all, HASTY) && !known::is_decided(all, self.terms.witnesses);
@@ -414,8 +406,7 @@
             }
         }
         let every = if self.hosts.is_empty() { CALM } else { HELD };
-        if now >= self.asked + every {
-            self.asked = now;
+        if self.rounds.is_due(now, every) {
             peer().into_iter().for_each(|to| self.ask(now, to, What::All));
         }
     }
@@ -503,23 +494,12 @@
 
     /// The start as it is looked up.
     fn name(&self, start: Start) -> Start {
-        if self.is(Flaw::AddressForStart) {
+        if self.flaw.is(Flaw::AddressForStart) {
             Start { started: 0, ..start }
         } else {
             start
         }
     }
-
-    /// Whether a machine is broken on purpose, in a test.
-    #[cfg(test)]
-    fn is(&self, flaw: Flaw) -> bool {
-        self.flaw == Some(flaw)
-    }
-
-    #[cfg(not(test))]
-    fn is(&self, _flaw: Flaw) -> bool {
-        false
-    }
 }
 
 /// The ways in which tests break a machine on purpose.
--- a/cluster/src/verdicts/tests.rs
+++ b/cluster/src/verdicts/tests.rs
@@ -163,7 +163,7 @@
         let now = self.clock(one);
         let zone = one as u32 % self.world.zones;
         let mut verdicts = Verdicts::new(terms(), one as u32, zone, seed, now);
-        verdicts.flaw = self.world.flaw;
+        verdicts.flaw = InjectedDefect::given(self.world.flaw);
         verdicts.listed(self.list());
         let (rest, life) = (self.draw(50_000), self.all[one].life + 1);
         self.all[one] = One { verdicts, life, heard: vec![0; self.world.hosts], ..self.blank(one) };
