--- a/cluster/src/verdicts/known.rs
+++ b/cluster/src/verdicts/known.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::message::Entry;
 use crate::cold::{mix, Start};
 use crate::Us;
 
@@ -12,6 +13,9 @@
 /// Of so few hosts one that speaks against most of them may be right.
 const FEW: usize = 2;
 
+/// What is known of hosts, by their starts.
+pub(super) type Hosts = BTreeMap<Start, Vec<Known>>;
+
 /// One witness's entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Known {
@@ -30,6 +34,12 @@
     fn rank(&self) -> (Us, Us) {
         (self.stamp, self.born)
     }
+
+    /// It as it is told to another member now.
+    pub(super) fn entry(&self, start: Start, now: Us) -> Entry {
+        let Known { witness, zone, stamp, born, silent, back } = *self;
+        Entry { start, witness, zone, stamp, age: now.saturating_sub(born), silent, back }
+    }
 }
 
 /// Takes an entry in; whether it says something that was not known. The newest stamp of a witness wins; of one stamp the tighter
@@ -64,7 +74,7 @@
 }
 
 /// All that is held, in brief: the same for the same entries, whatever their ages were proven to be.
-pub(super) fn digest(hosts: &BTreeMap<Start, Vec<Known>>) -> u64 {
+pub(super) fn digest(hosts: &Hosts) -> u64 {
     let mut sum: u64 = 0;
     for (start, all) in hosts {
         let host = mix(start.host ^ mix(start.started));
@@ -87,7 +97,7 @@
 }
 
 /// What is worth haste, in brief: a host that enough speak against is one thing, however many do and whenever they last said so.
-pub(super) fn hot_digest(hosts: &BTreeMap<Start, Vec<Known>>, hasty: usize, witnesses: usize) -> u64 {
+pub(super) fn hot_digest(hosts: &Hosts, hasty: usize, witnesses: usize) -> u64 {
     let none = BTreeSet::new();
     let mut sum: u64 = 0;
     for (start, all) in hosts.iter().filter(|(_, all)| is_hot(all, hasty)) {
@@ -106,7 +116,7 @@
 }
 
 /// Witnesses that speak against more than half of the hosts: they have lost their own link.
-pub(super) fn refused(hosts: &BTreeMap<Start, Vec<Known>>, listed: usize) -> BTreeSet<u32> {
+pub(super) fn refused(hosts: &Hosts, listed: usize) -> BTreeSet<u32> {
     let mut against: BTreeMap<u32, usize> = BTreeMap::new();
     for one in hosts.values().flatten().filter(|one| one.silent) {
         *against.entry(one.witness).or_default() += 1;
--- a/cluster/src/verdicts/tests.rs
+++ b/cluster/src/verdicts/tests.rs
@@ -4,6 +4,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
+use super::dissemination::{ASKED_BACK, MOST_ANSWERS};
 use super::*;
 
 /// How bad a fleet's world is.
