Add the package control: replicas and members of fleet-wide purges as state machines

Need: a key has to be purged at all balancers and cache hosts of the fleet, with an answer that says when it is applied everywhere and who is outstanding until then. No package holds what control machines do.

Change: control/ (juniperladder-control) with the log, the wire format, registrations in two phases, leases, the completion by two rounds, recovery of a replica that starts without memory, the member, and the guard of fills. Pure state machines, fed datagrams and times. Nothing links it yet.

--- /dev/null
+++ b/control/src/completion.rs
@@ -0,0 +1,321 @@
+//! Decides which purges of one replica are done: applied at every member that serves, now and for ever.
+//!
+//! Two rounds in a row are needed. The first shows a position held at a majority; the second, begun afterwards, shows the
+//! same position at a majority of those, in the same incarnations, so that all of them held it at the moment between the
+//! rounds. Their registration tables as of the second round name every member that serves without having had the
+//! position in its target. Each of those must have applied it, or have been released. The argument is in
+//! `docs/design/purge.md`.
+
+use std::collections::BTreeMap;
+
+use crate::flaw::{Flaw, Flaws};
+use crate::ids::{MemberId, Position, ReplicaId};
+use crate::limits::MAX_NAMED_MEMBERS;
+use crate::registration::{Registration, RegistrationState, RegistrationTable, TableCopy};
+use crate::wire::{MemberReport, StatusReply};
+
+/// Registration tables that a replica has: its own, and copies of the others'.
+#[derive(Clone, Copy, Debug)]
+pub struct Tables<'a> {
+    /// Whose own it is.
+    pub me: ReplicaId,
+    /// The own one.
+    pub own: &'a RegistrationTable,
+    /// The copies.
+    pub copies: &'a BTreeMap<ReplicaId, TableCopy>,
+}
+
+impl<'a> Tables<'a> {
+    fn registrations(&self, replica: ReplicaId) -> Option<&'a BTreeMap<MemberId, Registration>> {
+        if replica == self.me {
+            Some(self.own.registrations())
+        } else {
+            self.copies.get(&replica).map(TableCopy::registrations)
+        }
+    }
+
+    fn is_complete(&self, replica: ReplicaId, incarnation: u64, change: u64) -> bool {
+        replica == self.me
+            || self.copies.get(&replica).is_some_and(|copy| copy.is_complete(incarnation, change))
+    }
+
+    /// All tables' registrations of one member.
+    fn of_member(&self, member: MemberId) -> impl Iterator<Item = &'a Registration> {
+        let copies = self.copies.values().filter_map(move |copy| copy.registrations().get(&member));
+        copies.chain(self.own.get(member))
+    }
+}
+
+/// What one replica answered in the current round.
+#[derive(Clone, Copy, Debug)]
+struct RoundReply {
+    incarnation: u64,
+    held: Position,
+    change: u64,
+}
+
+/// What was held by a majority at the end of a round.
+#[derive(Clone, Debug, Default)]
+struct Holders {
+    through: Position,
+    incarnations: BTreeMap<ReplicaId, u64>,
+}
+
+/// The last report of a home.
+#[derive(Clone, Debug)]
+struct HomeReport {
+    incarnation: u64,
+    round: u64,
+    change: u64,
+    report: MemberReport,
+}
+
+/// How a member's registration stands.
+enum Coverage {
+    Released,
+    AppliedThrough(Position),
+    Unknown,
+}
+
+/// Who is outstanding.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Outstanding {
+    /// Some of the members.
+    pub members: Vec<MemberId>,
+    /// How many members, as far as known.
+    pub members_total: u32,
+    /// Replicas that have not answered, if a majority is missing.
+    pub replicas: Vec<ReplicaId>,
+}
+
+impl Outstanding {
+    fn add_member(&mut self, member: MemberId) {
+        self.members_total += 1;
+        if self.members.len() < MAX_NAMED_MEMBERS && !self.members.contains(&member) {
+            self.members.push(member);
+        }
+    }
+
+    fn add_report(&mut self, report: &MemberReport) {
+        self.members_total += report.laggards_total;
+        for member in &report.laggards {
+            if self.members.len() < MAX_NAMED_MEMBERS && !self.members.contains(member) {
+                self.members.push(*member);
+            }
+        }
+    }
+}
+
+/// The completion of the purges of one replica.
+#[derive(Clone, Debug)]
+pub struct Completion {
+    me: ReplicaId,
+    replicas: usize,
+    flaws: Flaws,
+    round: u64,
+    replies: BTreeMap<ReplicaId, RoundReply>,
+    holders: Option<Holders>,
+    reports: BTreeMap<ReplicaId, HomeReport>,
+    done: Position,
+    outstanding: Outstanding,
+}
+
+impl Completion {
+    /// Nothing is done yet; rounds are numbered on from this one.
+    pub fn new(me: ReplicaId, replicas: usize, round: u64, flaws: Flaws) -> Completion {
+        Completion {
+            me,
+            replicas,
+            flaws,
+            round,
+            replies: BTreeMap::new(),
+            holders: None,
+            reports: BTreeMap::new(),
+            done: Position::ZERO,
+            outstanding: Outstanding::default(),
+        }
+    }
+
+    /// How many replicas are a majority.
+    fn majority(&self) -> usize {
+        self.replicas / 2 + 1
+    }
+
+    /// The current round.
+    pub fn round(&self) -> u64 {
+        self.round
+    }
+
+    /// Whether a majority has answered in the current round.
+    pub fn has_majority(&self) -> bool {
+        self.replies.len() >= self.majority()
+    }
+
+    /// Up to where the purges are done.
+    pub fn done(&self) -> Position {
+        self.done
+    }
+
+    /// Who is outstanding for the rest.
+    pub fn outstanding(&self) -> &Outstanding {
+        &self.outstanding
+    }
+
+    /// Begins a round: what the last one showed is what this one has to confirm.
+    pub fn begin_round(&mut self, incarnation: u64, held: Position, change: u64) -> u64 {
+        self.holders = self.held_by_majority();
+        self.outstanding.replicas = self.missing_replicas();
+        self.round += 1;
+        self.replies.clear();
+        self.replies.insert(self.me, RoundReply { incarnation, held, change });
+        self.round
+    }
+
+    /// The greatest position that a majority showed in the current round.
+    fn held_by_majority(&self) -> Option<Holders> {
+        let mut positions: Vec<Position> = self.replies.values().map(|reply| reply.held).collect();
+        positions.sort_unstable();
+        let through = *positions.get(positions.len().checked_sub(self.majority())?)?;
+        let holding = self.replies.iter().filter(|(_, reply)| reply.held >= through);
+        let incarnations = holding.map(|(replica, reply)| (*replica, reply.incarnation)).collect();
+        Some(Holders { through, incarnations })
+    }
+
+    fn missing_replicas(&self) -> Vec<ReplicaId> {
+        if self.has_majority() {
+            return Vec::new();
+        }
+        let all = (0..self.replicas).map(|index| ReplicaId(index as u8));
+        all.filter(|replica| !self.replies.contains_key(replica)).collect()
+    }
+
+    /// A reply to a request of this incarnation.
+    pub fn on_reply(&mut self, from: ReplicaId, reply: &StatusReply) {
+        if reply.round > self.round {
+            return;
+        }
+        if reply.round == self.round {
+            let held = reply.vector.get(self.me);
+            let reply = RoundReply { incarnation: reply.incarnation, held, change: reply.change };
+            self.replies.insert(from, reply);
+        }
+        let newest = self.reports.get(&from).map(|known| (known.incarnation, known.round));
+        if newest < Some((reply.incarnation, reply.round)) {
+            let report = HomeReport {
+                incarnation: reply.incarnation,
+                round: reply.round,
+                change: reply.change,
+                report: reply.report.clone(),
+            };
+            self.reports.insert(from, report);
+        }
+    }
+
+    /// Draws the conclusion of what has come so far; `own_report` is that of the members whose home this replica is.
+    pub fn evaluate(&mut self, tables: Tables<'_>, own_report: &MemberReport) {
+        let holders = match self.flaws.has(Flaw::SecondRoundSkipped) {
+            true => self.held_by_majority(),
+            false => self.holders.clone(),
+        };
+        let Some(holders) = holders else { return };
+        let quorum = self.confirmed_quorum(&holders, tables);
+        if quorum.len() < self.majority() {
+            return;
+        }
+        let mut through = holders.through;
+        let mut outstanding = Outstanding::default();
+        let mut is_uncovered = false;
+        for registration in self.registrations_of(&quorum, tables).values() {
+            match self.coverage(registration, tables, own_report) {
+                Coverage::Released => {}
+                Coverage::AppliedThrough(position) => through = through.min(position),
+                Coverage::Unknown => {
+                    is_uncovered = true;
+                    outstanding.add_member(registration.member);
+                }
+            }
+        }
+        if !is_uncovered {
+            self.done = self.done.max(through);
+        }
+        outstanding.add_report(own_report);
+        for home in self.reports.values() {
+            outstanding.add_report(&home.report);
+        }
+        outstanding.replicas = std::mem::take(&mut self.outstanding.replicas);
+        self.outstanding = outstanding;
+    }
+
+    /// The holders that have shown in this round that they still hold it, and whose tables as of then are here.
+    fn confirmed_quorum(&self, holders: &Holders, tables: Tables<'_>) -> Vec<ReplicaId> {
+        let is_confirmed = |replica: &ReplicaId, reply: &RoundReply| {
+            let held_in = holders.incarnations.get(replica);
+            let same = held_in == Some(&reply.incarnation)
+                || held_in.is_some() && self.flaws.has(Flaw::IncarnationIgnored);
+            same && reply.held >= holders.through
+                && tables.is_complete(*replica, reply.incarnation, reply.change)
+        };
+        let confirmed = self.replies.iter().filter(|(replica, reply)| is_confirmed(replica, reply));
+        confirmed.map(|(replica, _)| *replica).collect()
+    }
+
+    /// Each member that the tables of a quorum name, in the greatest epoch that any table has of it.
+    fn registrations_of(&self, quorum: &[ReplicaId], tables: Tables<'_>) -> BTreeMap<MemberId, Registration> {
+        let mut registrations: BTreeMap<MemberId, Registration> = BTreeMap::new();
+        let own_only = self.flaws.has(Flaw::OwnTableOnly);
+        for replica in quorum.iter().filter(|replica| !own_only || **replica == self.me) {
+            for (member, registration) in tables.registrations(*replica).into_iter().flatten() {
+                let known = registrations.entry(*member).or_insert(*registration);
+                if (registration.epoch, registration.state) > (known.epoch, known.state) {
+                    *known = *registration;
+                }
+            }
+        }
+        for registration in registrations.values_mut() {
+            for other in tables.of_member(registration.member) {
+                if (other.epoch, other.state) > (registration.epoch, registration.state) {
+                    *registration = *other;
+                }
+            }
+        }
+        registrations
+    }
+
+    /// What the home of a registration says of it.
+    fn coverage(
+        &self,
+        registration: &Registration,
+        tables: Tables<'_>,
+        own_report: &MemberReport,
+    ) -> Coverage {
+        if registration.state == RegistrationState::Released {
+            return Coverage::Released;
+        }
+        let home = registration.home;
+        let at_home = tables.registrations(home).and_then(|table| table.get(&registration.member));
+        let Some(at_home) = at_home.filter(|at_home| at_home.epoch == registration.epoch) else {
+            return Coverage::Unknown;
+        };
+        match at_home.state {
+            RegistrationState::Released => Coverage::Released,
+            RegistrationState::Known => Coverage::Unknown,
+            RegistrationState::Active if home == self.me => covered(own_report.floor),
+            RegistrationState::Active => match self.reports.get(&home) {
+                Some(known)
+                    if tables.is_complete(home, known.incarnation, known.change)
+                        && at_home.change <= known.change =>
+                {
+                    covered(known.report.floor)
+                }
+                _ => Coverage::Unknown,
+            },
+        }
+    }
+}
+
+fn covered(floor: Option<Position>) -> Coverage {
+    floor.map_or(Coverage::Unknown, Coverage::AppliedThrough)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/control/src/home.rs
@@ -0,0 +1,117 @@
+//! Leases that a home grants to its members, and what those members have applied.
+//!
+//! # Guarantee
+//!
+//! A registration is reported as expired only when no lease of it can run at its member: the home counts from the
+//! receipt of the last pull that it answered, the member from the sending of it, and the home's count is longer by the
+//! drift of two clocks. A registration that the home learned from another replica is never granted a lease; it expires a
+//! lease after the home's start, or after it was learned.
+
+use std::collections::BTreeMap;
+
+use crate::config::ReplicaSettings;
+use crate::flaw::Flaw;
+use crate::ids::{Epoch, MemberId, Position, ReplicaId};
+use crate::limits::MAX_NAMED_MEMBERS;
+use crate::version_vector::VersionVector;
+use crate::wire::MemberReport;
+use crate::Micros;
+
+/// A registration of this home.
+#[derive(Clone, Debug)]
+struct Lease {
+    epoch: Epoch,
+    /// It came from the member itself, in this incarnation of the home.
+    grantable: bool,
+    /// When the last lease was granted, or the registration came.
+    granted: Micros,
+    applied: VersionVector,
+}
+
+/// The registrations of one home.
+#[derive(Clone, Debug, Default)]
+pub struct Home {
+    leases: BTreeMap<MemberId, Lease>,
+}
+
+impl Home {
+    /// A member has registered here itself.
+    pub fn register(&mut self, member: MemberId, epoch: Epoch, now: Micros) {
+        let lease = Lease { epoch, grantable: true, granted: now, applied: VersionVector::default() };
+        self.leases.insert(member, lease);
+    }
+
+    /// Another replica knows of a registration of this home; a lease of it, or of an earlier epoch, may have been
+    /// granted until `since`.
+    pub fn learn(&mut self, member: MemberId, epoch: Epoch, since: Micros, settings: &ReplicaSettings) {
+        let grantable = settings.flaws.has(Flaw::RestartedHomeRenews);
+        let granted = if settings.flaws.has(Flaw::EarlyRelease) { 0 } else { since };
+        self.leases.insert(member, Lease { epoch, grantable, granted, applied: VersionVector::default() });
+    }
+
+    /// Whether a member's registration of this epoch is here, from itself.
+    pub fn is_active(&self, member: MemberId, epoch: Epoch) -> bool {
+        self.leases.get(&member).is_some_and(|lease| lease.grantable && lease.epoch == epoch)
+    }
+
+    /// Ends a member's registration.
+    pub fn remove(&mut self, member: MemberId) {
+        self.leases.remove(&member);
+    }
+
+    /// A pull: grants a lease if it may.
+    pub fn grant(&mut self, member: MemberId, epoch: Epoch, applied: &VersionVector, now: Micros) -> bool {
+        match self.leases.get_mut(&member) {
+            Some(lease) if lease.grantable && lease.epoch == epoch => {
+                lease.granted = lease.granted.max(now);
+                lease.applied.merge(applied);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Takes out the registrations of which no lease can run any more.
+    pub fn take_expired(&mut self, now: Micros, settings: &ReplicaSettings) -> Vec<(MemberId, Epoch)> {
+        let mut lease_time = settings.lease_with_drift();
+        if settings.flaws.has(Flaw::LeaseCutShort) {
+            lease_time = settings.lease / 2;
+        }
+        let is_expired = |lease: &Lease| lease.granted.saturating_add(lease_time) < now;
+        let expired = self.leases.iter().filter(|(_, lease)| is_expired(lease));
+        let expired: Vec<_> = expired.map(|(member, lease)| (*member, lease.epoch)).collect();
+        for (member, _) in &expired {
+            self.leases.remove(member);
+        }
+        expired
+    }
+
+    /// What the active registrations have applied of a replica's purges; who is below `head` is a laggard.
+    pub fn report(&self, replica: ReplicaId, head: Position) -> MemberReport {
+        let mut report = MemberReport::default();
+        for (member, lease) in self.leases.iter().filter(|(_, lease)| lease.grantable) {
+            let applied = lease.applied.get(replica);
+            report.floor = Some(report.floor.map_or(applied, |floor| floor.min(applied)));
+            if applied < head {
+                report.laggards_total += 1;
+                if report.laggards.len() < MAX_NAMED_MEMBERS {
+                    report.laggards.push(*member);
+                }
+            }
+        }
+        report
+    }
+
+    /// Registrations held.
+    pub fn len(&self) -> usize {
+        self.leases.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.leases.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/control/src/member.rs
@@ -0,0 +1,359 @@
+//! A member: a balancer or a cache host that applies purges, and serves only while its lease runs.
+//!
+//! From its start it catches up with what its home has, registers in two phases with a majority of the replicas, pulls
+//! until it has applied the target that the majority named, and then serves as long as its pulls are answered. Once its
+//! lease has run out it begins anew with a greater epoch.
+
+mod enrolment;
+mod home_choice;
+mod pulls;
+
+use std::net::SocketAddr;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::config::{CatchUp, MemberConfig};
+use crate::figures::{Dropped, MemberFigures, Outbox, Traffic};
+use crate::flaw::Flaw;
+use crate::ids::{Epoch, ReplicaId};
+use crate::limits::{MAX_REPLICAS, MAX_UNDRAINED_EVENTS};
+use crate::log::Run;
+use crate::version_vector::VersionVector;
+use crate::wire::{decode, HomeMessage, MemberMessage, Message};
+use crate::Micros;
+use enrolment::Enrolment;
+use home_choice::HomeChoice;
+use pulls::Pulls;
+
+/// What a member's driver has to apply, in order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PurgeEvent {
+    /// Purge this key.
+    Key(Vec<u8>),
+    /// Void all that is held.
+    VoidAll,
+}
+
+/// How far a member is on its way to serve.
+#[derive(Clone, Debug)]
+enum Phase {
+    /// It pulls without a registration.
+    CatchingUp {
+        /// The home has said that there is no more.
+        caught_up: bool,
+    },
+    /// It registers with a majority.
+    Enrolling(Enrolment),
+    /// It is registered, and pulls until it has applied the target.
+    Reaching {
+        /// What it has to have applied.
+        target: VersionVector,
+    },
+    /// It serves while its lease runs.
+    Serving,
+    /// It has ended.
+    Left,
+}
+
+/// A member.
+#[derive(Debug)]
+pub struct Member {
+    config: MemberConfig,
+    rng: ChaCha8Rng,
+    homes: HomeChoice,
+    epoch: Epoch,
+    phase: Phase,
+    /// The last time at which the phase got on.
+    progress: Micros,
+    pulls: Pulls,
+    /// Until when the home has granted a lease of the current epoch.
+    granted_until: Micros,
+    /// Until when this member may serve, by leases of epochs that were confirmed.
+    lease_until: Micros,
+    /// What has come, and is applied once the driver has drained it.
+    received: VersionVector,
+    applied: VersionVector,
+    events: Vec<PurgeEvent>,
+    outbox: Outbox,
+    figures: MemberFigures,
+    dropped: Dropped,
+    traffic_in: Traffic,
+}
+
+impl Member {
+    /// A member that starts now, and holds nothing.
+    pub fn new(mut config: MemberConfig, now: Micros) -> Member {
+        config.replicas.truncate(MAX_REPLICAS);
+        let mut rng = ChaCha8Rng::seed_from_u64(config.seed);
+        let first_pull = now + rng.random_range(0..=config.timing.resend_after);
+        let first_number = rng.random::<u32>() / 2;
+        Member {
+            homes: HomeChoice::new(&config.preferred, config.replicas.len(), first_number, now),
+            epoch: Epoch { life: config.life, counter: 0 },
+            phase: Phase::CatchingUp { caught_up: false },
+            progress: now,
+            pulls: Pulls::new(first_number, first_pull, now),
+            granted_until: 0,
+            lease_until: 0,
+            received: VersionVector::default(),
+            applied: VersionVector::default(),
+            events: Vec::new(),
+            outbox: Outbox::default(),
+            figures: MemberFigures::default(),
+            dropped: Dropped::default(),
+            traffic_in: Traffic::default(),
+            rng,
+            config,
+        }
+    }
+
+    /// Whether it may serve at this moment.
+    pub fn may_serve(&self, now: Micros) -> bool {
+        now < self.lease_until && !matches!(self.phase, Phase::Left)
+    }
+
+    /// What the driver has to apply. It is taken as applied from now on, so the driver applies it before it does
+    /// anything else with this member.
+    pub fn drain_purges(&mut self) -> Vec<PurgeEvent> {
+        if self.applied != self.received {
+            self.applied = self.received.clone();
+        }
+        std::mem::take(&mut self.events)
+    }
+
+    /// The datagrams to be sent now.
+    pub fn drain(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
+        self.outbox.drain()
+    }
+
+    /// Ends: from now on it doesn't serve, and replicas need not wait for its lease.
+    pub fn leave(&mut self) {
+        self.phase = Phase::Left;
+        self.lease_until = 0;
+        let deregister = MemberMessage::Deregister { member: self.config.member, epoch: self.epoch };
+        self.outbox.send(self.config.replicas.iter().copied(), &Message::ToReplica(deregister));
+    }
+
+    /// What operators see.
+    pub fn figures(&self) -> MemberFigures {
+        MemberFigures {
+            home: self.homes.current().0,
+            sent: self.outbox.sent,
+            received: self.traffic_in,
+            dropped: Dropped { outbox_full: self.outbox.full, ..self.dropped },
+            ..self.figures
+        }
+    }
+
+    /// A datagram has come.
+    pub fn on_datagram(&mut self, now: Micros, from: SocketAddr, bytes: &[u8]) {
+        self.traffic_in.add(bytes.len());
+        let Some(from) = self.config.replicas.iter().position(|replica| *replica == from) else {
+            self.dropped.unknown_sender += 1;
+            return;
+        };
+        self.end_lapsed_lease(now);
+        match decode(bytes) {
+            Ok(Message::ToMember(message)) => self.on_home_message(now, ReplicaId(from as u8), message),
+            Ok(_) => self.dropped.unknown_sender += 1,
+            Err(error) => self.dropped.add(error),
+        }
+    }
+
+    fn on_home_message(&mut self, now: Micros, from: ReplicaId, message: HomeMessage) {
+        match message {
+            HomeMessage::Entries { number, epoch, runs, more } => {
+                if self.events.len() >= MAX_UNDRAINED_EVENTS {
+                    self.dropped.undrained += 1;
+                    return;
+                }
+                self.receive_runs(runs);
+                self.on_pull_answer(now, number, epoch, more);
+            }
+            HomeMessage::Void { number, epoch, vector } => {
+                self.receive_void(&vector);
+                self.on_pull_answer(now, number, epoch, false);
+            }
+            HomeMessage::RegisterAgain { epoch } if epoch == self.epoch => self.register_again(now),
+            HomeMessage::Registered { epoch, incarnation } if epoch == self.epoch => {
+                self.on_registered(now, from, incarnation);
+            }
+            HomeMessage::Confirmed { epoch, incarnation, vector } if epoch == self.epoch => {
+                self.on_confirmed(now, from, incarnation, &vector);
+            }
+            HomeMessage::Superseded { epoch, known } if epoch == self.epoch && known > epoch => {
+                self.epoch = known;
+                self.register_again(now);
+            }
+            HomeMessage::ProbeReply { number } => {
+                if let Some(home) = self.homes.on_probe_reply(from, number, &self.config.timing) {
+                    self.change_home(now, home);
+                }
+            }
+            _ => self.dropped.stale += 1,
+        }
+    }
+
+    /// Takes entries that follow what has been received; others are there already, or come again.
+    fn receive_runs(&mut self, runs: Vec<Run>) {
+        for run in runs {
+            let replica = run.replica;
+            if run.rebase && self.config.timing.flaws.has(Flaw::VoidForgotten) {
+                self.received.raise(replica, run.previous);
+            }
+            for entry in run.entries() {
+                let position = self.received.get(replica);
+                if position < entry.previous || position >= entry.position {
+                    continue;
+                }
+                self.received.raise(replica, entry.position);
+                if !entry.position.is_start() {
+                    self.figures.purged += 1;
+                    self.events.push(PurgeEvent::Key(entry.key));
+                }
+            }
+        }
+    }
+
+    /// Voids all: whatever was published up to the vector is then applied.
+    fn receive_void(&mut self, vector: &VersionVector) {
+        self.figures.voided += 1;
+        self.events.clear();
+        self.events.push(PurgeEvent::VoidAll);
+        self.received.merge(vector);
+    }
+
+    fn on_pull_answer(&mut self, now: Micros, number: u32, epoch: Option<Epoch>, more: bool) {
+        let Some(sent) = self.pulls.on_answer(now, number) else { return };
+        let timing = &self.config.timing;
+        let jitter = timing.pull_interval / 10;
+        let mut next = sent + timing.pull_interval - jitter + self.rng.random_range(0..=2 * jitter);
+        if more || !matches!(self.phase, Phase::Serving) {
+            next = now + self.more_pace();
+        }
+        self.pulls.schedule(next);
+        self.progress = now;
+        if epoch == Some(self.epoch) {
+            let counted_from = if self.config.timing.flaws.has(Flaw::LeaseFromReceipt) { now } else { sent };
+            self.granted_until = self.granted_until.max(counted_from + self.config.timing.lease);
+        }
+        match &mut self.phase {
+            Phase::CatchingUp { caught_up } => *caught_up = !more,
+            Phase::Serving => self.lease_until = self.lease_until.max(self.granted_until),
+            _ => {}
+        }
+    }
+
+    fn more_pace(&self) -> Micros {
+        match self.config.catch_up {
+            CatchUp::Void => self.config.timing.more_pace_void,
+            CatchUp::Replay => self.config.timing.more_pace_replay,
+        }
+    }
+
+    /// Does what is due; to be called every 20 to 50 ms.
+    pub fn on_tick(&mut self, now: Micros) {
+        self.end_lapsed_lease(now);
+        self.advance(now);
+        self.change_silent_home(now);
+        self.pull(now);
+        self.resend_enrolment(now);
+        self.probe(now);
+    }
+
+    /// Once the lease has run out its epoch is never used again.
+    fn end_lapsed_lease(&mut self, now: Micros) {
+        if matches!(self.phase, Phase::Serving) && now >= self.lease_until {
+            self.figures.lapses += 1;
+            self.catch_up(now);
+        }
+    }
+
+    /// Goes on to the next phase if all for it has been applied.
+    fn advance(&mut self, now: Micros) {
+        match &self.phase {
+            Phase::CatchingUp { caught_up: true } if self.applied == self.received => self.enrol(now),
+            Phase::Reaching { target } if now < self.granted_until => {
+                let is_reached = self.applied.covers(target);
+                if is_reached || self.config.timing.flaws.has(Flaw::TargetIgnored) {
+                    self.phase = Phase::Serving;
+                    self.lease_until = self.lease_until.max(self.granted_until);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Pulls without a registration until there is no more.
+    fn catch_up(&mut self, now: Micros) {
+        self.phase = Phase::CatchingUp { caught_up: false };
+        self.progress = now;
+        self.pulls.restart(now);
+    }
+
+    fn pull(&mut self, now: Micros) {
+        let epoch = match self.phase {
+            Phase::CatchingUp { .. } => None,
+            Phase::Reaching { .. } | Phase::Serving => Some(self.epoch),
+            Phase::Enrolling(_) | Phase::Left => return,
+        };
+        if !self.pulls.is_due(now) {
+            return;
+        }
+        let number = self.pulls.send(now, self.config.timing.resend_after);
+        let message = MemberMessage::Pull {
+            member: self.config.member,
+            epoch,
+            number,
+            catch_up: self.config.catch_up,
+            applied: self.applied.clone(),
+        };
+        self.send(self.homes.current(), message);
+    }
+
+    fn send(&mut self, to: ReplicaId, message: MemberMessage) {
+        let address = self.config.replicas.get(to.index()).copied();
+        self.outbox.send(address, &Message::ToReplica(message));
+    }
+
+    /// Leaves a home that doesn't answer: at once while nothing hangs on it, else once another has answered a probe.
+    fn change_silent_home(&mut self, now: Micros) {
+        let silent = self.pulls.is_silent(now, &self.config.timing);
+        let is_late = now.saturating_sub(self.progress) >= self.config.timing.registration_timeout;
+        match self.phase {
+            Phase::CatchingUp { .. } if silent => self.change_home(now, self.homes.following()),
+            Phase::Enrolling(_) | Phase::Reaching { .. } if is_late => {
+                self.change_home(now, self.homes.following());
+            }
+            _ => {}
+        }
+    }
+
+    /// Asks other replicas whether they are there, if the home is silent or is not the preferred one.
+    fn probe(&mut self, now: Micros) {
+        let is_settled = matches!(self.phase, Phase::Serving);
+        let silent = is_settled && self.pulls.is_silent(now, &self.config.timing);
+        if let Some((to, number)) = self.homes.next_probe(now, is_settled, silent, &self.config.timing) {
+            self.send(to, MemberMessage::Probe { number });
+        }
+    }
+
+    fn change_home(&mut self, now: Micros, home: ReplicaId) {
+        self.figures.moves += u64::from(home != self.homes.current());
+        self.homes.set_current(now, home);
+        self.register_again(now);
+    }
+
+    /// Takes a greater epoch. While a lease still runs there is no need to catch up before.
+    fn register_again(&mut self, now: Micros) {
+        if matches!(self.phase, Phase::Left) {
+            return;
+        }
+        if now < self.lease_until {
+            self.enrol(now);
+        } else {
+            self.catch_up(now);
+        }
+    }
+}
--- /dev/null
+++ b/control/src/member/home_choice.rs
@@ -0,0 +1,132 @@
+//! Which replica is a member's home: the first of its preference list that answers, with hysteresis on the way back.
+
+use crate::config::MemberTiming;
+use crate::ids::ReplicaId;
+use crate::Micros;
+
+/// A probe that is not answered.
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    number: u32,
+    to: ReplicaId,
+}
+
+/// The choice of a home.
+#[derive(Clone, Debug)]
+pub(super) struct HomeChoice {
+    /// All replicas, the preferred ones first.
+    order: Vec<ReplicaId>,
+    current: ReplicaId,
+    candidate: ReplicaId,
+    probe: Option<Probe>,
+    next_number: u32,
+    next_probe: Micros,
+    /// Answers in a row of the preferred home.
+    answers: u32,
+    changed: Micros,
+}
+
+impl HomeChoice {
+    pub(super) fn new(
+        preferred: &[ReplicaId],
+        replicas: usize,
+        first_number: u32,
+        now: Micros,
+    ) -> HomeChoice {
+        let mut order: Vec<ReplicaId> = Vec::new();
+        let all = (0..replicas).map(|index| ReplicaId(index as u8));
+        for replica in preferred.iter().copied().chain(all) {
+            if replica.index() < replicas && !order.contains(&replica) {
+                order.push(replica);
+            }
+        }
+        let first = order.first().copied().unwrap_or_default();
+        HomeChoice {
+            order,
+            current: first,
+            candidate: first,
+            probe: None,
+            next_number: first_number,
+            next_probe: now,
+            answers: 0,
+            changed: now,
+        }
+    }
+
+    pub(super) fn current(&self) -> ReplicaId {
+        self.current
+    }
+
+    pub(super) fn set_current(&mut self, now: Micros, home: ReplicaId) {
+        self.current = home;
+        self.candidate = home;
+        self.probe = None;
+        self.answers = 0;
+        self.changed = now;
+    }
+
+    /// The one after the current home.
+    pub(super) fn following(&self) -> ReplicaId {
+        self.after(self.current)
+    }
+
+    fn after(&self, replica: ReplicaId) -> ReplicaId {
+        let index = self.order.iter().position(|other| *other == replica).unwrap_or(0);
+        self.order.get((index + 1) % self.order.len().max(1)).copied().unwrap_or(replica)
+    }
+
+    /// Whom to probe now, if anybody: others in turn while the home is silent, the preferred one while a member that has
+    /// settled elsewhere may go back.
+    pub(super) fn next_probe(
+        &mut self,
+        now: Micros,
+        is_settled: bool,
+        is_silent: bool,
+        timing: &MemberTiming,
+    ) -> Option<(ReplicaId, u32)> {
+        if now < self.next_probe {
+            return None;
+        }
+        let preferred = self.order.first().copied()?;
+        if is_silent {
+            self.candidate = self.after(self.candidate);
+            if self.candidate == self.current {
+                self.candidate = self.after(self.candidate);
+            }
+            self.next_probe = now + timing.resend_after / 2;
+            return self.send(self.candidate);
+        }
+        let may_return = now.saturating_sub(self.changed) >= timing.return_after;
+        if !is_settled || self.current == preferred || !may_return {
+            return None;
+        }
+        if self.probe.is_some() {
+            self.answers = 0;
+        }
+        self.next_probe = now + timing.return_probe_interval;
+        self.send(preferred)
+    }
+
+    fn send(&mut self, to: ReplicaId) -> Option<(ReplicaId, u32)> {
+        let number = self.next_number;
+        self.next_number = self.next_number.wrapping_add(1);
+        self.probe = Some(Probe { number, to });
+        Some((to, number))
+    }
+
+    /// An answer to a probe: the replica to change to, if it is time.
+    pub(super) fn on_probe_reply(
+        &mut self,
+        from: ReplicaId,
+        number: u32,
+        timing: &MemberTiming,
+    ) -> Option<ReplicaId> {
+        let probe = self.probe.filter(|probe| probe.number == number && probe.to == from)?;
+        self.probe = None;
+        if Some(&probe.to) != self.order.first() || probe.to == self.candidate {
+            return Some(probe.to);
+        }
+        self.answers += 1;
+        (self.answers >= timing.return_probes).then_some(probe.to)
+    }
+}
--- /dev/null
+++ b/control/src/member/pulls.rs
@@ -0,0 +1,76 @@
+//! The pulls of a member: when the next is due, and which are not answered.
+
+use std::collections::VecDeque;
+
+use crate::config::MemberTiming;
+use crate::Micros;
+
+/// Pulls of which an answer still counts.
+const MAX_OUTSTANDING: usize = 4;
+
+/// The pulls of a member.
+#[derive(Clone, Debug)]
+pub(super) struct Pulls {
+    next_number: u32,
+    outstanding: VecDeque<(u32, Micros)>,
+    next_at: Micros,
+    unanswered: u32,
+    answered_at: Micros,
+}
+
+impl Pulls {
+    pub(super) fn new(first_number: u32, first_at: Micros, now: Micros) -> Pulls {
+        Pulls {
+            next_number: first_number,
+            outstanding: VecDeque::new(),
+            next_at: first_at,
+            unanswered: 0,
+            answered_at: now,
+        }
+    }
+
+    /// Another home or another epoch: answers to earlier pulls don't count any more, and the next is due.
+    pub(super) fn restart(&mut self, now: Micros) {
+        self.outstanding.clear();
+        self.unanswered = 0;
+        self.answered_at = now;
+        self.next_at = now;
+    }
+
+    pub(super) fn is_due(&self, now: Micros) -> bool {
+        now >= self.next_at
+    }
+
+    /// Numbers a pull that is sent now; unless it is answered the next is due after a while.
+    pub(super) fn send(&mut self, now: Micros, resend_after: Micros) -> u32 {
+        let number = self.next_number;
+        self.next_number = self.next_number.wrapping_add(1);
+        if self.outstanding.len() >= MAX_OUTSTANDING {
+            self.outstanding.pop_front();
+        }
+        self.unanswered = self.unanswered.saturating_add(u32::from(!self.outstanding.is_empty()));
+        self.outstanding.push_back((number, now));
+        self.next_at = now + resend_after;
+        number
+    }
+
+    /// When the pull that this answers was sent, if it still counts.
+    pub(super) fn on_answer(&mut self, now: Micros, number: u32) -> Option<Micros> {
+        let index = self.outstanding.iter().position(|(outstanding, _)| *outstanding == number)?;
+        let (_, sent) = self.outstanding[index];
+        self.outstanding.drain(..=index);
+        self.unanswered = 0;
+        self.answered_at = now;
+        Some(sent)
+    }
+
+    pub(super) fn schedule(&mut self, next_at: Micros) {
+        self.next_at = next_at;
+    }
+
+    /// Whether the home has been silent for so long that another is to be looked for.
+    pub(super) fn is_silent(&self, now: Micros, timing: &MemberTiming) -> bool {
+        self.unanswered >= timing.losses_before_move
+            && now.saturating_sub(self.answered_at) >= timing.silence_before_move
+    }
+}
--- /dev/null
+++ b/control/src/replica/peers.rs
@@ -0,0 +1,269 @@
+//! What replicas say to each other: rounds of status requests, entries, and changes of registration tables.
+
+use std::net::SocketAddr;
+
+use super::Replica;
+use crate::ids::{Position, ReplicaId};
+use crate::limits::ENTRIES_BUDGET_BYTES;
+use crate::log::Run;
+use crate::registration::{Registration, RegistrationState};
+use crate::version_vector::VersionVector;
+use crate::wire::{Message, PeerMessage, StatusReply, TableChunk};
+use crate::Micros;
+
+/// Datagrams that answer one request for entries.
+const FETCH_DATAGRAMS: usize = 32;
+/// Datagrams of entries that are pushed to a replica that lacks them, in a round.
+const PUSH_DATAGRAMS: usize = 4;
+/// Chunks that answer one request for a table.
+const TABLE_CHUNKS: usize = 8;
+
+/// What is known of another replica's table, beside the copy of it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Peer {
+    /// The incarnation of its last reply.
+    incarnation: u64,
+    /// The last change of its table that it told.
+    change: u64,
+    /// When a request for changes was sent that is not answered.
+    requested: Option<Micros>,
+}
+
+impl Replica {
+    fn address(&self, replica: ReplicaId) -> Option<SocketAddr> {
+        self.config.replicas.get(replica.index()).copied()
+    }
+
+    fn send_to_peer(&mut self, peer: ReplicaId, message: PeerMessage) {
+        let address = self.address(peer);
+        self.outbox.send(address, &Message::BetweenReplicas(message));
+    }
+
+    fn send_to_peers(&mut self, message: PeerMessage) {
+        let me = self.config.replica.index();
+        let others = self.config.replicas.iter().enumerate().filter(|(index, _)| *index != me);
+        let others = others.map(|(_, address)| *address);
+        self.outbox.send(others, &Message::BetweenReplicas(message));
+    }
+
+    /// Begins a round.
+    pub(super) fn begin_round(&mut self, now: Micros) {
+        let incarnation = self.config.incarnation;
+        let held = self.log.head(self.config.replica);
+        let round = self.completion.begin_round(incarnation, held, self.table.change());
+        self.round_started = now;
+        self.next_round = self.round_after(now);
+        self.needs_evaluation = true;
+        self.send_to_peers(PeerMessage::StatusRequest { incarnation, round, vector: self.log.vector() });
+    }
+
+    pub(super) fn on_peer_message(&mut self, now: Micros, from: ReplicaId, message: PeerMessage) {
+        match message {
+            PeerMessage::StatusRequest { incarnation, round, vector } => {
+                self.on_status_request(now, from, incarnation, round, &vector);
+            }
+            PeerMessage::StatusReply(reply) => self.on_status_reply(now, from, &reply),
+            PeerMessage::Fetch { vector } => self.on_fetch(from, &vector),
+            PeerMessage::Push { runs, more } => self.on_push(now, from, runs, more),
+            PeerMessage::TableRequest { incarnation, after } => {
+                self.on_table_request(from, incarnation, after);
+            }
+            PeerMessage::TableChunk(chunk) => self.on_table_chunk(now, from, &chunk),
+        }
+    }
+
+    fn on_status_request(
+        &mut self,
+        now: Micros,
+        from: ReplicaId,
+        asked_by: u64,
+        round: u64,
+        vector: &VersionVector,
+    ) {
+        if self.recovery.is_none() {
+            let reply = StatusReply {
+                asked_by,
+                round,
+                incarnation: self.config.incarnation,
+                vector: self.log.vector(),
+                change: self.table.change(),
+                report: self.home.report(from, self.log.head(from)),
+            };
+            self.send_to_peer(from, PeerMessage::StatusReply(reply));
+        }
+        self.fetch_missing(now, from, vector);
+    }
+
+    fn on_status_reply(&mut self, now: Micros, from: ReplicaId, reply: &StatusReply) {
+        let peer = self.peers.entry(from).or_default();
+        if reply.asked_by != self.config.incarnation || reply.incarnation < peer.incarnation {
+            self.dropped.stale += 1;
+            return;
+        }
+        if (reply.incarnation, reply.change) > (peer.incarnation, peer.change) {
+            let requested = peer.requested.filter(|_| reply.incarnation == peer.incarnation);
+            *peer = Peer { incarnation: reply.incarnation, change: reply.change, requested };
+        }
+        match &mut self.recovery {
+            Some(recovery) => recovery.on_reply(from, reply),
+            None => self.completion.on_reply(from, reply),
+        }
+        self.needs_evaluation = true;
+        self.request_tables(now);
+        self.fetch_missing(now, from, &reply.vector);
+        self.push_missing(from, &reply.vector);
+    }
+
+    /// Asks a replica for entries if it has some that are not here, and none are on their way.
+    fn fetch_missing(&mut self, now: Micros, from: ReplicaId, vector: &VersionVector) {
+        let own = self.log.vector();
+        if self.fetching.is_none() && !own.covers(vector) {
+            self.fetching = Some((from, now));
+            self.send_to_peer(from, PeerMessage::Fetch { vector: own });
+        }
+    }
+
+    fn on_fetch(&mut self, from: ReplicaId, vector: &VersionVector) {
+        if self.recovery.is_none() {
+            self.send_entries(from, vector.clone(), FETCH_DATAGRAMS);
+        }
+    }
+
+    /// Sends the entries after a vector in at most so many datagrams.
+    fn send_entries(&mut self, to: ReplicaId, mut vector: VersionVector, datagrams: usize) {
+        for sent in 1..=datagrams {
+            let (runs, is_more) = self.log.runs_after(&vector, ENTRIES_BUDGET_BYTES);
+            if runs.is_empty() {
+                return;
+            }
+            for run in &runs {
+                vector.raise(run.replica, run.last_position());
+            }
+            self.send_to_peer(to, PeerMessage::Push { runs, more: is_more && sent == datagrams });
+            if !is_more {
+                return;
+            }
+        }
+    }
+
+    /// Sends a replica the purges published here that it lacks: the first push was lost.
+    fn push_missing(&mut self, to: ReplicaId, vector: &VersionVector) {
+        let me = self.config.replica;
+        let position = vector.get(me);
+        if self.recovery.is_none() && position >= self.log.base(me) && position < self.log.head(me) {
+            let after = self.all_but_own(position);
+            self.send_entries(to, after, PUSH_DATAGRAMS);
+        }
+    }
+
+    /// The vector of one who has all entries of others, and of this replica's those up to a position.
+    fn all_but_own(&self, position: Position) -> VersionVector {
+        let me = self.config.replica;
+        let mut vector = VersionVector::default();
+        for (replica, head) in self.log.vector().iter().filter(|(replica, _)| *replica != me) {
+            vector.raise(replica, head);
+        }
+        vector.raise(me, position);
+        vector
+    }
+
+    /// Pushes to all what was published here since the last time.
+    pub(super) fn push_published(&mut self) {
+        let me = self.config.replica;
+        let head = self.log.head(me);
+        if self.recovery.is_some() || self.pushed >= head {
+            return;
+        }
+        let after = self.all_but_own(self.pushed);
+        self.pushed = head;
+        let all = (0..self.config.replicas.len()).map(|index| ReplicaId(index as u8));
+        for peer in all.filter(|peer| *peer != me) {
+            self.send_entries(peer, after.clone(), PUSH_DATAGRAMS);
+        }
+    }
+
+    fn on_push(&mut self, now: Micros, from: ReplicaId, runs: Vec<Run>, more: bool) {
+        for run in runs.into_iter().filter(|run| run.replica.index() < self.config.replicas.len()) {
+            self.needs_evaluation |= self.log.append_run(run);
+        }
+        if more && self.fetching.is_some_and(|(peer, _)| peer == from) {
+            self.fetching = Some((from, now));
+            self.send_to_peer(from, PeerMessage::Fetch { vector: self.log.vector() });
+        }
+    }
+
+    /// Asks for the changes of tables whose copies are behind.
+    pub(super) fn request_tables(&mut self, now: Micros) {
+        let timeout = self.config.settings.request_timeout;
+        let mut requests = Vec::new();
+        for (replica, peer) in &mut self.peers {
+            let copy = self.copies.entry(*replica).or_default();
+            let is_waiting = peer.requested.is_some_and(|since| now.saturating_sub(since) < timeout);
+            if peer.incarnation > 0 && !is_waiting && !copy.is_complete(peer.incarnation, peer.change) {
+                peer.requested = Some(now);
+                requests.push((*replica, peer.incarnation, copy.through(peer.incarnation)));
+            }
+        }
+        for (replica, incarnation, after) in requests {
+            self.send_to_peer(replica, PeerMessage::TableRequest { incarnation, after });
+        }
+    }
+
+    fn on_table_request(&mut self, from: ReplicaId, incarnation: u64, after: u64) {
+        if self.recovery.is_some() {
+            return;
+        }
+        let own = self.config.incarnation;
+        let mut after = if incarnation == own { after } else { 0 };
+        for sent in 1..=TABLE_CHUNKS {
+            let chunk = self.table.changes_after(own, after);
+            after = chunk.through;
+            let is_more = after < self.table.change();
+            let more = is_more && sent == TABLE_CHUNKS;
+            self.send_to_peer(from, PeerMessage::TableChunk(TableChunk { more, ..chunk }));
+            if !is_more {
+                return;
+            }
+        }
+    }
+
+    fn on_table_chunk(&mut self, now: Micros, from: ReplicaId, chunk: &TableChunk) {
+        if !self.copies.entry(from).or_default().apply(chunk) {
+            self.dropped.stale += 1;
+            return;
+        }
+        if self.recovery.is_none() {
+            for registration in &chunk.registrations {
+                self.learn(now, registration);
+            }
+        }
+        self.needs_evaluation = true;
+        let Some(peer) = self.peers.get_mut(&from) else { return };
+        let is_complete = self.copies[&from].is_complete(peer.incarnation, peer.change);
+        if is_complete || chunk.more {
+            peer.requested = None;
+        }
+        self.request_tables(now);
+    }
+
+    /// What another table says that matters here: that a registration is released, or that this replica is the home of
+    /// one that it has not heard of.
+    fn learn(&mut self, now: Micros, registration: &Registration) {
+        let (member, epoch) = (registration.member, registration.epoch);
+        if registration.state == RegistrationState::Released {
+            if self.table.set_state(member, epoch, RegistrationState::Released) {
+                self.home.remove(member);
+            }
+            return;
+        }
+        if registration.home != self.config.replica {
+            return;
+        }
+        if self.table.get(member).is_none_or(|known| known.epoch < epoch) {
+            self.table.store(member, epoch, registration.home, RegistrationState::Known);
+            if self.table.get(member).is_some_and(|known| known.epoch == epoch) {
+                self.home.learn(member, epoch, now, &self.config.settings);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/control/src/replica/recovery.rs
@@ -0,0 +1,102 @@
+//! Recovery of a replica that has started without memory.
+//!
+//! It has recovered when, for a majority of *other* replicas that are not recovering themselves, it has the entries that
+//! a reply sent after its start vouches for, and the registration table as of that reply.
+
+use std::collections::BTreeMap;
+
+use super::Replica;
+use crate::completion::Completion;
+use crate::flaw::{Flaw, Flaws};
+use crate::ids::ReplicaId;
+use crate::log::Log;
+use crate::registration::{RegistrationState, TableCopy};
+use crate::version_vector::VersionVector;
+use crate::wire::StatusReply;
+use crate::Micros;
+
+/// What one replica said first after the start of the one that recovers.
+#[derive(Clone, Debug)]
+struct Snapshot {
+    incarnation: u64,
+    vector: VersionVector,
+    change: u64,
+}
+
+/// What a recovering replica has been told.
+#[derive(Clone, Debug)]
+pub(super) struct Recovery {
+    needed: usize,
+    snapshots: BTreeMap<ReplicaId, Snapshot>,
+}
+
+impl Recovery {
+    /// Nothing yet.
+    pub(super) fn new(replicas: usize, flaws: Flaws) -> Recovery {
+        let majority = replicas / 2 + 1;
+        let needed = if flaws.has(Flaw::RecoveryFromOne) { 1 } else { majority };
+        Recovery { needed, snapshots: BTreeMap::new() }
+    }
+
+    /// A reply to a request of this incarnation. The first of each incarnation stays: it is to be reached.
+    pub(super) fn on_reply(&mut self, from: ReplicaId, reply: &StatusReply) {
+        let known = self.snapshots.get(&from).map(|snapshot| snapshot.incarnation);
+        if known < Some(reply.incarnation) {
+            let vector = reply.vector.clone();
+            let snapshot = Snapshot { incarnation: reply.incarnation, vector, change: reply.change };
+            self.snapshots.insert(from, snapshot);
+        }
+    }
+
+    /// Whether what a majority knew is here.
+    fn is_complete(&self, log: &Log, copies: &BTreeMap<ReplicaId, TableCopy>) -> bool {
+        let vector = log.vector();
+        let is_taken = |replica: &ReplicaId, snapshot: &Snapshot| {
+            let copy = copies.get(replica);
+            copy.is_some_and(|copy| copy.is_complete(snapshot.incarnation, snapshot.change))
+                && vector.covers(&snapshot.vector)
+        };
+        let taken = self.snapshots.iter().filter(|(replica, snapshot)| is_taken(replica, snapshot));
+        taken.count() >= self.needed
+    }
+}
+
+impl Replica {
+    /// Ends the recovery if all that it needs is here.
+    pub(super) fn finish_recovery(&mut self, now: Micros) {
+        match &self.recovery {
+            Some(recovery) if recovery.is_complete(&self.log, &self.copies) => {}
+            _ => return,
+        }
+        self.recovery = None;
+        self.take_over_registrations();
+        self.start_stream();
+        let (me, count) = (self.config.replica, self.config.replicas.len());
+        let round = self.completion.round();
+        self.completion = Completion::new(me, count, round, self.config.settings.flaws);
+        self.begin_round(now);
+    }
+
+    /// Takes the registrations of all copies into the own table. Those whose home this replica was may have leases of
+    /// its earlier incarnations, granted until its start.
+    fn take_over_registrations(&mut self) {
+        let me = self.config.replica;
+        for registration in self.copies.values().flat_map(|copy| copy.registrations().values()) {
+            let state = match registration.state {
+                RegistrationState::Released => RegistrationState::Released,
+                _ => RegistrationState::Known,
+            };
+            let (member, epoch) = (registration.member, registration.epoch);
+            self.table.store(member, epoch, registration.home, state);
+            if state == RegistrationState::Released {
+                self.table.set_state(member, epoch, state);
+            }
+        }
+        for registration in self.table.registrations().values() {
+            if registration.home == me && registration.state != RegistrationState::Released {
+                let (member, epoch) = (registration.member, registration.epoch);
+                self.home.learn(member, epoch, self.started, &self.config.settings);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/control/src/version_vector/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of this module.
