Play drawn schedules of control planes in virtual time, with six defects put in on purpose

Need: the guarantee of purges has to be checked from outside the state machines, under loss, repeats, cuts, kills, freezes and clocks that differ, and the check has to be shown to find defects.

Change: control/tests/schedules.rs with a simulator in control/tests/support/: 3 to 7 replicas and 4 to 12 members; at each step every member that may serve must have applied, or voided since, all that any replica answered as done; after the faults all purges of surviving replicas must be done and all members serve. Schedules include partitions of any nodes, replicas cut from each other alone, and members that start late.

--- a/control/src/flaw.rs
+++ b/control/src/flaw.rs
@@ -10,8 +10,6 @@
     IncarnationIgnored,
     /// The member counts its lease from the answer, not from its question.
     LeaseFromReceipt,
-    /// A restarted home grants leases for registrations that it learned from others.
-    RestartedHomeRenews,
     /// A restarted home releases what it learned from others at once.
     EarlyRelease,
     /// The home does not wait for the end of the lease.
--- a/control/src/home.rs
+++ b/control/src/home.rs
@@ -44,9 +44,9 @@
     /// Another replica knows of a registration of this home; a lease of it, or of an earlier epoch, may have been
     /// granted until `since`.
     pub fn learn(&mut self, member: MemberId, epoch: Epoch, since: Micros, settings: &ReplicaSettings) {
-        let grantable = settings.flaws.has(Flaw::RestartedHomeRenews);
         let granted = if settings.flaws.has(Flaw::EarlyRelease) { 0 } else { since };
-        self.leases.insert(member, Lease { epoch, grantable, granted, applied: VersionVector::default() });
+        self.leases
+            .insert(member, Lease { epoch, grantable: false, granted, applied: VersionVector::default() });
     }
 
     /// Whether a member's registration of this epoch is here, from itself.
--- /dev/null
+++ b/control/tests/schedules.rs
@@ -0,0 +1,97 @@
+//! Drawn schedules of whole control planes in virtual time; see `support/`.
+//!
+//! `CONTROL_SCHEDULES=10000 cargo test --release -p juniperladder-control --test schedules` runs more of them, and
+//! `CONTROL_FIRST_SEED` begins elsewhere.
+
+mod support;
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+
+use juniperladder_control::flaw::Flaw;
+use support::schedule::Schedule;
+use support::simulation::{Report, Simulation, Verdict};
+
+/// Schedules in a run of the tests.
+const SCHEDULES: u64 = 500;
+/// Threads that run them.
+const THREADS: usize = 3;
+
+fn number(variable: &str, default: u64) -> u64 {
+    std::env::var(variable).ok().and_then(|value| value.parse().ok()).unwrap_or(default)
+}
+
+/// Runs schedules of these seeds until one does not hold, or all have run.
+fn run_all(first: u64, count: u64, flaw: Option<Flaw>) -> Vec<(u64, Report)> {
+    let next = AtomicU64::new(first);
+    let reports = Mutex::new(Vec::new());
+    let work = || loop {
+        let seed = next.fetch_add(1, Ordering::Relaxed);
+        if seed >= first + count {
+            return;
+        }
+        let report = Simulation::new(Schedule::draw(seed), flaw).run();
+        if matches!(report.verdict, Verdict::Breached(_)) {
+            next.store(first + count, Ordering::Relaxed);
+        }
+        reports.lock().expect("no thread panics with it").push((seed, report));
+    };
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(work);
+        }
+    });
+    let mut reports = reports.into_inner().expect("no thread panics with it");
+    reports.sort_by_key(|(seed, _)| *seed);
+    reports
+}
+
+#[test]
+fn no_member_serves_without_a_purge_that_is_done_and_all_settles_after_the_faults() {
+    let first = number("CONTROL_FIRST_SEED", 0);
+    let reports = run_all(first, number("CONTROL_SCHEDULES", SCHEDULES), None);
+    let sum = |value: fn(&Report) -> u64| reports.iter().map(|(_, report)| value(report)).sum::<u64>();
+    println!(
+        "{} schedules from seed {first}: {} steps, {} purges published, {} done, {} rejected, {} voids, {} lapses, \
+         {} entries trimmed, settled within {} ms",
+        reports.len(),
+        sum(|report| report.steps),
+        sum(|report| report.published as u64),
+        sum(|report| report.done as u64),
+        sum(|report| report.rejected as u64),
+        sum(|report| report.voided),
+        sum(|report| report.lapses),
+        sum(|report| report.log_trimmed),
+        reports.iter().map(|(_, report)| report.settled_after).max().unwrap_or(0) / 1_000,
+    );
+    for (seed, report) in &reports {
+        assert_eq!(report.verdict, Verdict::Held, "seed {seed}, {:?}", Schedule::draw(*seed).profile);
+    }
+    assert!(sum(|report| report.done as u64) * 2 > sum(|report| report.published as u64));
+    assert!(sum(|report| report.log_trimmed) > 0 && sum(|report| report.rejected as u64) > 0);
+}
+
+/// Each step of the protocol that is left out must be found by the schedules of an ordinary run.
+#[test]
+fn every_defect_put_in_on_purpose_is_found() {
+    let flaws = [
+        Flaw::LeaseFromReceipt,
+        Flaw::EarlyRelease,
+        Flaw::LeaseCutShort,
+        Flaw::TargetIgnored,
+        Flaw::VoidForgotten,
+        Flaw::OwnTableOnly,
+    ];
+    let mut missed = Vec::new();
+    for flaw in flaws {
+        let reports = run_all(0, number("CONTROL_SCHEDULES", SCHEDULES), Some(flaw));
+        let breach = reports.iter().find(|(_, report)| matches!(report.verdict, Verdict::Breached(_)));
+        let count =
+            reports.iter().filter(|(_, report)| matches!(report.verdict, Verdict::Breached(_))).count();
+        match breach {
+            Some((seed, report)) => println!("{flaw:?}: {count} seed {seed}, {:?}", report.verdict),
+            None => missed.push((flaw, reports.len())),
+        }
+    }
+    assert_eq!(missed, []);
+}
--- /dev/null
+++ b/control/tests/support/schedule.rs
@@ -0,0 +1,214 @@
+//! Schedules drawn from a seed: how large the control plane is, how bad its network, and what happens when.
+
+use juniperladder_control::CatchUp;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::network::{Cut, LinkQuality};
+
+pub const MILLISECOND: u64 = 1_000;
+pub const SECOND: u64 = 1_000_000;
+
+/// What happens at a time.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum FaultKind {
+    KillReplica(usize),
+    StartReplica(usize),
+    KillMember(usize),
+    LeaveMember(usize),
+    StartMember(usize),
+    FreezeNode(usize),
+    ThawNode(usize),
+    BeginCut(Cut),
+    EndCut(Cut),
+    /// So many purges at once at one replica.
+    Publish(usize, usize),
+}
+
+/// What a schedule is made to provoke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Profile {
+    /// A little of everything.
+    Mixed,
+    /// Replicas restart in quick succession, in long rounds.
+    ReplicaRestarts,
+    /// Members lose their homes by cuts and kills.
+    HomeChanges,
+    /// Members are cut off while a short log is trimmed.
+    Trimming,
+    /// Members restart and freeze.
+    MemberRestarts,
+    /// Few replicas, much loss, partitions and restarts: no more than a bare majority has anything.
+    BareMajorities,
+}
+
+const PROFILES: [Profile; 6] = [
+    Profile::Mixed,
+    Profile::ReplicaRestarts,
+    Profile::HomeChanges,
+    Profile::Trimming,
+    Profile::MemberRestarts,
+    Profile::BareMajorities,
+];
+
+/// A control plane and what happens to it.
+#[derive(Clone, Debug)]
+pub struct Schedule {
+    pub seed: u64,
+    pub profile: Profile,
+    pub replicas: usize,
+    pub members: Vec<CatchUp>,
+    /// Members that run from the beginning; the others start later, and have never been registered.
+    pub early_members: u64,
+    /// The region of each node, replicas first.
+    pub regions: Vec<usize>,
+    pub quality: LinkQuality,
+    /// The largest difference of a clock's rate from the true one, in millionths.
+    pub drift_ppm: i64,
+    pub lease: u64,
+    pub round_interval: u64,
+    pub log_entries: usize,
+    pub void_behind: usize,
+    pub tick: u64,
+    pub faults: Vec<(u64, FaultKind)>,
+    /// When all faults end.
+    pub healed_at: u64,
+}
+
+impl Schedule {
+    pub fn draw(seed: u64) -> Schedule {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let profile = PROFILES[seed as usize % PROFILES.len()];
+        let replicas = match profile {
+            Profile::BareMajorities => [3, 3, 5][rng.random_range(0..3)],
+            Profile::ReplicaRestarts => [3, 5, 5, 7][rng.random_range(0..4)],
+            _ => rng.random_range(3..=7),
+        };
+        let members = (0..rng.random_range(4..=12))
+            .map(|_| if rng.random_bool(0.5) { CatchUp::Void } else { CatchUp::Replay })
+            .collect::<Vec<_>>();
+        let has_short_log = profile == Profile::Trimming || rng.random_bool(0.3);
+        let regions = draw_regions(&mut rng, replicas, members.len());
+        let has_long_rounds = profile == Profile::ReplicaRestarts && rng.random_bool(0.7);
+        let mut schedule = Schedule {
+            seed,
+            profile,
+            replicas,
+            regions,
+            quality: draw_quality(&mut rng, profile),
+            early_members: rng.random::<u64>() | rng.random::<u64>(),
+            drift_ppm: 490,
+            lease: rng.random_range(1_500..=2_000) * MILLISECOND,
+            round_interval: if has_long_rounds { rng.random_range(400..=1_500) } else { 250 } * MILLISECOND,
+            log_entries: if has_short_log { rng.random_range(4..=40) } else { 65_536 },
+            void_behind: rng.random_range(2..=64),
+            tick: rng.random_range(20..=50) * MILLISECOND,
+            faults: Vec::new(),
+            healed_at: rng.random_range(8..=16) * SECOND,
+            members,
+        };
+        schedule.draw_faults(&mut rng);
+        schedule
+    }
+
+    fn draw_faults(&mut self, rng: &mut ChaCha8Rng) {
+        let seconds = self.healed_at as f64 / 1e6;
+        let (replica_kills, member_kills, freezes, cuts) = match self.profile {
+            Profile::Mixed => (0.2, 0.3, 0.3, 0.3),
+            Profile::ReplicaRestarts => (2.0, 0.2, 0.0, 0.1),
+            Profile::HomeChanges => (0.4, 0.1, 0.2, 0.8),
+            Profile::Trimming => (0.1, 0.2, 0.3, 0.7),
+            Profile::MemberRestarts => (0.1, 1.0, 0.8, 0.1),
+            Profile::BareMajorities => (0.8, 0.8, 0.1, 1.0),
+        };
+        let mut number = |rate: f64| (rate * seconds * 2.0 * rng.random::<f64>()) as usize;
+        let (replica_kills, member_kills) = (number(replica_kills), number(member_kills));
+        let (freezes, cuts) = (number(freezes), number(cuts));
+        for _ in 0..replica_kills {
+            let replica = rng.random_range(0..self.replicas);
+            let longest = if rng.random_bool(0.6) { 300 } else { 4_000 };
+            let kinds = (FaultKind::KillReplica(replica), FaultKind::StartReplica(replica));
+            self.add(rng, kinds, longest);
+        }
+        for _ in 0..member_kills {
+            let member = rng.random_range(0..self.members.len());
+            let end = match rng.random_bool(0.3) {
+                true => FaultKind::LeaveMember(member),
+                false => FaultKind::KillMember(member),
+            };
+            self.add(rng, (end, FaultKind::StartMember(member)), 3_000);
+        }
+        for _ in 0..freezes {
+            let node = rng.random_range(0..self.replicas + self.members.len());
+            self.add(rng, (FaultKind::FreezeNode(node), FaultKind::ThawNode(node)), 5_000);
+        }
+        for _ in 0..cuts {
+            let cut = self.draw_cut(rng);
+            self.add(rng, (FaultKind::BeginCut(cut), FaultKind::EndCut(cut)), 8_000);
+        }
+        for member in (0..self.members.len()).filter(|member| self.early_members >> member & 1 == 0) {
+            self.faults.push((rng.random_range(0..self.healed_at), FaultKind::StartMember(member)));
+        }
+        self.draw_publications(rng);
+        self.faults.sort();
+    }
+
+    /// Cuts off a region, some nodes, or a replica from the other replicas alone.
+    fn draw_cut(&self, rng: &mut ChaCha8Rng) -> Cut {
+        let nodes = self.replicas + self.members.len();
+        let region = self.regions[rng.random_range(0..self.replicas)];
+        let in_region = (0..nodes).filter(|node| self.regions[*node] == region);
+        let region_side = in_region.fold(0, |side, node| side | 1 << node);
+        let (outward, inward) =
+            [(true, true), (true, true), (true, false), (false, true)][rng.random_range(0..4)];
+        match rng.random_range(0..3) {
+            0 => Cut { side: region_side, outward, inward, replicas_only: false },
+            1 => Cut { side: rng.random_range(1..1 << nodes), outward, inward, replicas_only: false },
+            _ => {
+                let side = 1 << rng.random_range(0..self.replicas);
+                Cut { side, outward, inward, replicas_only: true }
+            }
+        }
+    }
+
+    fn draw_publications(&mut self, rng: &mut ChaCha8Rng) {
+        let rate = rng.random_range(2..=15);
+        for _ in 0..rate * self.healed_at / SECOND {
+            let publish = FaultKind::Publish(rng.random_range(0..self.replicas), 1);
+            self.faults.push((rng.random_range(0..self.healed_at), publish));
+        }
+        for _ in 0..rng.random_range(0..3) {
+            let flood = FaultKind::Publish(rng.random_range(0..self.replicas), rng.random_range(20..=300));
+            self.faults.push((rng.random_range(0..self.healed_at), flood));
+        }
+    }
+
+    /// A fault that begins and ends; it lasts for so many milliseconds at the most.
+    fn add(&mut self, rng: &mut ChaCha8Rng, kinds: (FaultKind, FaultKind), longest: u64) {
+        let begin = rng.random_range(0..self.healed_at);
+        let end = begin + rng.random_range(5..=longest) * MILLISECOND;
+        self.faults.push((begin, kinds.0));
+        if end < self.healed_at {
+            self.faults.push((end, kinds.1));
+        }
+    }
+}
+
+/// Replicas in turn over the regions, so that none is without; members anywhere.
+fn draw_regions(rng: &mut ChaCha8Rng, replicas: usize, members: usize) -> Vec<usize> {
+    let regions = rng.random_range(2..=replicas);
+    let of_replicas = (0..replicas).map(|replica| replica % regions);
+    let of_members = (0..members).map(|_| rng.random_range(0..regions)).collect::<Vec<_>>();
+    of_replicas.chain(of_members).collect()
+}
+
+fn draw_quality(rng: &mut ChaCha8Rng, profile: Profile) -> LinkQuality {
+    let is_bad = rng.random_bool(if profile == Profile::BareMajorities { 0.7 } else { 0.3 });
+    LinkQuality {
+        loss: if is_bad { rng.random_range(0.1..0.5) } else { rng.random_range(0.0..0.1) },
+        repeat: rng.random_range(0.0..0.2),
+        delay: (500, [5, 30, 150, 400][rng.random_range(0..4)] * MILLISECOND),
+        late: if rng.random_bool(0.5) { rng.random_range(0.0..0.1) } else { 0.0 },
+        late_by: rng.random_range(100..=6_000) * MILLISECOND,
+    }
+}
--- /dev/null
+++ b/control/tests/support/simulation.rs
@@ -0,0 +1,501 @@
+//! Runs a schedule, event by event, and checks the guarantee after each.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddr};
+
+use juniperladder_control::flaw::{Flaw, Flaws};
+use juniperladder_control::limits::{MAX_DATAGRAM_BYTES, MAX_MEMBERS};
+use juniperladder_control::{
+    Member, MemberConfig, MemberId, MemberTiming, PurgeStatus, Replica, ReplicaConfig, ReplicaId,
+    ReplicaSettings,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::checker::{Applied, Breach, Checker};
+use super::network::{LinkQuality, Network};
+use super::schedule::{FaultKind, Schedule, SECOND};
+
+/// How long after the end of all faults everything must be in order again.
+const TIME_TO_SETTLE: u64 = 60 * SECOND;
+const FIRST_PORT: u16 = 1_000;
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Tick { node: usize, start: u64 },
+    Datagram { to: usize, from: usize, bytes: Vec<u8> },
+    Fault(FaultKind),
+    Heal,
+}
+
+#[derive(Debug)]
+enum Machine {
+    Replica(Replica),
+    Member(Member, Applied),
+}
+
+/// A process, if it runs, and its machine's clock.
+#[derive(Debug)]
+struct Node {
+    machine: Option<Machine>,
+    /// Counts starts; also what is told to the machine, in microseconds.
+    start: u64,
+    frozen: bool,
+    /// Datagrams that came while it was frozen.
+    backlog: VecDeque<(usize, Vec<u8>)>,
+    /// Its clock's rate in millionths, and what it shows at the beginning.
+    rate: u64,
+    offset: u64,
+    /// Purges published at this start of this replica that are not done.
+    pending: VecDeque<usize>,
+}
+
+/// How a schedule ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Held,
+    Breached(Breach),
+    /// Something was not in order again after the end of all faults.
+    NotSettled(String),
+}
+
+/// What a schedule did.
+#[derive(Clone, Debug)]
+pub struct Report {
+    pub verdict: Verdict,
+    pub published: usize,
+    pub done: usize,
+    pub rejected: usize,
+    pub steps: u64,
+    pub settled_after: u64,
+    /// Times from the publication of a purge to its application, by all members that were handed it as a key.
+    pub times_to_act: Vec<u64>,
+    pub times_to_done: Vec<u64>,
+    pub log_trimmed: u64,
+    pub voided: u64,
+    pub lapses: u64,
+}
+
+pub struct Simulation {
+    schedule: Schedule,
+    flaw: Option<Flaw>,
+    rng: ChaCha8Rng,
+    network: Network,
+    now: u64,
+    due: BinaryHeap<Reverse<(u64, u64, Due)>>,
+    count: u64,
+    nodes: Vec<Node>,
+    checker: Checker,
+    rejected: usize,
+    times_to_act: Vec<u64>,
+    is_healed: bool,
+    voided: u64,
+    lapses: u64,
+}
+
+fn address(node: usize) -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, FIRST_PORT + node as u16).into()
+}
+
+impl Simulation {
+    pub fn new(schedule: Schedule, flaw: Option<Flaw>) -> Simulation {
+        let mut rng = ChaCha8Rng::seed_from_u64(schedule.seed ^ 0x5eed);
+        let count = schedule.replicas + schedule.members.len();
+        let nodes = (0..count).map(|_| draw_node(&mut rng, &schedule)).collect();
+        let network = Network { quality: schedule.quality, cuts: Vec::new(), replicas: schedule.replicas };
+        let mut simulation = Simulation {
+            flaw,
+            rng,
+            network,
+            now: 0,
+            due: BinaryHeap::new(),
+            count: 0,
+            nodes,
+            checker: Checker::default(),
+            rejected: 0,
+            times_to_act: Vec::new(),
+            is_healed: false,
+            voided: 0,
+            lapses: 0,
+            schedule,
+        };
+        for node in 0..count {
+            let member = node.checked_sub(simulation.schedule.replicas);
+            if member.is_none_or(|member| simulation.schedule.early_members >> member & 1 == 1) {
+                simulation.start(node, true);
+            }
+        }
+        for (at, fault) in simulation.schedule.faults.clone() {
+            simulation.at(at, Due::Fault(fault));
+        }
+        simulation.at(simulation.schedule.healed_at, Due::Heal);
+        simulation
+    }
+
+    fn at(&mut self, at: u64, due: Due) {
+        self.count += 1;
+        self.due.push(Reverse((at, self.count, due)));
+    }
+
+    fn local_now(&self, node: usize) -> u64 {
+        let node = &self.nodes[node];
+        node.offset + (u128::from(self.now) * u128::from(node.rate) / 1_000_000) as u64
+    }
+
+    fn start(&mut self, node: usize, bootstrap: bool) {
+        if self.nodes[node].machine.is_some() {
+            return;
+        }
+        let start = self.nodes[node].start + 1;
+        let seed = self.rng.random();
+        let now = self.local_now(node);
+        let machine = match node < self.schedule.replicas {
+            true => Machine::Replica(Replica::new(self.replica_config(node, start, bootstrap, seed), now)),
+            false => {
+                Machine::Member(Member::new(self.member_config(node, start, seed), now), Applied::default())
+            }
+        };
+        let process = &mut self.nodes[node];
+        process.machine = Some(machine);
+        process.start = start;
+        process.frozen = false;
+        process.backlog.clear();
+        process.pending.clear();
+        let first = self.now + self.rng.random_range(0..self.schedule.tick);
+        self.at(first, Due::Tick { node, start });
+    }
+
+    fn replica_config(&self, node: usize, start: u64, bootstrap: bool, seed: u64) -> ReplicaConfig {
+        ReplicaConfig {
+            replica: ReplicaId(node as u8),
+            incarnation: start,
+            replicas: (0..self.schedule.replicas).map(address).collect(),
+            bootstrap,
+            seed,
+            settings: ReplicaSettings {
+                lease: self.schedule.lease,
+                round_interval: self.schedule.round_interval,
+                log_entries: self.schedule.log_entries,
+                void_behind: self.schedule.void_behind,
+                flaws: Flaws::with(self.flaw),
+                ..ReplicaSettings::default()
+            },
+        }
+    }
+
+    fn member_config(&self, node: usize, life: u64, seed: u64) -> MemberConfig {
+        let replicas = self.schedule.replicas;
+        let regions = &self.schedule.regions;
+        let is_near = |replica: &usize| regions[*replica] == regions[node];
+        let mut preferred: Vec<usize> = (0..replicas).filter(is_near).collect();
+        if seed % 2 == 0 {
+            preferred.insert(0, (seed / 2) as usize % replicas);
+        }
+        MemberConfig {
+            member: MemberId((node - replicas) as u32),
+            life,
+            replicas: (0..replicas).map(address).collect(),
+            preferred: preferred.into_iter().map(|replica| ReplicaId(replica as u8)).collect(),
+            catch_up: self.schedule.members[node - replicas],
+            seed,
+            timing: MemberTiming {
+                lease: self.schedule.lease,
+                return_after: 5 * SECOND,
+                return_probe_interval: SECOND,
+                flaws: Flaws::with(self.flaw),
+                ..MemberTiming::default()
+            },
+        }
+    }
+
+    /// Runs the schedule to its end.
+    pub fn run(mut self) -> Report {
+        let mut steps = 0;
+        let deadline = self.schedule.healed_at + TIME_TO_SETTLE;
+        let mut verdict = None;
+        let mut next_look = self.schedule.healed_at;
+        while let Some(Reverse((at, _, due))) = self.due.pop() {
+            self.now = at;
+            steps += 1;
+            self.on_due(due);
+            if let Err(breach) = self.check() {
+                verdict = Some(Verdict::Breached(breach));
+                break;
+            }
+            if self.is_healed && self.now >= next_look {
+                next_look = self.now + SECOND / 10;
+                let unsettled = self.unsettled();
+                match unsettled {
+                    None => break,
+                    Some(reason) if self.now > deadline => {
+                        verdict = Some(Verdict::NotSettled(reason));
+                        break;
+                    }
+                    Some(_) => {}
+                }
+            }
+        }
+        self.report(steps, verdict.unwrap_or(Verdict::Held))
+    }
+
+    fn report(&self, steps: u64, verdict: Verdict) -> Report {
+        let done = self.checker.published.iter();
+        let times_to_done = done.filter_map(|purge| Some(purge.done_at? - purge.at)).collect();
+        let mut report = Report {
+            verdict,
+            published: self.checker.published.len(),
+            done: self.checker.done(),
+            rejected: self.rejected,
+            steps,
+            settled_after: self.now.saturating_sub(self.schedule.healed_at),
+            times_to_act: self.times_to_act.clone(),
+            times_to_done,
+            log_trimmed: 0,
+            voided: self.voided,
+            lapses: self.lapses,
+        };
+        for node in &self.nodes {
+            match &node.machine {
+                Some(Machine::Replica(replica)) => report.log_trimmed += replica.figures().log_trimmed,
+                Some(Machine::Member(member, _)) => {
+                    report.voided += member.figures().voided;
+                    report.lapses += member.figures().lapses;
+                }
+                None => {}
+            }
+        }
+        report
+    }
+
+    fn on_due(&mut self, due: Due) {
+        match due {
+            Due::Tick { node, start } => self.on_tick(node, start),
+            Due::Datagram { to, from, bytes } => self.on_datagram(to, from, bytes),
+            Due::Fault(fault) => {
+                if !self.is_healed {
+                    self.on_fault(fault);
+                }
+            }
+            Due::Heal => self.heal(),
+        }
+    }
+
+    fn on_tick(&mut self, node: usize, start: u64) {
+        if self.nodes[node].start != start || self.nodes[node].machine.is_none() {
+            return;
+        }
+        self.at(self.now + self.schedule.tick, Due::Tick { node, start });
+        if self.nodes[node].frozen {
+            return;
+        }
+        let now = self.local_now(node);
+        match &mut self.nodes[node].machine {
+            Some(Machine::Replica(replica)) => replica.on_tick(now),
+            Some(Machine::Member(member, _)) => member.on_tick(now),
+            None => {}
+        }
+        self.after(node);
+    }
+
+    fn on_datagram(&mut self, to: usize, from: usize, bytes: Vec<u8>) {
+        if self.nodes[to].frozen {
+            self.nodes[to].backlog.push_back((from, bytes));
+            return;
+        }
+        let now = self.local_now(to);
+        match &mut self.nodes[to].machine {
+            Some(Machine::Replica(replica)) => replica.on_datagram(now, address(from), &bytes),
+            Some(Machine::Member(member, _)) => member.on_datagram(now, address(from), &bytes),
+            None => {}
+        }
+        self.after(to);
+    }
+
+    /// What a driver does after each call: applies what came, notes what is done, and sends.
+    fn after(&mut self, node: usize) {
+        let now = self.local_now(node);
+        let process = &mut self.nodes[node];
+        let datagrams = match &mut process.machine {
+            Some(Machine::Replica(replica)) => {
+                assert!(replica.figures().log_entries <= self.schedule.log_entries);
+                assert!(replica.figures().registrations <= MAX_MEMBERS);
+                while let Some(purge) = process.pending.front().copied() {
+                    let id = self.checker.published[purge].id;
+                    if replica.status(now, id) != PurgeStatus::Done {
+                        break;
+                    }
+                    process.pending.pop_front();
+                    self.checker.on_done(purge, self.now);
+                }
+                replica.drain()
+            }
+            Some(Machine::Member(member, applied)) => {
+                let events = member.drain_purges();
+                for purge in self.checker.on_events(applied, &events) {
+                    self.times_to_act.push(self.now - self.checker.published[purge].at);
+                }
+                member.drain()
+            }
+            None => Vec::new(),
+        };
+        for (to, bytes) in datagrams {
+            assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
+            self.send(node, usize::from(to.port() - FIRST_PORT), bytes);
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
+        for delay in self.network.delays(&mut self.rng, from, to) {
+            let datagram = Due::Datagram { to, from, bytes: bytes.clone() };
+            self.at(self.now + delay, datagram);
+        }
+    }
+
+    fn on_fault(&mut self, fault: FaultKind) {
+        match fault {
+            FaultKind::KillReplica(replica) => {
+                if self.replicas_without_memory() < (self.schedule.replicas - 1) / 2 {
+                    self.kill(replica);
+                }
+            }
+            FaultKind::StartReplica(replica) => self.start(replica, false),
+            FaultKind::KillMember(member) => self.kill(self.schedule.replicas + member),
+            FaultKind::LeaveMember(member) => self.leave(self.schedule.replicas + member),
+            FaultKind::StartMember(member) => self.start(self.schedule.replicas + member, false),
+            FaultKind::FreezeNode(node) => self.nodes[node].frozen = true,
+            FaultKind::ThawNode(node) => self.thaw(node),
+            FaultKind::BeginCut(cut) => self.network.cuts.push(cut),
+            FaultKind::EndCut(cut) => {
+                if let Some(index) = self.network.cuts.iter().position(|other| *other == cut) {
+                    self.network.cuts.remove(index);
+                }
+            }
+            FaultKind::Publish(replica, count) => self.publish(replica, count),
+        }
+    }
+
+    /// Replicas that are down or have not recovered. With more than a minority of them the control plane stands still
+    /// until it is bootstrapped anew, which schedules don't do.
+    fn replicas_without_memory(&self) -> usize {
+        let replicas = self.nodes[..self.schedule.replicas].iter();
+        let has_memory = |node: &&Node| match &node.machine {
+            Some(Machine::Replica(replica)) => !replica.figures().recovering,
+            _ => false,
+        };
+        self.schedule.replicas - replicas.filter(has_memory).count()
+    }
+
+    fn kill(&mut self, node: usize) {
+        if let Some(Machine::Member(member, _)) = &self.nodes[node].machine {
+            self.voided += member.figures().voided;
+            self.lapses += member.figures().lapses;
+        }
+        let process = &mut self.nodes[node];
+        process.machine = None;
+        process.frozen = false;
+        process.backlog.clear();
+        process.pending.clear();
+    }
+
+    fn leave(&mut self, node: usize) {
+        let is_frozen = self.nodes[node].frozen;
+        if let (Some(Machine::Member(member, _)), false) = (&mut self.nodes[node].machine, is_frozen) {
+            member.leave();
+            self.after(node);
+        }
+        self.kill(node);
+    }
+
+    fn thaw(&mut self, node: usize) {
+        if !std::mem::take(&mut self.nodes[node].frozen) {
+            return;
+        }
+        for (from, bytes) in std::mem::take(&mut self.nodes[node].backlog) {
+            self.on_datagram(node, from, bytes);
+        }
+    }
+
+    fn publish(&mut self, node: usize, count: usize) {
+        let now = self.local_now(node);
+        for _ in 0..count {
+            let length = if self.rng.random_bool(0.1) { 250 } else { self.rng.random_range(8..=64) };
+            let key = self.checker.next_key(length);
+            if self.nodes[node].frozen {
+                return;
+            }
+            let Some(Machine::Replica(replica)) = &mut self.nodes[node].machine else { return };
+            match replica.publish(now, &key) {
+                Ok(id) => {
+                    let purge = self.checker.on_published(id, self.now);
+                    self.nodes[node].pending.push_back(purge);
+                }
+                Err(rejected) => {
+                    assert!(rejected.retry_after > 0);
+                    self.rejected += 1;
+                }
+            }
+        }
+        self.after(node);
+    }
+
+    fn heal(&mut self) {
+        self.is_healed = true;
+        self.network.quality = LinkQuality::GOOD;
+        self.network.cuts.clear();
+        for node in 0..self.nodes.len() {
+            self.thaw(node);
+            self.start(node, false);
+        }
+    }
+
+    /// The guarantee, at this moment.
+    fn check(&mut self) -> Result<(), Breach> {
+        for node in self.schedule.replicas..self.nodes.len() {
+            let now = self.local_now(node);
+            if let Some(Machine::Member(member, applied)) = &mut self.nodes[node].machine {
+                if member.may_serve(now) {
+                    self.checker.check(self.now, node, applied)?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// What is not in order yet: a purge that is pending, a member that does not serve, a replica that recovers.
+    fn unsettled(&self) -> Option<String> {
+        for (number, node) in self.nodes.iter().enumerate() {
+            match &node.machine {
+                Some(Machine::Replica(replica)) => {
+                    if replica.figures().recovering {
+                        return Some(format!("replica {number} recovers"));
+                    }
+                    if let Some(purge) = node.pending.front() {
+                        let id = self.checker.published[*purge].id;
+                        return Some(format!("{id:?}: {:?}", replica.status(self.local_now(number), id)));
+                    }
+                }
+                Some(Machine::Member(member, _)) => {
+                    if !member.may_serve(self.local_now(number)) {
+                        return Some(format!("member {number} does not serve: {:?}", member.figures()));
+                    }
+                }
+                None => return Some(format!("node {number} does not run")),
+            }
+        }
+        None
+    }
+}
+
+fn draw_node(rng: &mut ChaCha8Rng, schedule: &Schedule) -> Node {
+    let drift = rng.random_range(-schedule.drift_ppm..=schedule.drift_ppm);
+    Node {
+        machine: None,
+        start: 0,
+        frozen: false,
+        backlog: VecDeque::new(),
+        rate: (1_000_000 + drift) as u64,
+        offset: rng.random_range(0..1_000 * SECOND),
+        pending: VecDeque::new(),
+    }
+}
