--- a/control/src/completion.rs
+++ b/control/src/completion.rs
@@ -316,6 +316,3 @@
 fn covered(floor: Option<Position>) -> Coverage {
     floor.map_or(Coverage::Unknown, Coverage::AppliedThrough)
 }
-
-#[cfg(test)]
-mod tests;
--- a/control/src/completion/tests.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Tests of this module.
--- a/control/src/fill/tests.rs
+++ b/control/src/fill/tests.rs
@@ -1,1 +1,144 @@
-//! Tests of this module.
+//! Tests of the guard of fills: all interleavings of small histories, against a cache that must never hold a value older
+//! than a purge.
+
+use super::*;
+
+/// A step of a history of one key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// A request misses: fill `n` begins.
+    Begin(usize),
+    /// Fill `n` reads the origin.
+    Read(usize),
+    /// Fill `n` ends, and its value is kept if the guard allows.
+    Finish(usize),
+    /// The origin's value changes, and the purge of it is published.
+    Write,
+    /// The purge of the write is applied here.
+    Purge,
+    /// All is voided here.
+    Void,
+}
+
+/// A cache of one key and its origin. Values are versions.
+struct Cache {
+    guard: FillGuard,
+    origin: u32,
+    /// The version below which a value may no longer be held: the last purge or void applied.
+    purged: u32,
+    held: Option<u32>,
+    fills: Vec<(Option<FillToken>, u32)>,
+    kept: u32,
+}
+
+impl Cache {
+    fn new(fills: usize, capacity: usize) -> Cache {
+        Cache {
+            guard: FillGuard::new(capacity),
+            origin: 0,
+            purged: 0,
+            held: None,
+            fills: vec![(None, 0); fills],
+            kept: 0,
+        }
+    }
+
+    fn apply(&mut self, step: Step) {
+        match step {
+            Step::Begin(fill) => self.fills[fill].0 = Some(self.guard.begin_fill(b"key")),
+            Step::Read(fill) => self.fills[fill].1 = self.origin,
+            Step::Finish(fill) => {
+                let token = self.fills[fill].0.expect("it began");
+                if self.guard.finish_fill(token) == FillOutcome::Keep {
+                    self.held = Some(self.fills[fill].1);
+                    self.kept += 1;
+                }
+            }
+            Step::Write => self.origin += 1,
+            Step::Purge => {
+                self.guard.apply(&PurgeEvent::Key(b"key".to_vec()));
+                (self.held, self.purged) = (None, self.origin);
+            }
+            Step::Void => {
+                self.guard.apply(&PurgeEvent::VoidAll);
+                (self.held, self.purged) = (None, self.origin);
+            }
+        }
+        assert!(self.held.is_none_or(|held| held >= self.purged), "an old value is held");
+    }
+}
+
+/// Calls `visit` with each interleaving of these sequences.
+fn interleave(sequences: &[Vec<Step>], visit: &mut impl FnMut(&[Step])) {
+    fn go(rest: &mut Vec<&[Step]>, so_far: &mut Vec<Step>, visit: &mut impl FnMut(&[Step])) {
+        if rest.iter().all(|sequence| sequence.is_empty()) {
+            visit(so_far);
+            return;
+        }
+        for index in 0..rest.len() {
+            let Some((step, behind)) = rest[index].split_first() else { continue };
+            let before = std::mem::replace(&mut rest[index], behind);
+            so_far.push(*step);
+            go(rest, so_far, visit);
+            so_far.pop();
+            rest[index] = before;
+        }
+    }
+    let mut rest: Vec<&[Step]> = sequences.iter().map(Vec::as_slice).collect();
+    go(&mut rest, &mut Vec::new(), visit);
+}
+
+fn fill(number: usize) -> Vec<Step> {
+    vec![Step::Begin(number), Step::Read(number), Step::Finish(number)]
+}
+
+#[test]
+fn no_interleaving_keeps_what_was_read_before_a_purge() {
+    let writers = [
+        vec![Step::Write, Step::Purge],
+        vec![Step::Write, Step::Void],
+        vec![Step::Write, Step::Purge, Step::Write, Step::Purge],
+        vec![Step::Purge, Step::Purge, Step::Void],
+    ];
+    let (mut histories, mut kept, mut discarded) = (0, 0, 0);
+    for writer in writers {
+        for capacity in [0, 1, 2, 3] {
+            let sequences = [fill(0), fill(1), writer.clone()];
+            interleave(&sequences, &mut |steps| {
+                let mut cache = Cache::new(2, capacity);
+                steps.iter().for_each(|step| cache.apply(*step));
+                histories += 1;
+                kept += cache.kept;
+                discarded += 2 - cache.kept;
+                assert!(cache.guard.is_empty() && cache.guard.by_key.is_empty(), "nothing is left behind");
+                assert!(capacity > 0 || cache.kept == 0);
+            });
+        }
+    }
+    assert!(histories > 10_000 && kept > 1_000 && discarded > 1_000, "{histories} {kept} {discarded}");
+}
+
+#[test]
+fn three_fills_and_two_purges_of_one_key_in_any_order() {
+    let writer = vec![Step::Write, Step::Purge, Step::Purge];
+    let mut histories = 0;
+    interleave(&[fill(0), fill(1), fill(2), writer], &mut |steps| {
+        let mut cache = Cache::new(3, 2);
+        steps.iter().for_each(|step| cache.apply(*step));
+        histories += 1;
+    });
+    assert_eq!(histories, 369_600);
+}
+
+#[test]
+fn a_purge_spares_fills_of_other_keys_and_the_bound_holds() {
+    let mut guard = FillGuard::new(2);
+    let (one, two) = (guard.begin_fill(b"one"), guard.begin_fill(b"two"));
+    let beyond = guard.begin_fill(b"three");
+    assert_eq!(guard.len(), 2);
+    guard.purge(b"one");
+    assert_eq!(guard.finish_fill(one), FillOutcome::Discard);
+    assert_eq!(guard.finish_fill(two), FillOutcome::Keep);
+    assert_eq!(guard.finish_fill(two), FillOutcome::Discard, "a token is good once");
+    assert_eq!(guard.finish_fill(beyond), FillOutcome::Discard);
+}
--- a/control/src/log/tests.rs
+++ b/control/src/log/tests.rs
@@ -1,1 +1,127 @@
-//! Tests of this module.
+//! Tests of the log.
+
+use super::*;
+
+const ORIGIN: ReplicaId = ReplicaId(3);
+
+fn at(incarnation: u64, sequence: u64) -> Position {
+    Position { incarnation, sequence }
+}
+
+/// The entries of one incarnation from its start entry, after a position.
+fn stream(incarnation: u64, after: Position, count: u64) -> Vec<Entry> {
+    let position = |sequence| at(incarnation, sequence);
+    let previous = |sequence| if sequence == 1 { after } else { position(sequence - 1) };
+    (1..=count)
+        .map(|sequence| Entry {
+            position: position(sequence),
+            previous: previous(sequence),
+            key: if sequence == 1 { Vec::new() } else { vec![sequence as u8; 20] },
+        })
+        .collect()
+}
+
+fn log_of(entries: &[Entry], capacity: usize) -> Log {
+    let mut log = Log::new(capacity);
+    for entry in entries {
+        assert!(log.append(ORIGIN, entry.clone()));
+    }
+    log
+}
+
+fn reader_at(position: Position) -> VersionVector {
+    let mut vector = VersionVector::default();
+    vector.raise(ORIGIN, position);
+    vector
+}
+
+#[test]
+fn entries_are_appended_once_and_in_order() {
+    let entries = stream(1, Position::ZERO, 4);
+    let mut log = Log::new(100);
+    assert!(!log.append(ORIGIN, entries[1].clone()), "nothing is appended over a gap");
+    for entry in &entries {
+        assert!(log.append(ORIGIN, entry.clone()));
+        assert!(!log.append(ORIGIN, entry.clone()), "nothing twice");
+    }
+    assert_eq!((log.head(ORIGIN), log.len()), (at(1, 4), 4));
+}
+
+#[test]
+fn a_new_incarnation_skips_what_no_majority_held_of_the_old_and_nothing_else() {
+    let old = stream(1, Position::ZERO, 7);
+    let new = stream(2, at(1, 5), 3);
+    let mut holds_more = log_of(&old, 100);
+    assert!(holds_more.append(ORIGIN, new[0].clone()));
+    let mut holds_less = log_of(&old[..4], 100);
+    assert!(!holds_less.append(ORIGIN, new[0].clone()));
+    assert!(holds_less.append(ORIGIN, old[4].clone()) && holds_less.append(ORIGIN, new[0].clone()));
+    assert!(!holds_less.append(ORIGIN, old[5].clone()), "the old incarnation is over");
+}
+
+#[test]
+fn the_oldest_entries_are_trimmed_and_who_lacks_them_is_below_the_base() {
+    let log = log_of(&stream(1, Position::ZERO, 50), 10);
+    assert_eq!((log.len(), log.trimmed(), log.base(ORIGIN)), (10, 40, at(1, 40)));
+    assert_eq!(log.behind(&reader_at(at(1, 40))), Behind::Entries(10));
+    assert_eq!(log.behind(&reader_at(at(1, 39))), Behind::BelowBase);
+    assert_eq!(log.behind(&reader_at(at(1, 50))), Behind::Entries(0));
+}
+
+/// Whatever a reader has, it reaches the head by runs of bounded size, and gets every entry after its position.
+#[test]
+fn readers_at_every_position_catch_up_by_runs() {
+    let mut log = log_of(&stream(1, Position::ZERO, 9), 100);
+    for entry in stream(2, at(1, 6), 9) {
+        assert!(log.append(ORIGIN, entry));
+    }
+    let positions: Vec<Position> = (0..=9).map(|s| at(1, s)).chain((1..=9).map(|s| at(2, s))).collect();
+    for (index, position) in positions.iter().enumerate() {
+        for budget in [70, 150, 1_000] {
+            let start = if position.sequence == 0 { Position::ZERO } else { *position };
+            let mut reader = Log::new(100);
+            reader.rebase(ORIGIN, start);
+            loop {
+                let (runs, more) = log.runs_after(&reader.vector(), budget);
+                let mut appended = false;
+                for run in runs {
+                    let last = run.last_position();
+                    appended |= reader.append_run(run);
+                    assert_eq!(reader.head(ORIGIN), last);
+                }
+                if !more {
+                    break;
+                }
+                assert!(appended, "each answer brings the reader on");
+            }
+            assert_eq!((reader.head(ORIGIN), reader.len()), (at(2, 9), positions.len() - 1 - index));
+        }
+    }
+}
+
+#[test]
+fn a_replica_that_lacks_trimmed_entries_begins_at_the_base() {
+    let log = log_of(&stream(1, Position::ZERO, 50), 10);
+    let mut other = log_of(&stream(1, Position::ZERO, 20), 100);
+    let (runs, more) = log.runs_after(&other.vector(), 10_000);
+    assert!(!more && runs[0].rebase);
+    for run in runs {
+        other.append_run(run);
+    }
+    assert_eq!((other.base(ORIGIN), other.head(ORIGIN), other.len()), (at(1, 40), at(1, 50), 10));
+    assert_eq!(other.behind(&reader_at(at(1, 20))), Behind::BelowBase);
+}
+
+#[test]
+fn a_stream_that_is_trimmed_to_its_end_is_told_by_its_base() {
+    let mut log = log_of(&stream(1, Position::ZERO, 5), 5);
+    for entry in stream(1, Position::ZERO, 5) {
+        log.append(ReplicaId(0), entry);
+    }
+    let mut other = Log::new(100);
+    for run in log.runs_after(&VersionVector::default(), 10_000).0 {
+        other.append_run(run);
+    }
+    assert_eq!(other.vector(), log.vector());
+    assert_eq!(other.base(ORIGIN), at(1, 5));
+}
--- a/control/src/registration/tests.rs
+++ b/control/src/registration/tests.rs
@@ -1,1 +1,86 @@
-//! Tests of this module.
+//! Tests of registration tables and their copies.
+
+use super::*;
+use crate::wire::{encode, Message, PeerMessage};
+
+const HOME: ReplicaId = ReplicaId(2);
+
+fn epoch(counter: u64) -> Epoch {
+    Epoch { life: 7, counter }
+}
+
+fn store(table: &mut RegistrationTable, member: u32, counter: u64) -> StoreOutcome {
+    table.store(MemberId(member), epoch(counter), HOME, RegistrationState::Known)
+}
+
+/// Copies all changes of a table.
+fn follow(copy: &mut TableCopy, table: &RegistrationTable, incarnation: u64) {
+    while !copy.is_complete(incarnation, table.change()) {
+        assert!(copy.apply(&table.changes_after(incarnation, copy.through(incarnation))));
+    }
+}
+
+#[test]
+fn the_greatest_epoch_stays_and_a_release_is_for_ever() {
+    let mut table = RegistrationTable::default();
+    assert_eq!(store(&mut table, 1, 5), StoreOutcome::Stored);
+    assert_eq!(store(&mut table, 1, 5), StoreOutcome::Present);
+    assert_eq!(store(&mut table, 1, 4), StoreOutcome::Superseded(epoch(5)));
+    assert!(table.set_state(MemberId(1), epoch(5), RegistrationState::Released));
+    assert_eq!(store(&mut table, 1, 5), StoreOutcome::Released);
+    assert!(!table.set_state(MemberId(1), epoch(4), RegistrationState::Active));
+    assert_eq!(store(&mut table, 1, 6), StoreOutcome::Stored);
+}
+
+#[test]
+fn a_copy_follows_by_changes_and_by_chunks_that_fit() {
+    let mut table = RegistrationTable::default();
+    let mut copy = TableCopy::default();
+    for member in 0..500 {
+        store(&mut table, member, u64::MAX - 1);
+    }
+    let chunk = table.changes_after(u64::MAX, 0);
+    let message = Message::BetweenReplicas(PeerMessage::TableChunk(chunk));
+    assert!(encode(&message).is_some(), "a chunk of the greatest numbers fits");
+    follow(&mut copy, &table, 9);
+    assert_eq!(copy.registrations(), table.registrations());
+    store(&mut table, 3, u64::MAX);
+    table.set_state(MemberId(4), epoch(u64::MAX - 1), RegistrationState::Released);
+    let chunk = table.changes_after(9, copy.through(9));
+    assert_eq!(chunk.registrations.len(), 2, "only what changed is told");
+    follow(&mut copy, &table, 9);
+    assert_eq!(copy.registrations(), table.registrations());
+}
+
+#[test]
+fn a_copy_leaves_nothing_out_and_never_goes_back() {
+    let mut table = RegistrationTable::default();
+    for member in 0..60 {
+        store(&mut table, member, 1);
+    }
+    let first = table.changes_after(5, 0);
+    let second = table.changes_after(5, first.through);
+    let mut copy = TableCopy::default();
+    assert!(!copy.apply(&second), "a chunk after a gap is ignored");
+    assert!(copy.apply(&first) && copy.apply(&second) && copy.apply(&first));
+    assert_eq!(copy.through(5), second.through);
+    let newer = RegistrationTable::default().changes_after(6, 0);
+    assert!(copy.apply(&newer) && copy.registrations().is_empty(), "a new incarnation begins anew");
+    assert!(!copy.apply(&first), "an old incarnation is over");
+}
+
+#[test]
+fn a_full_table_takes_a_member_only_in_place_of_a_released_one() {
+    let mut table = RegistrationTable::default();
+    let full = MAX_MEMBERS as u32;
+    for member in 0..full {
+        assert_eq!(store(&mut table, member, 1), StoreOutcome::Stored);
+    }
+    assert_eq!(store(&mut table, full, 1), StoreOutcome::Full);
+    assert_eq!(store(&mut table, 17, 2), StoreOutcome::Stored, "who is there may register again");
+    table.set_state(MemberId(30), epoch(1), RegistrationState::Released);
+    assert_eq!(store(&mut table, full, 1), StoreOutcome::Stored);
+    assert!(table.get(MemberId(30)).is_none());
+    assert_eq!(table.registrations().len(), MAX_MEMBERS);
+    assert_eq!(table.by_change.len(), MAX_MEMBERS);
+}
