Play the races behind phases, incarnations and majorities by hand, and evaluate before a round ends

Change: control/tests/quorums.rs plays each race on links that the test opens, holds and cuts. The real protocol holds in each; without the step that is there for it, a member serves without a purge that is done. A replica now evaluates the replies of a round before it begins the next; a reply that came in the last moment of a round was lost before.

--- a/control/src/replica.rs
+++ b/control/src/replica.rs
@@ -171,10 +171,11 @@
             self.fetching = None;
         }
         self.request_tables(now);
+        // Before the next round clears the replies of the current one.
+        self.evaluate();
         if self.is_round_due(now) {
             self.begin_round(now);
         }
-        self.evaluate();
     }
 
     /// Marks what can have no lease any more, for ever.
--- /dev/null
+++ b/control/tests/quorums.rs
@@ -0,0 +1,173 @@
+//! The races for which the protocol has two phases, incarnations and majorities, played by hand: each holds, and breaks
+//! without the step that is there for it.
+
+mod support;
+
+use juniperladder_control::flaw::Flaw;
+use juniperladder_control::{PurgeId, PurgeStatus};
+use support::scripted::Plane;
+
+const KEY: &[u8] = b"the key";
+/// Replicas of the scenarios with five: the origin, two that get its purge, and two that don't.
+const ORIGIN: usize = 0;
+const FIRST: usize = 1;
+const SECOND: usize = 2;
+const OTHERS: [usize; 2] = [3, 4];
+/// The member of those scenarios.
+const MEMBER: usize = 5;
+
+/// The first replica holds the purge and tells so, then loses it by a restart, before the second has got it.
+fn first_forgets_before_second_holds(flaw: Option<Flaw>) -> (Plane, PurgeId) {
+    let mut plane = Plane::new(5, 1, flaw);
+    plane.cut(&[ORIGIN], &OTHERS);
+    plane.cut(&[FIRST], &[SECOND, 3, 4]);
+    plane.hold(ORIGIN, SECOND);
+    let purge = plane.publish(ORIGIN, KEY);
+    // The round that was open gets no majority; the next asks the first replica, which has the purge by then.
+    plane.run(3_500);
+    plane.cut(&[ORIGIN], &[FIRST]);
+    plane.hold(ORIGIN, FIRST);
+    plane.restart_replica(FIRST);
+    plane.join(&[FIRST], &[SECOND, 3, 4]);
+    plane.run(600);
+    assert!(plane.has_recovered(FIRST), "from the second and the others, none of which has the purge");
+    plane.cut(&[SECOND], &[FIRST, 3, 4]);
+    plane.join(&[ORIGIN], &[SECOND]);
+    plane.run(100);
+    (plane, purge)
+}
+
+/// A member registers with all but the origin and the second replica.
+fn register_member_apart(plane: &mut Plane) {
+    plane.cut(&[ORIGIN, SECOND], &[FIRST, 3, 4, MEMBER]);
+    plane.start_member(MEMBER, &[FIRST]);
+    plane.run(2_000);
+    assert!(plane.may_serve(MEMBER), "a majority is there for it");
+    assert!(!plane.has_purged(MEMBER, KEY));
+}
+
+/// After the end of all cuts the purge is done, and the member has it.
+fn assert_settles(plane: &mut Plane, origin: usize, replicas: usize, purge: PurgeId, member: usize) {
+    let all: Vec<usize> = (0..=member.max(replicas - 1)).collect();
+    plane.join(&all, &all);
+    plane.run(10_000);
+    assert_eq!(plane.status(origin, purge), PurgeStatus::Done);
+    assert!(plane.may_serve(member) && plane.has_purged(member, KEY));
+}
+
+#[test]
+fn a_replica_that_forgets_within_a_round_does_not_count() {
+    let (mut plane, purge) = first_forgets_before_second_holds(None);
+    assert!(matches!(plane.status(ORIGIN, purge), PurgeStatus::Pending { .. }));
+    register_member_apart(&mut plane);
+    assert!(!plane.is_breached(ORIGIN, purge, KEY, MEMBER));
+    assert_settles(&mut plane, ORIGIN, 5, purge, MEMBER);
+
+    let (mut plane, purge) = first_forgets_before_second_holds(Some(Flaw::SecondRoundSkipped));
+    register_member_apart(&mut plane);
+    assert!(plane.is_breached(ORIGIN, purge, KEY, MEMBER), "one round is not enough");
+}
+
+/// After the first round, and in the second, both forget: the second replica once it has confirmed, the first once it
+/// has got the purge again, by a datagram that came twice, and has confirmed it in its new incarnation.
+fn both_forget_in_the_second_round(flaw: Option<Flaw>) -> (Plane, PurgeId) {
+    let (mut plane, purge) = first_forgets_before_second_holds(flaw);
+    plane.cut(&[ORIGIN], &[SECOND]);
+    plane.restart_replica(SECOND);
+    plane.join(&[SECOND], &[FIRST, 3, 4]);
+    plane.run(600);
+    assert!(plane.has_recovered(SECOND), "from the first and the others, none of which has the purge");
+    plane.cut(&[FIRST], &[SECOND, 3, 4]);
+    plane.hold(FIRST, ORIGIN);
+    plane.open(ORIGIN, FIRST);
+    plane.run(50);
+    plane.repeat(ORIGIN, FIRST);
+    plane.run(50);
+    plane.hold(ORIGIN, FIRST);
+    plane.restart_replica(FIRST);
+    plane.join(&[FIRST], &[SECOND, 3, 4]);
+    plane.run(600);
+    assert!(plane.has_recovered(FIRST), "none of the others has the purge");
+    plane.open(FIRST, ORIGIN);
+    plane.run(50);
+    (plane, purge)
+}
+
+#[test]
+fn a_replica_that_holds_a_purge_again_in_a_new_incarnation_does_not_confirm_it() {
+    let (mut plane, purge) = both_forget_in_the_second_round(None);
+    assert!(matches!(plane.status(ORIGIN, purge), PurgeStatus::Pending { .. }));
+    register_member_apart(&mut plane);
+    assert!(!plane.is_breached(ORIGIN, purge, KEY, MEMBER));
+    assert_settles(&mut plane, ORIGIN, 5, purge, MEMBER);
+
+    let (mut plane, purge) = both_forget_in_the_second_round(Some(Flaw::IncarnationIgnored));
+    register_member_apart(&mut plane);
+    assert!(plane.is_breached(ORIGIN, purge, KEY, MEMBER), "incarnations must be the same");
+}
+
+/// The first replica registers a member, answers it, and forgets it by a restart before the others have registered it.
+fn registration_is_forgotten(flaw: Option<Flaw>) -> (Plane, PurgeId) {
+    let mut plane = Plane::new(5, 1, flaw);
+    let home = OTHERS[0];
+    plane.cut(&[MEMBER], &[ORIGIN, SECOND, OTHERS[1]]);
+    plane.start_member(MEMBER, &[home]);
+    while plane.datagrams_sent(MEMBER) == 0 {
+        plane.step();
+    }
+    // Its first pull reaches the home; what it sends there afterwards waits.
+    plane.step();
+    plane.hold(MEMBER, home);
+    plane.run(60);
+    plane.cut(&[MEMBER], &[FIRST]);
+    plane.restart_replica(FIRST);
+    plane.run(400);
+    assert!(plane.has_recovered(FIRST), "from others, none of which has the registration");
+    plane.cut(&[ORIGIN, FIRST, SECOND], &OTHERS);
+    let purge = plane.publish(ORIGIN, KEY);
+    plane.run(700);
+    plane.join(&[MEMBER], &OTHERS);
+    plane.run(1_300);
+    assert_eq!(plane.status(ORIGIN, purge), PurgeStatus::Done, "nobody serves without it");
+    (plane, purge)
+}
+
+#[test]
+fn a_registration_that_a_replica_forgets_before_the_second_phase_does_not_count() {
+    let (mut plane, purge) = registration_is_forgotten(None);
+    assert!(!plane.may_serve(MEMBER), "two of five have it registered");
+    assert_settles(&mut plane, ORIGIN, 5, purge, MEMBER);
+
+    let (plane, purge) = registration_is_forgotten(Some(Flaw::OnePhaseRegistration));
+    assert!(plane.is_breached(ORIGIN, purge, KEY, MEMBER), "one phase is not enough");
+}
+
+/// Of three replicas the member has registered with the second and the third; the second restarts while it reaches
+/// nobody but the first.
+fn recovery_reaches_one(flaw: Option<Flaw>) -> (Plane, PurgeId) {
+    let mut plane = Plane::new(3, 1, flaw);
+    plane.cut(&[3], &[0]);
+    plane.start_member(3, &[2]);
+    plane.run(1_500);
+    assert!(plane.may_serve(3));
+    plane.cut(&[2, 3], &[0, 1]);
+    plane.restart_replica(1);
+    // The round that was open gets no majority, and ends by its timeout.
+    plane.run(3_500);
+    let purge = plane.publish(0, KEY);
+    plane.run(1_500);
+    (plane, purge)
+}
+
+#[test]
+fn a_replica_that_reaches_no_majority_of_others_does_not_recover() {
+    let (mut plane, purge) = recovery_reaches_one(None);
+    assert!(!plane.has_recovered(1));
+    assert!(plane.may_serve(3), "its home answers it");
+    let PurgeStatus::Pending { replicas, .. } = plane.status(0, purge) else { panic!("it is not done") };
+    assert!(replicas.len() <= 2, "{replicas:?}");
+    assert_settles(&mut plane, 0, 3, purge, 3);
+
+    let (plane, purge) = recovery_reaches_one(Some(Flaw::RecoveryFromOne));
+    assert!(plane.is_breached(0, purge, KEY, 3), "one is not enough");
+}
--- a/control/tests/support/mod.rs
+++ b/control/tests/support/mod.rs
@@ -5,4 +5,5 @@
 pub mod checker;
 pub mod network;
 pub mod schedule;
+pub mod scripted;
 pub mod simulation;
--- /dev/null
+++ b/control/tests/support/scripted.rs
@@ -0,0 +1,256 @@
+//! A control plane whose links a test opens, cuts and holds by hand.
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use juniperladder_control::flaw::{Flaw, Flaws};
+use juniperladder_control::{
+    CatchUp, Member, MemberConfig, MemberId, MemberTiming, PurgeEvent, PurgeId, PurgeStatus, Replica,
+    ReplicaConfig, ReplicaId, ReplicaSettings,
+};
+
+use super::schedule::MILLISECOND;
+
+const STEP: u64 = 10 * MILLISECOND;
+const FIRST_PORT: u16 = 1_000;
+/// Datagrams that a link remembers, so that they can come again.
+const REMEMBERED: usize = 64;
+
+/// What becomes of the datagrams of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LinkState {
+    Open,
+    Cut,
+    /// They wait.
+    Held,
+}
+
+#[derive(Debug)]
+enum Machine {
+    Replica(Replica),
+    Member { member: Member, purged: Vec<Vec<u8>> },
+}
+
+/// Replicas first, then members.
+pub struct Plane {
+    pub now: u64,
+    replicas: usize,
+    flaw: Option<Flaw>,
+    machines: Vec<Option<Machine>>,
+    starts: Vec<u64>,
+    links: HashMap<(usize, usize), LinkState>,
+    waiting: Vec<(usize, usize, Vec<u8>)>,
+    remembered: HashMap<(usize, usize), Vec<Vec<u8>>>,
+}
+
+fn address(node: usize) -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, FIRST_PORT + node as u16).into()
+}
+
+impl Plane {
+    /// Bootstrapped replicas, and places for members that don't run yet.
+    pub fn new(replicas: usize, members: usize, flaw: Option<Flaw>) -> Plane {
+        let count = replicas + members;
+        let mut plane = Plane {
+            now: 0,
+            replicas,
+            flaw,
+            machines: (0..count).map(|_| None).collect(),
+            starts: vec![0; count],
+            links: HashMap::new(),
+            waiting: Vec::new(),
+            remembered: HashMap::new(),
+        };
+        for replica in 0..replicas {
+            plane.start_replica(replica, true);
+        }
+        plane.run(1_000);
+        plane
+    }
+
+    fn start_replica(&mut self, replica: usize, bootstrap: bool) {
+        self.starts[replica] += 1;
+        let settings = ReplicaSettings {
+            round_timeout: 3_000 * MILLISECOND,
+            flaws: Flaws::with(self.flaw),
+            ..ReplicaSettings::default()
+        };
+        let config = ReplicaConfig {
+            replica: ReplicaId(replica as u8),
+            incarnation: self.starts[replica],
+            replicas: (0..self.replicas).map(address).collect(),
+            bootstrap,
+            seed: self.starts[replica],
+            settings,
+        };
+        self.machines[replica] = Some(Machine::Replica(Replica::new(config, self.now)));
+    }
+
+    /// A replica's process is replaced by a new one without memory.
+    pub fn restart_replica(&mut self, replica: usize) {
+        self.start_replica(replica, false);
+    }
+
+    /// Starts a member that prefers these homes.
+    pub fn start_member(&mut self, node: usize, preferred: &[usize]) {
+        self.starts[node] += 1;
+        let config = MemberConfig {
+            member: MemberId(node as u32),
+            life: self.starts[node],
+            replicas: (0..self.replicas).map(address).collect(),
+            preferred: preferred.iter().map(|replica| ReplicaId(*replica as u8)).collect(),
+            catch_up: CatchUp::Replay,
+            seed: 1,
+            timing: MemberTiming { flaws: Flaws::with(self.flaw), ..MemberTiming::default() },
+        };
+        let member = Member::new(config, self.now);
+        self.machines[node] = Some(Machine::Member { member, purged: Vec::new() });
+    }
+
+    fn set(&mut self, sides: (&[usize], &[usize]), state: LinkState) {
+        for from in sides.0 {
+            for to in sides.1 {
+                self.links.insert((*from, *to), state);
+            }
+        }
+    }
+
+    /// Nothing gets through between these, either way; what is under way is lost.
+    pub fn cut(&mut self, one: &[usize], other: &[usize]) {
+        let crosses = |from, to| one.contains(&from) && other.contains(&to);
+        self.waiting.retain(|(from, to, _)| !crosses(*from, *to) && !crosses(*to, *from));
+        self.set((one, other), LinkState::Cut);
+        self.set((other, one), LinkState::Cut);
+    }
+
+    /// All gets through between these, either way, what was held included.
+    pub fn join(&mut self, one: &[usize], other: &[usize]) {
+        self.set((one, other), LinkState::Open);
+        self.set((other, one), LinkState::Open);
+    }
+
+    /// What is sent from one to the other waits.
+    pub fn hold(&mut self, from: usize, to: usize) {
+        self.set((&[from], &[to]), LinkState::Held);
+    }
+
+    /// What is sent from one to the other gets through, what was held included.
+    pub fn open(&mut self, from: usize, to: usize) {
+        self.set((&[from], &[to]), LinkState::Open);
+    }
+
+    /// What was sent from one to the other of late comes again.
+    pub fn repeat(&mut self, from: usize, to: usize) {
+        for bytes in self.remembered.get(&(from, to)).cloned().unwrap_or_default() {
+            self.waiting.push((from, to, bytes));
+        }
+    }
+
+    /// Runs for one step: what was sent in the last one arrives.
+    pub fn step(&mut self) {
+        self.run(STEP / MILLISECOND);
+    }
+
+    /// Runs for so many milliseconds.
+    pub fn run(&mut self, milliseconds: u64) {
+        let end = self.now + milliseconds * MILLISECOND;
+        while self.now < end {
+            self.now += STEP;
+            self.deliver();
+            for node in 0..self.machines.len() {
+                match &mut self.machines[node] {
+                    Some(Machine::Replica(replica)) => replica.on_tick(self.now),
+                    Some(Machine::Member { member, .. }) => member.on_tick(self.now),
+                    None => {}
+                }
+                self.collect(node);
+            }
+        }
+    }
+
+    fn state(&self, from: usize, to: usize) -> LinkState {
+        self.links.get(&(from, to)).copied().unwrap_or(LinkState::Open)
+    }
+
+    fn deliver(&mut self) {
+        for (from, to, bytes) in std::mem::take(&mut self.waiting) {
+            if self.state(from, to) == LinkState::Held {
+                self.waiting.push((from, to, bytes));
+                continue;
+            }
+            match &mut self.machines[to] {
+                Some(Machine::Replica(replica)) => replica.on_datagram(self.now, address(from), &bytes),
+                Some(Machine::Member { member, .. }) => {
+                    member.on_datagram(self.now, address(from), &bytes);
+                }
+                None => {}
+            }
+            self.collect(to);
+        }
+    }
+
+    fn collect(&mut self, node: usize) {
+        let datagrams = match &mut self.machines[node] {
+            Some(Machine::Replica(replica)) => replica.drain(),
+            Some(Machine::Member { member, purged }) => {
+                for event in member.drain_purges() {
+                    if let PurgeEvent::Key(key) = event {
+                        purged.push(key);
+                    }
+                }
+                member.drain()
+            }
+            None => Vec::new(),
+        };
+        for (to, bytes) in datagrams {
+            let to = usize::from(to.port() - FIRST_PORT);
+            let remembered = self.remembered.entry((node, to)).or_default();
+            remembered.push(bytes.clone());
+            if remembered.len() > REMEMBERED {
+                remembered.remove(0);
+            }
+            if self.state(node, to) != LinkState::Cut {
+                self.waiting.push((node, to, bytes));
+            }
+        }
+    }
+
+    pub fn publish(&mut self, replica: usize, key: &[u8]) -> PurgeId {
+        let Some(Machine::Replica(machine)) = &mut self.machines[replica] else { panic!("no replica") };
+        let id = machine.publish(self.now, key).expect("it is admitted");
+        self.collect(replica);
+        id
+    }
+
+    pub fn status(&self, replica: usize, id: PurgeId) -> PurgeStatus {
+        let Some(Machine::Replica(machine)) = &self.machines[replica] else { panic!("no replica") };
+        machine.status(self.now, id)
+    }
+
+    pub fn has_recovered(&self, replica: usize) -> bool {
+        matches!(&self.machines[replica], Some(Machine::Replica(machine)) if !machine.figures().recovering)
+    }
+
+    /// Datagrams that a member has sent.
+    pub fn datagrams_sent(&self, node: usize) -> u64 {
+        match &self.machines[node] {
+            Some(Machine::Member { member, .. }) => member.figures().sent.datagrams,
+            _ => 0,
+        }
+    }
+
+    pub fn may_serve(&self, node: usize) -> bool {
+        matches!(&self.machines[node], Some(Machine::Member { member, .. }) if member.may_serve(self.now))
+    }
+
+    pub fn has_purged(&self, node: usize, key: &[u8]) -> bool {
+        matches!(&self.machines[node], Some(Machine::Member { purged, .. })
+            if purged.iter().any(|purged| purged == key))
+    }
+
+    /// Whether the guarantee is broken: the purge is answered as done, and a member serves without it.
+    pub fn is_breached(&self, replica: usize, id: PurgeId, key: &[u8], member: usize) -> bool {
+        let is_done = self.status(replica, id) == PurgeStatus::Done;
+        is_done && self.may_serve(member) && !self.has_purged(member, key)
+    }
+}
