--- a/control/tests/support/simulation.rs
+++ b/control/tests/support/simulation.rs
@@ -189,7 +189,7 @@
         let regions = &self.schedule.regions;
         let is_near = |replica: &usize| regions[*replica] == regions[node];
         let mut preferred: Vec<usize> = (0..replicas).filter(is_near).collect();
-        if seed % 2 == 0 {
+        if seed.is_multiple_of(2) {
             preferred.insert(0, (seed / 2) as usize % replicas);
         }
         MemberConfig {
