Test cluster's state machines in one virtual network in place of three

The tests of shares and verdicts each carried an event queue, clocks, kills, freezes, cuts and the fate of packets (`duplicates` named five runs of lines), and those of budget a third, simpler network. cluster/src/virtual_network.rs has all that once; the tests keep their state machines, the loads and the assertions, all of which stand as they were. The unit tests of budget moved to budget/tests.rs.

Three draws are other than before. Either copy of a packet that comes twice may be lost, in shares too, where one draw stood for both; what waited for a frozen process of shares comes to it behind what else is due in the same microsecond; in the fleets of budget packets to a frozen process wait for its thaw instead of being dropped, clocks begin apart, and the time from 0 on counts in the windows.

The tables in docs/design were made with the old draws.

--- a/cluster/src/budget.rs
+++ b/cluster/src/budget.rs
@@ -14,6 +14,9 @@
 //! for a second. So a right that is spent at t was within one of the own stocks at t - 2 s, which hold `saved` at the most, or
 //! was made since. A process that starts has none.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
@@ -203,122 +206,3 @@
         Figures { own: self.own, got: self.got(now), ..self.figures }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use std::collections::BTreeMap;
-
-    use rand::{RngExt, SeedableRng};
-    use rand_chacha::ChaCha8Rng;
-
-    use super::*;
-
-    fn address(number: usize) -> SocketAddr {
-        SocketAddr::from(([127, 0, 0, 1], 1_000 + number as u16))
-    }
-
-    /// A fleet with losses, repeats, late packets, new lives and freezes: at every second try, all of the time up to it is held
-    /// against the bound, for windows of 1 s and of the whole day. Gives the second tries that went and those that did not.
-    fn play(seed: u64, share: f64, twice: bool) -> (usize, usize, bool) {
-        let mut chance = ChaCha8Rng::seed_from_u64(seed);
-        let members: usize = chance.random_range(2..9);
-        let terms = Terms { share, saved: 10.0 * members as f64, holders: members as u32 };
-        let mut all: Vec<Budget> = (0..members).map(|n| Budget::new(terms, n as u32, 1)).collect();
-        let mut frozen = vec![0; members];
-        let mut wire: BTreeMap<(Us, u64), (usize, usize, Message)> = BTreeMap::new();
-        let (mut firsts, mut seconds, mut denied, mut count) = (Vec::new(), Vec::new(), 0, 0);
-        let mut kept = true;
-        for now in (0..20 * SECOND).step_by(5_000) {
-            while wire.first_key_value().is_some_and(|(key, _)| key.0 <= now) {
-                let (_, (from, to, message)) = wire.pop_first().unwrap();
-                if frozen[to] <= now {
-                    all[to].heard(now, address(from), message);
-                }
-            }
-            let one = chance.random_range(0..members);
-            match chance.random_range(0..1_000) {
-                0 => all[one] = Budget::new(terms, one as u32, now),
-                1 => frozen[one] = now + chance.random_range(0..3 * SECOND),
-                _ => {}
-            }
-            let busy = frozen[one] <= now;
-            if busy && chance.random::<f64>() < 0.5 {
-                all[one].first();
-                firsts.push(now);
-            }
-            // Only the first member needs second tries, and more of them than it earns.
-            if frozen[0] <= now && chance.random::<f64>() < 0.3 {
-                if all[0].has(now) {
-                    all[0].spend(now);
-                    seconds.push(now);
-                    for window in [SECOND, 30 * SECOND] {
-                        let from = now.saturating_sub(window);
-                        let went = seconds.iter().rev().take_while(|at| **at > from).count() as f64;
-                        let earned =
-                            firsts.iter().rev().take_while(|at| **at + 2 * OPEN > from).count() as f64;
-                        kept &= went <= share * earned + terms.saved + 1e-6;
-                    }
-                } else {
-                    all[0].denied(now);
-                    denied += 1;
-                }
-            }
-            if now % 50_000 == 0 {
-                for from in 0..members {
-                    if frozen[from] > now {
-                        continue;
-                    }
-                    let peer = chance.random_range(0..members);
-                    all[from].tick(now, || Some(address(peer)).filter(|_| peer != from));
-                    for (to, message) in all[from].drain().collect::<Vec<_>>() {
-                        let to = usize::from(to.port() - 1_000);
-                        for _ in 0..if twice || chance.random::<f64>() < 0.1 { 2 } else { 1 } {
-                            let late = if chance.random::<f64>() < 0.05 { 4 * SECOND } else { 50_000 };
-                            let at = now + chance.random_range(0..late);
-                            count += 1;
-                            if chance.random::<f64>() > 0.2 {
-                                wire.insert((at, count), (from, to, message));
-                            }
-                        }
-                    }
-                }
-            }
-        }
-        (seconds.len(), denied, kept)
-    }
-
-    #[test]
-    fn second_tries_never_pass_the_budget_in_a_thousand_faulted_days() {
-        let (mut went, mut denied) = (0, 0);
-        for seed in 0..1_000 {
-            let (more, refused, kept) = play(seed, 0.1, seed % 2 == 0);
-            assert!(kept, "seed {seed}");
-            (went, denied) = (went + more, denied + refused);
-        }
-        assert!(denied > 50_000, "more was wanted than there is: {denied}");
-        // Of the 200 rights of a day the first member earns about 40 itself; most of the others' reach it as well.
-        assert!(went > 100_000, "{went}");
-    }
-
-    #[test]
-    fn a_repeated_or_late_gift_does_not_count() {
-        let terms = Terms { share: 0.5, saved: 40.0, holders: 2 };
-        let mut one = Budget::new(terms, 0, 1);
-        assert!(!one.has(0));
-        one.tick(SECOND / 2, || Some(address(1)));
-        let asked: Vec<_> = one.drain().collect();
-        let Message::Ask { life, sent, .. } = asked[0].1 else { panic!("{asked:?}") };
-        let give = Message::Give { life, sent, rights: 3 };
-        one.heard(SECOND, address(2), give);
-        assert_eq!(one.figures(SECOND).got, 0.0, "it was not asked");
-        one.heard(SECOND, address(1), give);
-        one.heard(SECOND, address(1), give);
-        assert_eq!(one.figures(SECOND).got, 3.0);
-        one.spend(SECOND);
-        assert_eq!(one.figures(SECOND).got, 2.0);
-        assert_eq!(one.figures(2 * SECOND).got, 0.0, "kept for a second");
-        let Message::Ask { life, sent, .. } = asked[1].1 else { panic!("{asked:?}") };
-        one.heard(3 * SECOND, address(1), Message::Give { life, sent, rights: 3 });
-        assert_eq!(one.figures(3 * SECOND).got, 0.0, "too late");
-    }
-}
--- a/cluster/src/lib.rs
+++ b/cluster/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod packet;
 pub mod shares;
 pub mod verdicts;
+#[cfg(test)]
+mod virtual_network;
 
 pub use cluster::{Cluster, Figures, Plan};
 
--- a/cluster/src/shares/tests.rs
+++ b/cluster/src/shares/tests.rs
@@ -1,27 +1,20 @@
 //! Fleets in virtual time: drawn networks, kills, freezes and clocks, the bound asserted at each command that begins.
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::collections::VecDeque;
 
-use rand::{Rng, RngExt, SeedableRng};
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::*;
+use crate::virtual_network::{address, Arrival, Conditions, Partition, VirtualNetwork};
 
-/// What happens in a fleet's time.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
-    Tick(usize, u32),
-    Packet(usize, usize, u32),
+/// What is scheduled beside what the network does.
+#[derive(Debug)]
+enum Scheduled {
     /// A command of a member, which waits until then.
     Command(usize, Us),
-    Kill(usize),
+    /// A process that was killed starts anew.
     Start(usize),
-    Freeze(usize, Us),
-    Thaw(usize),
-    /// From now on the network is cut so: who is on which side, and what gets from the first to the second.
-    Cut(u64, bool),
 }
 
 /// How long a command waits for a unit, as a read does at the origin.
@@ -55,16 +48,6 @@
     one_second: bool,
 }
 
-struct One {
-    shares: Option<Shares>,
-    life: u32,
-    frozen: bool,
-    /// By which factor its clock runs, and what it shows at the beginning.
-    clock: f64,
-    offset: Us,
-    waiting: Vec<Due>,
-}
-
 /// What a fleet did.
 #[derive(Debug, Default)]
 struct Played {
@@ -77,186 +60,123 @@
 
 struct Fleet {
     world: World,
-    chance: ChaCha8Rng,
-    now: Us,
-    due: BinaryHeap<Reverse<(Us, u64, Due)>>,
-    count: u64,
-    packets: Vec<Option<Message>>,
-    all: Vec<One>,
-    side: u64,
-    one_way: bool,
+    network: VirtualNetwork<Message, Scheduled>,
+    /// Each member's part; none while its process is killed.
+    members: Vec<Option<Shares>>,
     near: VecDeque<Us>,
     played: Played,
 }
 
-fn address(number: usize) -> SocketAddr {
-    (Ipv4Addr::LOCALHOST, 1_000 + number as u16).into()
-}
-
 fn terms(world: &World) -> Terms {
     let spread = if world.one_second { 0 } else { world.spread };
     Terms { whole: world.whole, spread, holders: world.holders, lease: 2 * SECOND, drift: 0.001 }
 }
 
 fn play(seed: u64, world: World) -> Played {
-    let mut chance = ChaCha8Rng::seed_from_u64(seed);
-    let all = (0..world.members)
-        .map(|_| One {
-            shares: None,
-            life: 0,
-            frozen: false,
-            clock: 1.0 + world.drift * (2.0 * chance.random::<f64>() - 1.0),
-            offset: chance.random_range(0..1_000 * SECOND),
-            waiting: Vec::new(),
-        })
-        .collect();
+    let conditions = Conditions {
+        loss: world.loss,
+        repeat: world.repeat,
+        least_delay: 500,
+        delay: world.delay,
+        late: world.late,
+        // Half by little more than a lease bears, half by far more.
+        latest: &[2 * SECOND, 8 * SECOND],
+        drift: world.drift,
+    };
     let mut fleet = Fleet {
         world,
-        chance,
-        now: 0,
-        due: BinaryHeap::new(),
-        count: 0,
-        packets: Vec::new(),
-        all,
-        side: 0,
-        one_way: false,
+        network: VirtualNetwork::new(seed, world.members, conditions),
+        members: (0..world.members).map(|_| None).collect(),
         near: VecDeque::new(),
         played: Played::default(),
     };
     fleet.run();
+    fleet.played.packets = fleet.network.packets;
     fleet.played
 }
 
 impl Fleet {
-    fn at(&mut self, at: Us, due: Due) {
-        self.count += 1;
-        self.due.push(Reverse((at, self.count, due)));
-    }
-
-    fn draw(&mut self, most: Us) -> Us {
-        self.chance.random_range(0..most.max(1))
-    }
-
     fn run(&mut self) {
         let world = self.world;
         let end = world.seconds * SECOND;
         for one in 0..world.members {
             self.start(one);
         }
-        for _ in 0..world.kills {
-            let (at, who) = (self.draw(end), self.chance.random_range(0..world.members));
-            self.at(at, Due::Kill(who));
-        }
-        for _ in 0..world.freezes {
-            let (at, who, long) =
-                (self.draw(end), self.chance.random_range(0..world.members), self.draw(6 * SECOND));
-            self.at(at, Due::Freeze(who, long));
-        }
+        self.network.schedule_kills(world.kills, end);
+        self.network.schedule_freezes(world.freezes, end, 6 * SECOND);
         for _ in 0..world.cuts {
-            let (at, side, one_way) = (self.draw(end), self.chance.next_u64(), self.chance.random::<bool>());
-            self.at(at, Due::Cut(side, one_way));
-            let heal = at + self.draw(5 * SECOND);
-            self.at(heal, Due::Cut(0, false));
+            let at = self.network.draw(end);
+            let (second_side, one_way) = (self.network.rng.random(), self.network.rng.random());
+            let lasts = self.network.draw(5 * SECOND);
+            self.network.schedule_cut(at, at + lasts, Partition { second_side, one_way });
         }
-        let mut at = 0.0;
-        while at < end as f64 {
-            at += -(1.0 - self.chance.random::<f64>()).ln() / world.rate * 1e6;
-            let first = (world.members / 5).max(1);
-            let many = if self.chance.random::<f64>() < world.uneven { 0..first } else { 0..world.members };
-            let who = self.chance.random_range(many);
-            self.at(at as Us, Due::Command(who, at as Us + WAITS));
-        }
-        while let Some(Reverse((at, _, due))) = self.due.pop() {
-            if at > end {
-                break;
-            }
-            self.now = at;
-            self.make(due);
+        self.schedule_commands(end);
+        while let Some(arrival) = self.network.next(end) {
+            self.step(arrival);
         }
     }
 
-    fn clock(&self, who: usize) -> Us {
-        let one = &self.all[who];
-        one.offset + (self.now as f64 * one.clock) as Us
+    fn schedule_commands(&mut self, end: Us) {
+        let World { members, rate, uneven, .. } = self.world;
+        let mut at = 0.0;
+        while at < end as f64 {
+            let rng = &mut self.network.rng;
+            at += -(1.0 - rng.random::<f64>()).ln() / rate * 1e6;
+            let first = (members / 5).max(1);
+            let many = if rng.random::<f64>() < uneven { 0..first } else { 0..members };
+            let who = rng.random_range(many);
+            self.network.schedule_for(at as Us, who, Scheduled::Command(who, at as Us + WAITS));
+        }
     }
 
     fn start(&mut self, who: usize) {
-        let now = self.clock(who);
-        let position = who as u32;
-        let one = &mut self.all[who];
-        one.life += 1;
-        let mut shares = Shares::new(terms(&self.world), position, u64::from(one.life), now);
+        let now = self.network.clock(who);
+        self.network.start(who);
+        let life = self.network.life(who);
+        let mut shares = Shares::new(terms(&self.world), who as u32, u64::from(life), now);
         shares.flaw = InjectedDefect::given(self.world.flaw);
-        if self.world.hasty || one.life == 1 {
+        if self.world.hasty || life == 1 {
             // The first of all lives has nothing before it.
             shares.from = now;
         }
-        one.shares = Some(shares);
-        let (life, at) = (one.life, self.now + self.chance.random_range(0..50_000));
-        self.at(at, Due::Tick(who, life));
+        self.members[who] = Some(shares);
     }
 
-    fn make(&mut self, due: Due) {
-        let who = match due {
-            Due::Tick(who, _) | Due::Packet(_, who, _) | Due::Command(who, _) => Some(who),
-            _ => None,
-        };
-        if let Some(who) = who.filter(|who| self.all[*who].frozen) {
-            self.all[who].waiting.push(due);
-            return;
-        }
-        match due {
-            Due::Tick(who, life) if self.all[who].life == life && self.all[who].shares.is_some() => {
-                let now = self.clock(who);
-                let (chance, count) = (&mut self.chance, self.world.members);
-                let draw = || Some(chance.random_range(0..count)).filter(|peer| *peer != who).map(address);
-                if let Some(shares) = &mut self.all[who].shares {
-                    shares.tick(now, draw);
+    fn step(&mut self, arrival: Arrival<Message, Scheduled>) {
+        match arrival {
+            Arrival::Tick(who) => {
+                let now = self.network.clock(who);
+                if let Some(shares) = &mut self.members[who] {
+                    shares.tick(now, || self.network.draw_peer(who));
                 }
                 self.send(who);
-                let next = self.now + 45_000 + self.draw(10_000);
-                self.at(next, Due::Tick(who, life));
+                let rest = 45_000 + self.network.draw(10_000);
+                self.network.tick_after(who, rest);
             }
-            Due::Tick(..) => {}
-            Due::Packet(from, to, packet) => {
-                let now = self.clock(to);
-                let message = self.packets[packet as usize];
-                if let (Some(shares), Some(message)) = (&mut self.all[to].shares, message) {
+            Arrival::Packet { from, to, message } => {
+                let now = self.network.clock(to);
+                if let Some(shares) = &mut self.members[to] {
                     shares.heard(now, address(from), message);
                 }
                 self.send(to);
             }
-            Due::Command(who, until) => self.command(who, until),
-            Due::Kill(who) => {
-                if self.all[who].shares.take().is_some() {
-                    self.all[who].waiting.clear();
-                    self.all[who].frozen = false;
-                    let back = self.now + self.draw(2 * SECOND);
-                    self.at(back, Due::Start(who));
-                }
-            }
-            Due::Start(who) => self.start(who),
-            Due::Freeze(who, long) => {
-                self.all[who].frozen = true;
-                self.at(self.now + long, Due::Thaw(who));
-            }
-            Due::Thaw(who) => {
-                self.all[who].frozen = false;
-                for due in std::mem::take(&mut self.all[who].waiting) {
-                    self.make(due);
-                }
+            Arrival::Killed(who) => {
+                self.members[who] = None;
+                let back = self.network.now() + self.network.draw(2 * SECOND);
+                self.network.schedule(back, Scheduled::Start(who));
             }
-            Due::Cut(side, one_way) => (self.side, self.one_way) = (side, one_way),
+            Arrival::Scheduled(Scheduled::Command(who, until)) => self.command(who, until),
+            Arrival::Scheduled(Scheduled::Start(who)) => self.start(who),
         }
     }
 
     /// A command wants to begin: the bound is asserted here, at each of them, by the fleet's own time.
     fn command(&mut self, who: usize, until: Us) {
-        let now = self.clock(who);
-        let Some(shares) = &mut self.all[who].shares else { return };
+        let (now, true_now) = (self.network.clock(who), self.network.now());
+        let Some(shares) = &mut self.members[who] else { return };
         let wait = shares.wait(now).min(20_000);
-        if wait > 0 && self.now + wait < until {
-            self.at(self.now + wait, Due::Command(who, until));
+        if wait > 0 && true_now + wait < until {
+            self.network.schedule_for(true_now + wait, who, Scheduled::Command(who, until));
             return;
         }
         if wait > 0 {
@@ -266,41 +186,23 @@
         }
         shares.took(now);
         // What arrives up to the spread later is counted by the windows that begin at it, once all of them are known.
-        let arrives = self.now + self.draw(self.world.spread + 1);
+        let arrives = true_now + self.network.draw(self.world.spread + 1);
         let at = self.near.partition_point(|at| *at <= arrives);
         self.near.insert(at, arrives);
         for (place, begin) in self.near.iter().enumerate() {
             let end = self.near.partition_point(|at| *at < begin + SECOND);
             self.played.most = self.played.most.max(end - place);
         }
-        let over = self.now.saturating_sub(SECOND + self.world.spread);
+        let over = true_now.saturating_sub(SECOND + self.world.spread);
         while self.near.front().is_some_and(|at| *at < over) {
             self.near.pop_front();
         }
-        self.played.begun.push((self.now, who));
+        self.played.begun.push((true_now, who));
     }
 
     fn send(&mut self, who: usize) {
-        let Some(shares) = &mut self.all[who].shares else { return };
-        let out: Vec<_> = shares.drain().collect();
-        for (to, message) in out {
-            let to = usize::from(to.port()) - 1_000;
-            self.played.packets += 1;
-            let sides = [who, to].map(|n| self.side >> (n % 64) & 1);
-            let cut = if self.one_way { sides == [0, 1] } else { sides[0] != sides[1] };
-            if cut || self.chance.random::<f64>() < self.world.loss {
-                continue;
-            }
-            let copies = 1 + usize::from(self.chance.random::<f64>() < self.world.repeat);
-            for _ in 0..copies {
-                let late = self.chance.random::<f64>() < self.world.late;
-                // Late ones half by little more than a lease bears, half by far more.
-                let most = if self.chance.random::<bool>() { 8 * SECOND } else { 2 * SECOND };
-                let at = self.now + 500 + self.draw(if late { most } else { self.world.delay });
-                self.packets.push(Some(message));
-                let packet = self.packets.len() as u32 - 1;
-                self.at(at, Due::Packet(who, to, packet));
-            }
+        if let Some(shares) = &mut self.members[who] {
+            self.network.send(who, shares.drain());
         }
     }
 }
--- a/cluster/src/verdicts/tests.rs
+++ b/cluster/src/verdicts/tests.rs
@@ -1,11 +1,11 @@
 //! Fleets in virtual time: hosts that fall silent, start anew and come back, drawn networks, kills, freezes, clocks and liars;
 //! what acts is held against what was truly seen, at every use.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::dissemination::{ASKED_BACK, MOST_ANSWERS};
 use super::*;
+use crate::virtual_network::{address, Arrival, Conditions, Partition, VirtualNetwork};
 
 /// How bad a fleet's world is.
 #[derive(Clone, Copy, Debug)]
@@ -49,28 +49,23 @@
     flaw: None,
 };
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
-    Tick(usize, u32),
+/// What is scheduled beside what the network does.
+#[derive(Debug)]
+enum Scheduled {
+    /// A member sends to a host.
     Send(usize),
-    Told(usize, usize, bool, Start),
-    Packet(usize, usize, usize),
-    Kill(usize),
-    Thaw(usize),
-    Freeze(usize, Us),
-    Cut(u64),
+    /// A member learns how a send ended.
+    Ended { member: usize, host: usize, silent: bool, start: Start },
+    /// A host falls silent, or speaks again.
     Silent(usize, bool),
+    /// Another process starts at a host's address.
     Anew(usize),
 }
 
-struct One {
+struct Member {
     verdicts: Verdicts,
-    life: u32,
-    frozen: bool,
-    clock: f64,
-    offset: Us,
+    /// When each host last answered here.
     heard: Vec<Us>,
-    waiting: Vec<Due>,
 }
 
 #[derive(Debug, Default)]
@@ -82,7 +77,7 @@
     passed: usize,
     /// Of those, hosts that were sound all the time.
     wrong: usize,
-    packets: usize,
+    packets: u64,
     /// From the moment at which enough had seen a host silent until nearly all passed it by.
     spread: Vec<Us>,
     /// From the first answer of a host that is back until nearly all used it.
@@ -91,16 +86,11 @@
 
 struct Fleet {
     world: World,
-    chance: ChaCha8Rng,
-    now: Us,
-    due: BinaryHeap<Reverse<(Us, u64, Due)>>,
-    count: u64,
-    messages: Vec<Option<Message>>,
-    all: Vec<One>,
+    network: VirtualNetwork<Message, Scheduled>,
+    members: Vec<Member>,
     silent: Vec<bool>,
     started: Vec<Us>,
     ill: BTreeSet<usize>,
-    side: u64,
     /// Who truly saw a start silent, and when last.
     seen: BTreeMap<Start, (Us, BTreeSet<u32>)>,
     raised: BTreeMap<Start, Us>,
@@ -112,63 +102,43 @@
     Terms { witnesses: 3, expiry: 6 * SECOND, most: 0.34, tries: 1.0, drift: 0.001 }
 }
 
-fn address(number: usize) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 1_000 + number as u16))
-}
-
 fn play(seed: u64, world: World) -> Played {
-    let mut chance = ChaCha8Rng::seed_from_u64(seed);
-    let all = (0..world.members).map(|_| One {
-        verdicts: Verdicts::new(terms(), 0, 0, 0, 0),
-        life: 0,
-        frozen: false,
-        clock: 1.0 + 0.0005 * (2.0 * chance.random::<f64>() - 1.0),
-        offset: chance.random_range(0..1_000 * SECOND),
-        heard: vec![0; world.hosts],
-        waiting: Vec::new(),
-    });
-    let all = all.collect();
+    let conditions = Conditions {
+        loss: world.loss,
+        repeat: world.repeat,
+        least_delay: 0,
+        delay: world.delay,
+        late: world.late,
+        latest: &[9 * SECOND],
+        drift: 0.0005,
+    };
     let mut fleet = Fleet {
         world,
-        chance,
-        now: 0,
-        due: BinaryHeap::new(),
-        count: 0,
-        messages: Vec::new(),
-        all,
+        network: VirtualNetwork::new(seed, world.members, conditions),
+        members: Vec::new(),
         silent: vec![false; world.hosts],
         started: vec![1; world.hosts],
         ill: BTreeSet::new(),
-        side: 0,
         seen: BTreeMap::new(),
         raised: BTreeMap::new(),
         cleared: BTreeMap::new(),
         played: Played::default(),
     };
     fleet.run();
+    fleet.played.packets = fleet.network.packets;
     fleet.played
 }
 
 impl Fleet {
-    fn at(&mut self, at: Us, due: Due) {
-        self.count += 1;
-        self.due.push(Reverse((at, self.count, due)));
-    }
-
-    fn draw(&mut self, most: Us) -> Us {
-        self.chance.random_range(0..most.max(1))
-    }
-
-    fn start(&mut self, one: usize) {
-        let seed = self.chance.random();
-        let now = self.clock(one);
+    /// The process of a member as it starts.
+    fn start(&mut self, one: usize) -> Member {
+        let seed = self.network.rng.random();
         let zone = one as u32 % self.world.zones;
-        let mut verdicts = Verdicts::new(terms(), one as u32, zone, seed, now);
+        let mut verdicts = Verdicts::new(terms(), one as u32, zone, seed, self.network.clock(one));
         verdicts.flaw = InjectedDefect::given(self.world.flaw);
         verdicts.listed(self.list());
-        let (rest, life) = (self.draw(50_000), self.all[one].life + 1);
-        self.all[one] = One { verdicts, life, heard: vec![0; self.world.hosts], ..self.blank(one) };
-        self.at(self.now + rest, Due::Tick(one, life));
+        self.network.start(one);
+        Member { verdicts, heard: vec![0; self.world.hosts] }
     }
 
     fn list(&self) -> Vec<(Start, u32)> {
@@ -176,102 +146,60 @@
         (0..self.world.hosts).map(|host| (start(host), host as u32 % 3)).collect()
     }
 
-    fn blank(&mut self, one: usize) -> One {
-        let One { clock, offset, .. } = self.all[one];
-        let verdicts = Verdicts::new(terms(), 0, 0, 0, 0);
-        One { verdicts, life: 0, frozen: false, clock, offset, heard: Vec::new(), waiting: Vec::new() }
-    }
-
-    /// What a member's clock shows.
-    fn clock(&self, one: usize) -> Us {
-        let One { clock, offset, .. } = &self.all[one];
-        offset + (self.now as f64 * clock) as Us
-    }
-
     fn run(&mut self) {
         let world = self.world;
         let end = world.seconds * SECOND;
         for one in 0..world.members {
-            self.start(one);
-            let first = self.draw(SECOND / 5);
-            self.at(first, Due::Send(one));
-        }
-        for _ in 0..world.kills {
-            let (at, who) = (self.draw(end), self.chance.random_range(0..world.members));
-            self.at(at, Due::Kill(who));
-        }
-        for _ in 0..world.freezes {
-            let (at, who, long) =
-                (self.draw(end), self.chance.random_range(0..world.members), self.draw(8 * SECOND));
-            self.at(at, Due::Freeze(who, long));
+            let member = self.start(one);
+            self.members.push(member);
+            let first = self.network.draw(SECOND / 5);
+            self.network.schedule_for(first, one, Scheduled::Send(one));
         }
+        self.network.schedule_kills(world.kills, end);
+        self.network.schedule_freezes(world.freezes, end, 8 * SECOND);
         for _ in 0..world.cuts {
-            let (at, long, side) = (self.draw(end), self.draw(8 * SECOND), self.chance.random());
-            self.at(at, Due::Cut(side));
-            self.at(at + long, Due::Cut(0));
+            let (at, lasts) = (self.network.draw(end), self.network.draw(8 * SECOND));
+            let second_side = self.network.rng.random();
+            self.network.schedule_cut(at, at + lasts, Partition { second_side, one_way: false });
         }
         for host in 0..world.falls {
-            let at = 4 * SECOND + self.draw(end / 4);
-            let long = 6 * SECOND + self.draw(6 * SECOND);
+            let at = 4 * SECOND + self.network.draw(end / 4);
+            let back = at + 6 * SECOND + self.network.draw(6 * SECOND);
             self.ill.insert(host);
-            self.at(at, Due::Silent(host, true));
-            self.at(at + long, Due::Silent(host, false));
+            self.network.schedule(at, Scheduled::Silent(host, true));
+            self.network.schedule(back, Scheduled::Silent(host, false));
             if host % 2 == 1 {
                 // While it is spoken against another process starts at its address, and that one is sound.
-                self.at(at + long, Due::Anew(host));
+                self.network.schedule(back, Scheduled::Anew(host));
             }
         }
-        while let Some(Reverse((at, _, due))) = self.due.pop() {
-            if at > end || self.played.broken.is_some() {
-                break;
-            }
-            self.now = at;
-            self.step(due);
+        while self.played.broken.is_none() {
+            let Some(arrival) = self.network.next(end) else { break };
+            self.step(arrival);
         }
     }
 
-    fn step(&mut self, due: Due) {
-        let who = match &due {
-            Due::Tick(one, _) | Due::Send(one) | Due::Told(one, ..) | Due::Packet(_, one, _) => Some(*one),
-            _ => None,
-        };
-        if let Some(one) = who.filter(|one| self.all[*one].frozen) {
-            self.all[one].waiting.push(due);
-            return;
-        }
-        match due {
-            Due::Tick(one, life) if life == self.all[one].life => self.tick(one, life),
-            Due::Tick(..) => {}
-            Due::Send(one) => self.send(one),
-            Due::Told(one, host, silent, start) => self.told(one, host, silent, start),
-            Due::Packet(from, one, number) => {
-                let now = self.clock(one);
-                if let Some(message) = self.messages[number].clone() {
-                    self.all[one].verdicts.heard(now, address(from), message);
-                    self.carry(one);
-                }
-            }
-            Due::Kill(one) => {
-                self.all[one].waiting.clear();
-                self.start(one);
-                self.at(self.now + 1, Due::Send(one));
+    fn step(&mut self, arrival: Arrival<Message, Scheduled>) {
+        match arrival {
+            Arrival::Tick(one) => self.tick(one),
+            Arrival::Packet { from, to, message } => {
+                let now = self.network.clock(to);
+                self.members[to].verdicts.heard(now, address(from), message);
+                self.carry(to);
             }
-            Due::Freeze(one, long) => {
-                self.all[one].frozen = true;
-                self.at(self.now + long, Due::Thaw(one));
+            Arrival::Killed(one) => {
+                self.members[one] = self.start(one);
+                self.network.schedule_for(self.network.now() + 1, one, Scheduled::Send(one));
             }
-            Due::Thaw(one) => {
-                self.all[one].frozen = false;
-                for due in std::mem::take(&mut self.all[one].waiting) {
-                    self.at(self.now, due);
-                }
+            Arrival::Scheduled(Scheduled::Send(one)) => self.send(one),
+            Arrival::Scheduled(Scheduled::Ended { member, host, silent, start }) => {
+                self.ended(member, host, silent, start);
             }
-            Due::Cut(side) => self.side = side,
-            Due::Silent(host, silent) => self.silent[host] = silent,
-            Due::Anew(host) => {
-                self.started[host] = self.now;
+            Arrival::Scheduled(Scheduled::Silent(host, silent)) => self.silent[host] = silent,
+            Arrival::Scheduled(Scheduled::Anew(host)) => {
+                self.started[host] = self.network.now();
                 let list = self.list();
-                self.all.iter_mut().for_each(|one| one.verdicts.listed(list.clone()));
+                self.members.iter_mut().for_each(|one| one.verdicts.listed(list.clone()));
             }
         }
     }
@@ -280,29 +208,27 @@
     fn watch(&mut self) {
         let nearly = self.world.members - self.world.members / 100;
         for (start, since) in self.raised.iter_mut().filter(|(_, since)| **since < Us::MAX) {
-            let all = self.all.iter().filter(|one| one.verdicts.against.contains_key(start)).count();
+            let all = self.members.iter().filter(|one| one.verdicts.against.contains_key(start)).count();
             if all >= nearly {
-                self.played.spread.push(self.now - *since);
+                self.played.spread.push(self.network.now() - *since);
                 *since = Us::MAX;
             }
         }
     }
 
-    fn tick(&mut self, one: usize, life: u32) {
+    fn tick(&mut self, one: usize) {
         if one == 0 {
             self.watch();
         }
-        let now = self.clock(one);
-        let members = self.world.members;
-        let drawn = [self.chance.random_range(0..members), self.chance.random_range(0..members)];
-        let mut peers = drawn.into_iter().filter(|peer| *peer != one).map(address);
-        self.all[one].verdicts.tick(now, members, || peers.next());
+        let now = self.network.clock(one);
+        let drawn = [self.network.draw_peer(one), self.network.draw_peer(one)];
+        let mut peers = drawn.into_iter().flatten();
+        self.members[one].verdicts.tick(now, self.world.members, || peers.next());
         if one < self.world.liars {
             self.lie(one, now);
         }
         self.carry(one);
-        let next = self.now + 50_000;
-        self.at(next, Due::Tick(one, life));
+        self.network.tick_after(one, 50_000);
     }
 
     /// A liar speaks against every host, anew at each tick.
@@ -311,38 +237,24 @@
             let start = Start { host: host as u64, started: self.started[host] };
             let zone = one as u32 % self.world.zones;
             let known = Known { witness: one as u32, zone, stamp: now, born: now, silent: true, back: false };
-            self.all[one].verdicts.take(start, known, now);
+            self.members[one].verdicts.take(start, known, now);
         }
     }
 
     fn carry(&mut self, one: usize) {
-        for (to, message) in self.all[one].verdicts.drain().collect::<Vec<_>>() {
-            let to = usize::from(to.port() - 1_000);
-            self.played.packets += 1;
-            let number = self.messages.len();
-            self.messages.push(Some(message));
-            let cut = (self.side >> (one % 64) ^ self.side >> (to % 64)) & 1 == 1;
-            let times = if self.chance.random::<f64>() < self.world.repeat { 2 } else { 1 };
-            for _ in 0..times {
-                let late = self.chance.random::<f64>() < self.world.late;
-                let delay = self.draw(if late { 9 * SECOND } else { self.world.delay });
-                if !cut && self.chance.random::<f64>() >= self.world.loss {
-                    self.at(self.now + delay, Due::Packet(one, to, number));
-                }
-            }
-        }
+        self.network.send(one, self.members[one].verdicts.drain());
     }
 
     /// A member sends to a host, unless it passes it by.
     fn send(&mut self, one: usize) {
-        let next = self.now + (self.draw(2 * SECOND) as f64 / self.world.rate) as Us;
-        self.at(next, Due::Send(one));
-        let host = self.chance.random_range(0..self.world.hosts);
+        let rest = (self.network.draw(2 * SECOND) as f64 / self.world.rate) as Us;
+        self.network.schedule_for(self.network.now() + rest, one, Scheduled::Send(one));
+        let host = self.network.rng.random_range(0..self.world.hosts);
         let start = Start { host: host as u64, started: self.started[host] };
-        let now = self.clock(one);
+        let now = self.network.clock(one);
         let per_s = self.world.rate / self.world.hosts as f64;
-        let heard = self.all[one].heard[host];
-        let passed = self.all[one].verdicts.warned(start, heard, per_s, now);
+        let member = &mut self.members[one];
+        let passed = member.verdicts.warned(start, member.heard[host], per_s, now);
         if passed {
             self.passed(one, host, start);
             return;
@@ -350,25 +262,26 @@
         let silent = self.silent[host];
         self.played.lost += usize::from(silent);
         let after = if silent { 400_000 } else { 5_000 };
-        self.at(self.now + after, Due::Told(one, host, silent, start));
+        let ended = Scheduled::Ended { member: one, host, silent, start };
+        self.network.schedule_for(self.network.now() + after, one, ended);
     }
 
-    fn told(&mut self, one: usize, host: usize, silent: bool, start: Start) {
-        let now = self.clock(one);
+    fn ended(&mut self, one: usize, host: usize, silent: bool, start: Start) {
+        let now = self.network.clock(one);
         if silent {
             let (at, who) = self.seen.entry(start).or_default();
-            *at = self.now;
+            *at = self.network.now();
             who.insert(one as u32);
             if who.len() == terms().witnesses {
-                self.raised.entry(start).or_insert(self.now);
+                self.raised.entry(start).or_insert(self.network.now());
             }
         } else {
-            self.all[one].heard[host] = now;
+            self.members[one].heard[host] = now;
             if !self.silent[host] && self.raised.contains_key(&start) {
-                self.cleared.entry(start).or_insert(self.now);
+                self.cleared.entry(start).or_insert(self.network.now());
             }
         }
-        self.all[one].verdicts.saw(start, silent, now);
+        self.members[one].verdicts.saw(start, silent, now);
     }
 
     /// Somebody was passed by: it must have been seen silent, by enough, and lately.
@@ -383,11 +296,12 @@
         if said < terms().witnesses {
             self.played.broken = Some(format!("{one} passed by {start:?} on the word of {who:?}"));
         }
-        if liars == 0 && self.now > last + oldest {
-            let age = self.now - last;
+        let now = self.network.now();
+        if liars == 0 && now > last + oldest {
+            let age = now - last;
             self.played.broken = Some(format!("{one} passed by {start:?}, last seen silent {age} us ago"));
         }
-        let verdicts = &self.all[one].verdicts;
+        let verdicts = &self.members[one].verdicts;
         let (against, listed) = (verdicts.against.len(), verdicts.listed.len());
         // Those that wait for their return stay beside it.
         let waiting = verdicts.against.values().filter(|until| until.is_some()).count();
@@ -395,7 +309,7 @@
             self.played.broken = Some(format!("{one} passes by {against} of {listed} hosts"));
         }
         if let Some(since) = self.cleared.get(&start) {
-            self.played.back.push(self.now - since);
+            self.played.back.push(now - since);
         }
     }
 }
--- /dev/null
+++ b/cluster/src/virtual_network.rs
@@ -0,0 +1,361 @@
+//! A network in virtual time, for the tests of this crate: members whose clocks run apart and that are killed and frozen, and
+//! packets that are lost, repeated, late or cut off. Everything is drawn from one seed, so that a seed always gives the same.
+//!
+//! The network keeps the time and the queue of what happens; a test keeps its state machines, takes one [`Arrival`] after the
+//! other and gives the network what its machines send.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{Us, SECOND};
+
+/// The port of the first member.
+const FIRST_PORT: u16 = 1_000;
+/// The first tick of a process comes within this time of its start.
+const FIRST_TICK: Us = 50_000;
+/// Members' clocks show up to this time when a run begins.
+const CLOCKS_APART: Us = 1_000 * SECOND;
+
+/// The address of a member.
+pub(crate) fn address(member: usize) -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, FIRST_PORT + member as u16).into()
+}
+
+/// The member at an address.
+fn member_at(address: SocketAddr) -> usize {
+    usize::from(address.port() - FIRST_PORT)
+}
+
+/// How packets fare, and how far clocks run apart.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Conditions {
+    /// The share of packets that are lost.
+    pub(crate) loss: f64,
+    /// The share of packets that come twice; either copy may be lost.
+    pub(crate) repeat: f64,
+    /// The shortest delay, and how much longer a packet usually takes at most.
+    pub(crate) least_delay: Us,
+    pub(crate) delay: Us,
+    /// The share of packets that come far later, and by how much at most: one of these, drawn for each.
+    pub(crate) late: f64,
+    pub(crate) latest: &'static [Us],
+    /// By which part clocks run faster or slower than the network's time, at most.
+    pub(crate) drift: f64,
+}
+
+/// Who is cut off from whom.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Partition {
+    /// The members on the second side, a bit for each.
+    pub(crate) second_side: u64,
+    /// Packets from the second side to the first still come.
+    pub(crate) one_way: bool,
+}
+
+impl Partition {
+    fn separates(&self, from: usize, to: usize) -> bool {
+        let [from, to] = [from, to].map(|member| self.second_side >> (member % 64) & 1 == 1);
+        if self.one_way {
+            !from && to
+        } else {
+            from != to
+        }
+    }
+}
+
+/// What a test has to do next.
+#[derive(Debug)]
+pub(crate) enum Arrival<M, E> {
+    /// A member does what is due.
+    Tick(usize),
+    /// A message has come to a member.
+    Packet {
+        /// Who sent it.
+        from: usize,
+        /// Whom it has come to.
+        to: usize,
+        /// What it says.
+        message: M,
+    },
+    /// A member's process has been killed; the test starts it again.
+    Killed(usize),
+    /// Something that the test has put on the schedule.
+    Scheduled(E),
+}
+
+#[derive(Debug)]
+enum Event<M, E> {
+    Tick {
+        member: usize,
+        life: u32,
+    },
+    Packet {
+        from: usize,
+        to: usize,
+        message: M,
+    },
+    Kill(usize),
+    Freeze(usize, Us),
+    Thaw(usize),
+    Cut(Partition),
+    /// What a test has scheduled; a member that is frozen meets it when it thaws.
+    Scheduled(Option<usize>, E),
+}
+
+impl<M, E> Event<M, E> {
+    /// The member whose process this needs.
+    fn member(&self) -> Option<usize> {
+        match self {
+            Event::Tick { member, .. } | Event::Packet { to: member, .. } => Some(*member),
+            Event::Scheduled(member, _) => *member,
+            Event::Kill(_) | Event::Freeze(..) | Event::Thaw(_) | Event::Cut(_) => None,
+        }
+    }
+}
+
+/// One member's process and clock.
+#[derive(Debug)]
+struct Process<M, E> {
+    /// Counts the starts.
+    life: u32,
+    is_running: bool,
+    is_frozen: bool,
+    /// What waits until it thaws.
+    waiting: Vec<Event<M, E>>,
+    clock_rate: f64,
+    clock_offset: Us,
+}
+
+/// The network. `M` is what its members send, `E` what a test puts on its schedule.
+#[derive(Debug)]
+pub(crate) struct VirtualNetwork<M, E> {
+    /// The source of all that is drawn.
+    pub(crate) rng: ChaCha8Rng,
+    /// Packets sent so far.
+    pub(crate) packets: u64,
+    conditions: Conditions,
+    now: Us,
+    scheduled: u64,
+    queue: BTreeMap<(Us, u64), Event<M, E>>,
+    processes: Vec<Process<M, E>>,
+    partition: Partition,
+}
+
+impl<M: Clone, E> VirtualNetwork<M, E> {
+    /// A network of so many members, none of which has been started.
+    pub(crate) fn new(seed: u64, members: usize, conditions: Conditions) -> VirtualNetwork<M, E> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let processes = (0..members).map(|_| Process {
+            life: 0,
+            is_running: false,
+            is_frozen: false,
+            waiting: Vec::new(),
+            clock_rate: 1.0 + conditions.drift * (2.0 * rng.random::<f64>() - 1.0),
+            clock_offset: rng.random_range(0..CLOCKS_APART),
+        });
+        let processes = processes.collect();
+        VirtualNetwork {
+            rng,
+            packets: 0,
+            conditions,
+            now: 0,
+            scheduled: 0,
+            queue: BTreeMap::new(),
+            processes,
+            partition: Partition::default(),
+        }
+    }
+
+    /// The time that is everybody's, from the beginning of the run.
+    pub(crate) fn now(&self) -> Us {
+        self.now
+    }
+
+    /// What a member's clock shows.
+    pub(crate) fn clock(&self, member: usize) -> Us {
+        let Process { clock_rate, clock_offset, .. } = &self.processes[member];
+        clock_offset + (self.now as f64 * clock_rate) as Us
+    }
+
+    /// How often a member has been started.
+    pub(crate) fn life(&self, member: usize) -> u32 {
+        self.processes[member].life
+    }
+
+    /// A drawn time below this.
+    pub(crate) fn draw(&mut self, most: Us) -> Us {
+        self.rng.random_range(0..most.max(1))
+    }
+
+    /// A drawn member.
+    pub(crate) fn draw_member(&mut self) -> usize {
+        self.rng.random_range(0..self.processes.len())
+    }
+
+    /// A drawn member for another to ask; none where it has drawn itself.
+    pub(crate) fn draw_peer(&mut self, member: usize) -> Option<SocketAddr> {
+        Some(self.draw_member()).filter(|peer| *peer != member).map(address)
+    }
+
+    /// A member's process starts, with its first tick to come.
+    pub(crate) fn start(&mut self, member: usize) {
+        let process = &mut self.processes[member];
+        process.life += 1;
+        process.is_running = true;
+        let rest = self.draw(FIRST_TICK);
+        self.tick_after(member, rest);
+    }
+
+    /// The next tick of a member's process comes after this time.
+    pub(crate) fn tick_after(&mut self, member: usize, rest: Us) {
+        let life = self.processes[member].life;
+        self.push(self.now + rest, Event::Tick { member, life });
+    }
+
+    /// At that time something happens that needs no member's process.
+    pub(crate) fn schedule(&mut self, at: Us, event: E) {
+        self.push(at, Event::Scheduled(None, event));
+    }
+
+    /// At that time something happens at a member, or when it thaws.
+    pub(crate) fn schedule_for(&mut self, at: Us, member: usize, event: E) {
+        self.push(at, Event::Scheduled(Some(member), event));
+    }
+
+    /// Whether a member's process stands still.
+    pub(crate) fn is_frozen(&self, member: usize) -> bool {
+        self.processes[member].is_frozen
+    }
+
+    /// A member's process is killed at that time.
+    pub(crate) fn schedule_kill(&mut self, at: Us, member: usize) {
+        self.push(at, Event::Kill(member));
+    }
+
+    /// Drawn members are killed at drawn times until `end`.
+    pub(crate) fn schedule_kills(&mut self, count: usize, end: Us) {
+        for _ in 0..count {
+            let (at, member) = (self.draw(end), self.draw_member());
+            self.schedule_kill(at, member);
+        }
+    }
+
+    /// Drawn members are frozen at drawn times until `end`, each for up to `longest`.
+    pub(crate) fn schedule_freezes(&mut self, count: usize, end: Us, longest: Us) {
+        for _ in 0..count {
+            let (at, member, lasts) = (self.draw(end), self.draw_member(), self.draw(longest));
+            self.push(at, Event::Freeze(member, lasts));
+        }
+    }
+
+    /// The network is cut from one time until another.
+    pub(crate) fn schedule_cut(&mut self, from: Us, until: Us, partition: Partition) {
+        self.push(from, Event::Cut(partition));
+        self.push(until, Event::Cut(Partition::default()));
+    }
+
+    fn push(&mut self, at: Us, event: Event<M, E>) {
+        self.scheduled += 1;
+        self.queue.insert((at, self.scheduled), event);
+    }
+
+    /// What a member says goes on its way.
+    pub(crate) fn send(&mut self, from: usize, messages: impl IntoIterator<Item = (SocketAddr, M)>) {
+        for (to, message) in messages {
+            self.packets += 1;
+            let to = member_at(to);
+            let is_cut = self.partition.separates(from, to);
+            let copies = 1 + usize::from(self.happens(self.conditions.repeat));
+            for _ in 0..copies {
+                let delay = self.draw_delay();
+                if !is_cut && !self.happens(self.conditions.loss) {
+                    let message = message.clone();
+                    self.push(self.now + delay, Event::Packet { from, to, message });
+                }
+            }
+        }
+    }
+
+    fn draw_delay(&mut self) -> Us {
+        let Conditions { least_delay, delay, late, latest, .. } = self.conditions;
+        let most = match latest {
+            [] => delay,
+            _ if !self.happens(late) => delay,
+            [latest] => *latest,
+            _ => latest[self.rng.random_range(0..latest.len())],
+        };
+        least_delay + self.draw(most)
+    }
+
+    fn happens(&mut self, share: f64) -> bool {
+        self.rng.random::<f64>() < share
+    }
+
+    /// Goes on to what a test has to do next; nothing until `end`.
+    pub(crate) fn next(&mut self, end: Us) -> Option<Arrival<M, E>> {
+        loop {
+            let ((at, _), event) = self.queue.pop_first()?;
+            if at > end {
+                return None;
+            }
+            self.now = at;
+            if let Some(member) = event.member().filter(|member| self.processes[*member].is_frozen) {
+                self.processes[member].waiting.push(event);
+            } else if let Some(arrival) = self.happen(event) {
+                return Some(arrival);
+            }
+        }
+    }
+
+    fn happen(&mut self, event: Event<M, E>) -> Option<Arrival<M, E>> {
+        match event {
+            Event::Tick { member, life } => {
+                let process = &self.processes[member];
+                (process.is_running && process.life == life).then_some(Arrival::Tick(member))
+            }
+            Event::Packet { from, to, message } => Some(Arrival::Packet { from, to, message }),
+            Event::Scheduled(_, event) => Some(Arrival::Scheduled(event)),
+            Event::Kill(member) => self.kill(member).then_some(Arrival::Killed(member)),
+            Event::Freeze(member, lasts) => {
+                self.freeze(member, lasts);
+                None
+            }
+            Event::Thaw(member) => {
+                self.thaw(member);
+                None
+            }
+            Event::Cut(partition) => {
+                self.partition = partition;
+                None
+            }
+        }
+    }
+
+    /// A process is killed, with all that waited for it; false where there is none.
+    fn kill(&mut self, member: usize) -> bool {
+        let process = &mut self.processes[member];
+        let was_running = std::mem::take(&mut process.is_running);
+        if was_running {
+            process.is_frozen = false;
+            process.waiting.clear();
+        }
+        was_running
+    }
+
+    /// A process stands still from now on, for so long.
+    pub(crate) fn freeze(&mut self, member: usize, lasts: Us) {
+        self.processes[member].is_frozen = true;
+        self.push(self.now + lasts, Event::Thaw(member));
+    }
+
+    /// A process goes on, with what waited for it, in order.
+    fn thaw(&mut self, member: usize) {
+        self.processes[member].is_frozen = false;
+        for event in std::mem::take(&mut self.processes[member].waiting) {
+            self.push(self.now, event);
+        }
+    }
+}
