Split the shares by concern and undo the circle between shares.rs and lending.rs

shares.rs took the two sides of a loan from lending.rs, which took Shares, the messages and its own constants from shares.rs. The terms and messages are in shares/message.rs now, the two sides of a loan in shares/loan.rs, and the constants beside what uses them; files import downwards only, and shares.rs has 318 lines in place of 404. Public paths are the same, and no code that runs is changed.

--- a/cluster/src/shares.rs
+++ b/cluster/src/shares.rs
@@ -26,128 +26,32 @@
 //! and a member that hears nobody has its own part, as if the limit were split by count.
 
 mod lending;
+mod loan;
+mod message;
 #[cfg(test)]
 mod tests;
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-use serde::{Deserialize, Serialize};
-
 use crate::injected_defect::InjectedDefect;
 use crate::interval::{Backoff, Interval};
 use crate::{Us, SECOND};
-use lending::{Borrowed, Flaw, Loan};
+use loan::{Borrowed, Loan};
+pub use message::{Hold, Lent, Message, Terms};
 
-/// How long a borrower asks before it asks the same lender again that gave it nothing.
-const ASK_AGAIN: Us = 600_000;
-/// Between two rounds of asking, doubled up to the longest while a round brings nothing, and how many are asked in one.
+/// Between two rounds of asking, doubled up to the longest while a round brings nothing.
 const ASK_EVERY: Us = 100_000;
 const ASK_SELDOM: Us = 800_000;
-const ASKED: usize = 2;
 /// How long what is not needed any more is kept, in case it is needed again.
 const KEEP: Us = SECOND;
-/// Renewals within a lease with a lender whose answers come, and with one of whom some are lost; one that is not answered is
-/// repeated sooner.
-const RENEWALS: u64 = 2;
-const RENEWALS_LOST: u64 = 3;
 /// How long a command waits at first where there is no unit at all.
 const MOMENT: Us = 50_000;
 /// Units that a member asks for beyond those it has while a command waits for one.
 const BURST: u32 = 2;
-/// Between two times at which an owner asks back what it has lent.
-const RECALL_AGAIN: Us = 200_000;
-/// The most lenders of one borrower.
-const LENDERS: usize = 64;
 /// Over how long the demand is averaged.
 const DEMAND: f64 = 1.5e6;
 
-/// A limit's terms, the same at every member.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Terms {
-    /// Commands a second, of all together.
-    pub whole: u32,
-    /// By how much commands differ in the time that they take to whoever counts them.
-    pub spread: Us,
-    /// Among how many positions the whole is divided.
-    pub holders: u32,
-    /// How long a loan holds after it was last asked for.
-    pub lease: Us,
-    /// By which part clocks may run faster or slower than each other.
-    pub drift: f64,
-}
-
-impl Terms {
-    /// The units that so many commands a second are cut into.
-    pub fn units_of(&self, per_s: f64) -> u32 {
-        (per_s * (SECOND + self.spread) as f64 / SECOND as f64 + 1e-9) as u32
-    }
-
-    /// All units.
-    pub fn units(&self) -> u32 {
-        self.units_of(f64::from(self.whole))
-    }
-
-    /// The units that belong to a position: they sum up to all; a position beyond the holders owns none.
-    pub fn own(&self, position: u32) -> u32 {
-        let (whole, holders) = (u64::from(self.units()), u64::from(self.holders.max(1)));
-        let up_to = |n: u64| whole * n / holders;
-        let position = u64::from(position);
-        if position >= holders {
-            return 0;
-        }
-        (up_to(position + 1) - up_to(position)) as u32
-    }
-
-    /// The window of a unit: a second and the spread, by whichever clock.
-    pub fn window(&self) -> Us {
-        self.beyond(SECOND + self.spread)
-    }
-
-    /// A span that is over by every clock once it is over by one.
-    fn beyond(&self, span: Us) -> Us {
-        (span as f64 * (1.0 + 2.0 * self.drift)).ceil() as Us
-    }
-
-    /// From its receipt, how long an owner locks what it has lent.
-    pub fn lock(&self) -> Us {
-        self.beyond(self.lease) + self.beyond(self.window())
-    }
-}
-
-/// A borrower tells a lender how many units of it are wanted or still held.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Hold {
-    /// The borrower's life: a process that starts anew has another.
-    pub life: u64,
-    /// When it was sent, by the borrower's clock.
-    pub sent: Us,
-    /// How many.
-    pub units: u32,
-}
-
-/// A lender's answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Lent {
-    /// The borrower's life, as asked.
-    pub life: u64,
-    /// The time in the question, as asked: the lease counts from then.
-    pub sent: Us,
-    /// How many are lent.
-    pub units: u32,
-    /// How many more the lender could lend.
-    pub spare: u32,
-}
-
-/// What goes between two members about one limit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Message {
-    /// A borrower's.
-    Hold(Hold),
-    /// A lender's.
-    Lent(Lent),
-}
-
 /// What operators see of a limit at one member.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Figures {
@@ -401,3 +305,14 @@
         self.renew(now);
     }
 }
+
+/// The ways in which tests break a machine on purpose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Flaw {
+    /// A lease counts from its receipt.
+    LeaseFromReceipt,
+    /// An older question takes and gives back like a newer one.
+    OrderNotKept,
+    /// A new life's question stands for the old one's.
+    OldLifeObeyed,
+}
--- a/cluster/src/shares/lending.rs
+++ b/cluster/src/shares/lending.rs
@@ -3,9 +3,23 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-use super::{Hold, Lent, Message, Shares, ASKED, ASK_AGAIN, LENDERS, RECALL_AGAIN, RENEWALS, RENEWALS_LOST};
+use super::loan::{Borrowed, Loan};
+use super::message::{Hold, Lent, Message};
+use super::{Flaw, Shares};
 use crate::Us;
 
+/// How many lenders are asked in one round.
+const ASKED: usize = 2;
+/// How long a borrower waits before it asks the same lender again that gave it nothing.
+const ASK_AGAIN: Us = 600_000;
+/// Renewals within a lease with a lender whose answers come, and with one of whom some are lost; one that is not answered is
+/// repeated sooner.
+const RENEWALS: u64 = 2;
+const RENEWALS_LOST: u64 = 3;
+/// Between two times at which an owner asks back what it has lent.
+const RECALL_AGAIN: Us = 200_000;
+/// The most lenders of one borrower.
+const LENDERS: usize = 64;
 /// Questions of a borrower that are remembered: those of one lease, and more than enough of them.
 const QUESTIONS: usize = 32;
 
@@ -13,57 +27,6 @@
 const UNANSWERED: Us = 200_000;
 const GIVEN_UP: Us = 1_000_000;
 
-/// The owner's side of a loan.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Loan {
-    to: SocketAddr,
-    life: u64,
-    /// The newest question of this borrower.
-    sent: Us,
-    pub(super) units: u32,
-    /// Until then they are not the owner's to use.
-    pub(super) until: Us,
-}
-
-/// The borrower's side.
-#[derive(Clone, Debug)]
-pub(super) struct Borrowed {
-    from: SocketAddr,
-    /// What may be used while the lease lives.
-    units: u32,
-    /// What is to be held: more than `units` while it is asked for, less while it is given back.
-    want: u32,
-    until: Us,
-    /// The newest question that was answered.
-    heard: Us,
-    /// The questions of the last lease: when, and for how many.
-    asked: VecDeque<(Us, u32)>,
-    /// How many more the lender said it could lend.
-    spare: u32,
-    /// Whether a question of the last ones had to be repeated.
-    lossy: bool,
-}
-
-impl Borrowed {
-    /// What may be used now.
-    pub(super) fn usable(&self, now: Us) -> u32 {
-        if now < self.until {
-            self.units.min(self.want)
-        } else {
-            0
-        }
-    }
-
-    /// Since when a question has waited for its answer.
-    fn unanswered(&self) -> Option<Us> {
-        self.asked.iter().map(|(at, _)| *at).find(|at| *at > self.heard)
-    }
-
-    fn last_asked(&self) -> Us {
-        self.asked.back().map_or(0, |(at, _)| *at)
-    }
-}
-
 impl Shares {
     /// What may leave now: not needed here, and the uses of the last window fit into what stays.
     pub(super) fn lendable(&mut self, now: Us) -> u32 {
@@ -244,14 +207,3 @@
         self.borrowed.retain(|one| now < one.until + window || now < one.last_asked() + window);
     }
 }
-
-/// The ways in which tests break a machine on purpose.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Flaw {
-    /// A lease counts from its receipt.
-    LeaseFromReceipt,
-    /// An older question takes and gives back like a newer one.
-    OrderNotKept,
-    /// A new life's question stands for the old one's.
-    OldLifeObeyed,
-}
