Split the exchange by concern and undo the circle of its values, long and exchange

exchange/src/exchange.rs had 850 lines: values, the carrier's trait, the state, discovery's lists, attempts, timers and tests. long.rs took Attempt from it while it took tickets from long.rs, by way of values.rs and bans.rs. No file of the package imports another in a circle, tests included: those of exchange, long, tally and operators moved to a tests.rs beside each, with no assertion changed. `exchange::` names what it named; `values::Command` is `command::Command`, `long::Ticket` and `long::ticket` are in `command`.

--- /dev/null
+++ b/exchange/src/exchange/attempts.rs
@@ -0,0 +1,140 @@
+//! The exchange and its attempts: what the module says begins, and how each attempt ends.
+
+use std::cmp::Reverse;
+use std::rc::Rc;
+
+use juniperladder::{Action, Event, Micros, Outcome, Status};
+use slog::info;
+
+use super::state::{Due, Inner, Running, NEVER};
+use super::Exchange;
+use crate::carrier::End;
+use crate::command::{Attempt, CommandId};
+use crate::counters::count;
+use crate::numbers::AttemptId;
+use crate::values::{Answer, Reply};
+
+impl Exchange {
+    /// An attempt has ended.
+    pub fn ended(&self, id: AttemptId, end: End) {
+        let mut inner = self.inner.borrow_mut();
+        let Some(running) = inner.attempts.remove(&id) else { return self.ended_late(&mut inner, id, end) };
+        let fetching = matches!(end, End::Reply(Reply::Miss { fetching: true }));
+        let (status, answer) = match end {
+            End::Reply(Reply::Served(answer)) => (Status::Ok, Some(answer)),
+            End::Reply(Reply::Miss { .. }) => (Status::Miss, None),
+            // The host is at work, so that its connections and its load are not in question.
+            End::Reply(Reply::Error) | End::Spoilt => (Status::Error, None),
+            End::Reply(Reply::Full) => (Status::Full, None),
+            End::NotSent => (Status::ConnectFailed, None),
+            End::Broken => (Status::Reset, None),
+            End::CalledOff => (Status::Moot, None),
+        };
+        self.conclude(&mut inner, running, status, fetching, answer);
+    }
+
+    /// An attempt has ended that had timed out before. Its answer was made for the command all the same:
+    /// where that is open, while it is tried elsewhere, a client that waits is better served than not.
+    fn ended_late(&self, inner: &mut Inner, id: AttemptId, end: End) {
+        let Some(command) = inner.late.remove(&id) else { return };
+        let End::Reply(Reply::Served(answer)) = end else { return };
+        count(&self.counters.late_answers);
+        let Some(open) = inner.commands.get(&command) else { return };
+        let left = open.left;
+        count(&self.counters.served_late);
+        self.finish(inner, command, answer);
+        if !left {
+            self.handle(inner, self.clock.now(), Event::Gone(command.request()));
+        }
+    }
+
+    /// The time of an attempt has run out.
+    pub(super) fn expire(&self, inner: &mut Inner, id: AttemptId) {
+        let Some(running) = inner.attempts.remove(&id) else { return };
+        // What was never written whole cannot have run.
+        let written = inner.carrier.abandon(id, running.server);
+        let status = if written { Status::Timeout } else { Status::ConnectFailed };
+        if written {
+            inner.late.insert(id, running.command);
+        }
+        self.conclude(inner, running, status, false, None);
+    }
+
+    /// Counts how an attempt ended, answers its command where that is over, and tells the module.
+    fn conclude(
+        &self,
+        inner: &mut Inner,
+        running: Running,
+        status: Status,
+        fetching: bool,
+        answer: Option<Answer>,
+    ) {
+        count(match status {
+            Status::Ok => &self.counters.ok,
+            Status::Miss => &self.counters.misses,
+            Status::Full => &self.counters.full,
+            Status::Timeout => &self.counters.timeouts,
+            Status::ConnectFailed => &self.counters.connect_failed,
+            Status::Reset => &self.counters.resets,
+            Status::Moot | Status::Cancelled => &self.counters.moot,
+            Status::Error => &self.counters.errors,
+        });
+        let now = self.clock.now();
+        let mut closed = true;
+        if let Some(open) = inner.commands.get_mut(&running.command) {
+            open.out -= 1;
+            closed = open.left;
+            let last = open.left && open.out == 0;
+            if let Some(answer) = answer {
+                closed = true;
+                self.finish(inner, running.command, answer);
+            } else if last {
+                self.finish(inner, running.command, Answer::Failed);
+            }
+        }
+        let outcome = Outcome {
+            id: running.command.request(),
+            server: running.server,
+            attempt: running.attempt,
+            latency: now.minus(running.sent),
+            status,
+            closed,
+            fetching,
+        };
+        self.handle(inner, now, Event::Outcome(outcome));
+    }
+
+    /// Does what the module says.
+    pub(super) fn act(&self, inner: &mut Inner, now: Micros, action: Action) {
+        match action {
+            Action::Send { id, server, timeout } => {
+                let command_id = CommandId::of(&id);
+                let Some(open) = inner.commands.get_mut(&command_id) else { return };
+                let until = if timeout.0 == 0 { open.deadline } else { now.plus(timeout).min(open.deadline) };
+                let running = Running { command: command_id, server, attempt: open.attempts, sent: now };
+                let by = open.by;
+                if open.attempts == 0 {
+                    let window = self.windows.get(open.command.class as usize).copied().flatten();
+                    open.by = window.map_or(NEVER, |window| now.plus(window));
+                }
+                open.attempts += 1;
+                open.out += 1;
+                let (command, over) = (Rc::clone(&open.command), Rc::clone(&open.over));
+                inner.last += 1;
+                let id = AttemptId(inner.last);
+                count(&self.counters.attempts);
+                inner.attempts.insert(id, running);
+                inner.timers.push(Reverse((until, Due::Attempt(id))));
+                inner.carrier.begin(Attempt { id, command, server, until, by, over });
+            }
+            Action::Refuse { id, retry_after, why } => {
+                count(self.counters.refusals(why));
+                self.finish(inner, CommandId::of(&id), Answer::Rejected(retry_after));
+            }
+            Action::Fail { id } => self.finish(inner, CommandId::of(&id), Answer::Failed),
+            Action::Timer { at, token } => inner.timers.push(Reverse((at, Due::Module(token)))),
+            Action::Watch => self.watch.notify_one(),
+            Action::Log(line) => info!(self.log, "module"; "line" => line),
+        }
+    }
+}
--- /dev/null
+++ b/exchange/src/exchange/hosts.rs
@@ -0,0 +1,92 @@
+//! The exchange and the hosts: discovery's news to the module and the carrier, and what operators are told of them.
+
+use juniperladder::{Entry, Event, ListKind, State};
+use slog::{info, warn};
+
+use super::state::Inner;
+use super::Exchange;
+use crate::clock::to_ms;
+use crate::values::Host;
+
+/// Hosts that are known at once, several times what a fleet has: a list that goes on for ever must not fill the memory, nor
+/// the time that each command takes. The origin is always among them.
+pub(super) const MOST_HOSTS: usize = 4_096;
+
+impl Exchange {
+    /// Whether commands can be served: some host is known.
+    pub fn ready(&self) -> bool {
+        self.inner.borrow().serving.values().any(|(state, _)| *state == State::Serving)
+    }
+
+    /// Tells the log which limits hold something back, and why.
+    pub fn tell_limits(&self) {
+        let inner = self.inner.borrow();
+        let (limits, waiting) = inner.balancer.limits(self.clock.now());
+        let mut held = 0;
+        for limit in &limits {
+            let Some(by) = limit.holds() else { continue };
+            held += 1;
+            let address = inner.serving.get(&limit.server).and_then(|(_, address)| *address);
+            info!(self.log, "limit"; "held-by" => by,
+                "host" => address.map_or_else(|| "unknown".into(), |a| a.to_string()),
+                "out" => limit.out, "most" => limit.most, "gap-ms" => to_ms(limit.gap),
+                "usual-ms" => to_ms(limit.usual), "lately-ms" => to_ms(limit.lately));
+        }
+        info!(self.log, "limits"; "hosts" => limits.len(), "held" => held, "waiting" => waiting);
+    }
+
+    /// The name table has news.
+    pub fn listed(&self, kind: ListKind, hosts: &[Host]) {
+        let mut inner = self.inner.borrow_mut();
+        let hosts = match kind {
+            ListKind::Unavailable => Vec::new(),
+            _ => {
+                let known = self.within_bounds(&inner, kind, hosts);
+                inner.bans.over(kind.whole(), &known)
+            }
+        };
+        self.tell(&mut inner, kind, &hosts);
+    }
+
+    /// The news without the hosts that are more than may be known; they are counted, and told in one line.
+    fn within_bounds(&self, inner: &Inner, kind: ListKind, hosts: &[Host]) -> Vec<Host> {
+        let known = |server| !kind.whole() && inner.serving.contains_key(&server);
+        let mut room = MOST_HOSTS.saturating_sub(if kind.whole() { 0 } else { inner.serving.len() });
+        let mut left_out = 0;
+        let fits = |host: &&Host| {
+            let Entry { server, state, kind, .. } = host.entry;
+            if state == State::Deleted || known(server) || Some(kind) == self.origin {
+                return true;
+            }
+            left_out += u64::from(room == 0);
+            let fits = room > 0;
+            room = room.saturating_sub(1);
+            fits
+        };
+        let kept = hosts.iter().filter(fits).cloned().collect();
+        if left_out > 0 {
+            self.counters.hosts_left_out.set(self.counters.hosts_left_out.get() + left_out);
+            if self.telling.due() {
+                warn!(self.log, "more hosts than can be known; the rest is left out"; "most" => MOST_HOSTS,
+                    "left out" => left_out);
+            }
+        }
+        kept
+    }
+
+    /// Tells the module and the carrier a list as it is to be seen, bans laid over.
+    pub(crate) fn tell(&self, inner: &mut Inner, kind: ListKind, hosts: &[Host]) {
+        if kind != ListKind::Unavailable {
+            if kind.whole() {
+                inner.serving.clear();
+            }
+            for Host { entry, address } in hosts {
+                inner.serving.insert(entry.server, (entry.state, *address));
+            }
+            inner.serving.retain(|_, (state, _)| *state != State::Deleted);
+            inner.carrier.listed(kind, hosts);
+        }
+        let entries: Vec<Entry> = hosts.iter().map(|host| host.entry.clone()).collect();
+        self.handle(inner, self.clock.now(), Event::Endpoints(kind, &entries));
+    }
+}
--- /dev/null
+++ b/exchange/src/exchange/state.rs
@@ -0,0 +1,77 @@
+//! What the exchange keeps: open commands, attempts that are out, timers and the hosts that serve.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use juniperladder::{Action, Balancer, Micros, ServerId, State};
+use rustc_hash::FxHashMap;
+use tokio::sync::oneshot;
+
+use crate::bans::Bans;
+use crate::carrier::Carrier;
+use crate::command::{Command, CommandId, Over};
+use crate::numbers::AttemptId;
+use crate::values::Answer;
+
+/// A time that does not come.
+pub(super) const NEVER: Micros = Micros(u64::MAX);
+
+/// A command that has no final answer yet.
+pub(super) struct Open {
+    pub(super) command: Rc<Command>,
+    pub(super) answer: oneshot::Sender<Answer>,
+    pub(super) deadline: Micros,
+    pub(super) attempts: u32,
+    pub(super) out: u32,
+    /// The client sends no more and may be gone; the module has let go of it.
+    pub(super) left: bool,
+    /// Until when a repeat may go out, counted from the first attempt.
+    pub(super) by: Micros,
+    pub(super) over: Over,
+}
+
+/// An attempt that is out.
+pub(super) struct Running {
+    pub(super) command: CommandId,
+    pub(super) server: ServerId,
+    pub(super) attempt: u32,
+    pub(super) sent: Micros,
+}
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Due {
+    Module(u64),
+    Attempt(AttemptId),
+    Command(CommandId),
+}
+
+/// All that the exchange keeps.
+pub(crate) struct Inner {
+    pub(crate) balancer: Balancer,
+    pub(super) carrier: Rc<dyn Carrier>,
+    pub(super) commands: FxHashMap<CommandId, Open>,
+    /// The clients' ids of the open commands; peers choose them, so that their hash is seeded.
+    pub(super) ids: HashSet<Bytes>,
+    pub(super) attempts: FxHashMap<AttemptId, Running>,
+    /// Attempts that have timed out and whose answer may still come.
+    pub(super) late: FxHashMap<AttemptId, CommandId>,
+    pub(super) timers: BinaryHeap<Reverse<(Micros, Due)>>,
+    pub(super) actions: Vec<Action>,
+    pub(super) last: u64,
+    pub(super) serving: FxHashMap<ServerId, (State, Option<SocketAddr>)>,
+    pub(crate) bans: Bans,
+}
+
+impl Inner {
+    /// Forgets a command that is over, and tells its attempts.
+    pub(super) fn close(&mut self, id: CommandId) -> Option<Open> {
+        let open = self.commands.remove(&id)?;
+        self.ids.remove(&open.command.id);
+        open.over.set(true);
+        Some(open)
+    }
+}
--- /dev/null
+++ b/exchange/src/exchange/tests.rs
@@ -0,0 +1,199 @@
+//! Commands from their taking to their one answer, with a carrier that only writes down.
+
+use bytes::Bytes;
+use juniperladder::{ListKind, ServerId, State};
+
+use super::hosts::MOST_HOSTS;
+use super::*;
+use crate::testing::{self, command, exchange, settings, settle, Recorder};
+use tokio::task::spawn_local;
+use tokio::time::{Duration, Instant};
+
+fn with_timers(attempts: u32, effect: Effect, hosts: u32) -> (Rc<Exchange>, Rc<Recorder>) {
+    let recorder = Rc::new(Recorder::default());
+    let exchange = exchange(settings(attempts, effect), recorder.clone(), hosts);
+    let timers = Rc::clone(&exchange);
+    spawn_local(async move { timers.run().await });
+    (exchange, recorder)
+}
+
+/// Rule 1: silent hosts or not, the one answer comes before the client gives up.
+#[test]
+fn every_command_is_answered_before_its_deadline() {
+    testing::run(async {
+        for (attempts, effect) in [(1, Effect::Unsafe), (3, Effect::Safe), (3, Effect::Keyed)] {
+            let (exchange, recorder) = with_timers(attempts, effect, 3);
+            let start = Instant::now();
+            let (_, answer) = exchange.take(command("1", None)).unwrap();
+            assert!(matches!(answer.await, Ok(Answer::Failed | Answer::Rejected(_))));
+            assert!(start.elapsed() < Duration::from_millis(480), "{:?}", start.elapsed());
+            assert!(!recorder.begun.borrow().is_empty());
+            assert!(exchange.inner.borrow().attempts.is_empty() || exchange.counters.timeouts.get() > 0);
+            assert_eq!(exchange.counters.overdue.get(), 0, "the module ends it, not the net below it");
+        }
+    });
+}
+
+/// What the module gives up is answered at once, not at its deadline.
+#[test]
+fn a_command_that_is_given_up_is_answered_at_once() {
+    testing::run(async {
+        let (exchange, recorder) = with_timers(1, Effect::Safe, 1);
+        let start = Instant::now();
+        let (_, answer) = exchange.take(command("1", None)).unwrap();
+        let attempt = recorder.begun.borrow_mut().pop().unwrap();
+        exchange.ended(attempt.id, End::NotSent);
+        assert!(matches!(answer.await, Ok(Answer::Rejected(_))));
+        assert_eq!(start.elapsed(), Duration::ZERO);
+    });
+}
+
+/// A client that half-closes may be gone: nothing begins for it, what is out still answers it.
+#[test]
+fn a_half_closed_client_is_answered_by_what_is_out() {
+    testing::run(async {
+        for served in [true, false] {
+            let (exchange, recorder) = with_timers(3, Effect::Safe, 3);
+            let (id, answer) = exchange.take(command("1", None)).unwrap();
+            let attempt = recorder.begun.borrow_mut().pop().unwrap();
+            exchange.left(id);
+            let value = Answer::Value(Bytes::from_static(b"v"));
+            let reply = if served { Reply::Served(value.clone()) } else { Reply::Error };
+            exchange.ended(attempt.id, End::Reply(reply));
+            assert_eq!(answer.await, Ok(if served { value } else { Answer::Failed }));
+            settle().await;
+            assert!(recorder.begun.borrow().is_empty());
+        }
+    });
+}
+
+/// What comes after its time-out, while the command is tried elsewhere, is an answer all the same.
+#[test]
+fn a_late_answer_serves_a_command_that_is_still_open() {
+    testing::run(async {
+        let recorder = Rc::new(Recorder::default());
+        let mut settings = settings(3, Effect::Safe);
+        settings.limits.may_duplicate = false;
+        let exchange = exchange(settings, recorder.clone(), 3);
+        let timers = Rc::clone(&exchange);
+        spawn_local(async move { timers.run().await });
+        let (_, answer) = exchange.take(command("1", None)).unwrap();
+        while exchange.counters.timeouts.get() == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let [first, second] = &recorder.begun.take()[..] else { panic!("it is tried elsewhere") };
+        let value = Answer::Value(Bytes::from_static(b"v"));
+        exchange.ended(first.id, End::Reply(Reply::Served(value.clone())));
+        assert_eq!(answer.await, Ok(value.clone()));
+        exchange.ended(second.id, End::Reply(Reply::Served(value)));
+        assert_eq!((exchange.counters.served.get(), exchange.counters.served_late.get()), (1, 1));
+        assert!(exchange.inner.borrow().late.is_empty());
+    });
+}
+
+/// With a command's final answer, or its client's end, all its attempts are over: those that no byte has gone out of
+/// must never begin.
+#[test]
+fn what_is_out_is_over_with_its_command() {
+    testing::run(async {
+        for gone in [false, true] {
+            let (exchange, recorder) = with_timers(3, Effect::Safe, 3);
+            let (id, answer) = exchange.take(command("1", None)).unwrap();
+            while recorder.begun.borrow().len() < 2 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            let [first, second] = &recorder.begun.take()[..] else { panic!("a second copy is out") };
+            let now = exchange.clock.now();
+            assert!(!first.over(now) && !second.over(now));
+            if gone {
+                exchange.gone(id);
+            } else {
+                let value = Answer::Value(Bytes::from_static(b"v"));
+                exchange.ended(first.id, End::Reply(Reply::Served(value)));
+                assert!(answer.await.is_ok());
+            }
+            assert!(first.over(now) && second.over(now));
+        }
+    });
+}
+
+/// Hosts drop a repeat for a while after the first attempt: one that still waits for a connection then must not go out.
+#[test]
+fn a_repeat_goes_out_while_hosts_drop_it() {
+    testing::run(async {
+        let recorder = Rc::new(Recorder::default());
+        let mut settings = settings(3, Effect::Keyed);
+        let window = Micros(200_000);
+        settings.classes[0].window = window;
+        let exchange = exchange(settings, recorder.clone(), 3);
+        let first = exchange.clock.now();
+        let _answer = exchange.take(command("1", Some(vec![]))).unwrap();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let attempt = recorder.begun.borrow_mut().pop().unwrap();
+        exchange.ended(attempt.id, End::Broken);
+        let repeat = recorder.begun.borrow_mut().pop().unwrap();
+        let end = first.plus(window);
+        assert!(!attempt.over(end) && !repeat.over(end.minus(Micros(1))) && repeat.over(end));
+    });
+}
+
+/// A list as long as a fleet's is known whole; of one that is far too long a bounded part is, with the origin at its end,
+/// and hosts that go make room.
+#[test]
+fn a_list_is_bounded_far_over_a_fleets() {
+    let recorder = Rc::new(Recorder::default());
+    let mode = juniperladder::Mode::Aside(testing::ORIGIN);
+    let exchange = exchange(Settings { mode, ..settings(3, Effect::Safe) }, recorder, 0);
+    let up = |n| testing::host(ServerId(n), State::Serving);
+    let mut origin = up(u64::MAX);
+    origin.entry.kind = testing::ORIGIN;
+    let known = || exchange.inner.borrow().serving.len();
+    exchange.listed(ListKind::Replace, &(0..1_024).map(up).collect::<Vec<_>>());
+    assert_eq!((known(), exchange.counters.hosts_left_out.get()), (1_024, 0));
+    let most = MOST_HOSTS as u64;
+    exchange.listed(ListKind::Replace, &(0..most + 10).map(up).chain([origin.clone()]).collect::<Vec<_>>());
+    assert!(exchange.inner.borrow().balancer.origin() == Some(origin.entry.server));
+    exchange.listed(ListKind::Update, &[up(most * 2)]);
+    assert_eq!((known(), exchange.counters.hosts_left_out.get()), (MOST_HOSTS + 1, 11));
+    let gone: Vec<Host> = (0..5).map(|n| testing::host(ServerId(n), State::Deleted)).collect();
+    exchange.listed(ListKind::Update, &gone);
+    exchange.listed(ListKind::Update, &(most * 2..most * 2 + 9).map(up).collect::<Vec<_>>());
+    assert_eq!((known(), exchange.counters.hosts_left_out.get()), (MOST_HOSTS, 16));
+}
+
+/// A process that is told to end has an answer for all that it took before its time is up: what was open then, what
+/// connections that are not closed yet still bring, and at once for what comes after.
+#[test]
+fn a_process_that_ends_answers_all_that_it_took() {
+    testing::run(async {
+        let (exchange, recorder) = with_timers(3, Effect::Unsafe, 3);
+        let start = Instant::now();
+        let (_, first) = exchange.take(command("1", None)).unwrap();
+        settle().await;
+        let last = Duration::from_millis(200);
+        exchange.end_by(exchange.clock.now().plus(crate::clock::micros(last)));
+        tokio::time::sleep(last / 2).await;
+        let (_, second) = exchange.take(command("2", None)).unwrap();
+        assert!(first.await.is_ok() && second.await.is_ok());
+        assert_eq!((start.elapsed(), recorder.begun.borrow().len()), (last, 2));
+        let (_, third) = exchange.take(command("3", None)).unwrap();
+        assert!(third.await.is_ok());
+        assert_eq!((start.elapsed(), recorder.begun.borrow().len()), (last, 2));
+    });
+}
+
+/// An id names one open command; once that is over it may come again.
+#[test]
+fn an_id_in_use_is_not_taken() {
+    testing::run(async {
+        let (exchange, recorder) = with_timers(1, Effect::Safe, 1);
+        for _ in 0..2 {
+            let (_, answer) = exchange.take(command("1", None)).unwrap();
+            assert!(exchange.take(command("1", None)).is_none());
+            let attempt = recorder.begun.borrow_mut().pop().unwrap();
+            exchange.ended(attempt.id, End::Spoilt);
+            assert!(matches!(answer.await, Ok(Answer::Rejected(_) | Answer::Failed)));
+        }
+        assert!(exchange.inner.borrow().ids.is_empty());
+    });
+}
--- /dev/null
+++ b/exchange/src/exchange/timers.rs
@@ -0,0 +1,57 @@
+//! The exchange's timers: the module's own, the end of each attempt's time, and each command's deadline behind them.
+
+use std::cmp::Reverse;
+
+use juniperladder::{Event, Micros};
+use tokio::time::sleep_until;
+
+use super::state::{Due, NEVER};
+use super::Exchange;
+use crate::counters::count;
+use crate::values::Answer;
+
+impl Exchange {
+    /// Fires the timers, for as long as it is polled.
+    pub async fn run(&self) {
+        loop {
+            let next = self.fire();
+            self.next_timer.set(next);
+            tokio::select! {
+                () = sleep_until(self.clock.instant(next.min(self.clock.now().plus(Micros(3_600_000_000))))) => {}
+                () = self.timer_set.notified() => {}
+            }
+        }
+    }
+
+    /// Fires what is due and tells when the next timer is.
+    fn fire(&self) -> Micros {
+        loop {
+            let mut inner = self.inner.borrow_mut();
+            let now = self.clock.now();
+            match inner.timers.peek() {
+                Some(Reverse((at, _))) if *at <= now => {}
+                Some(Reverse((at, _))) => return *at,
+                None => return NEVER,
+            }
+            let Some(Reverse((_, due))) = inner.timers.pop() else { continue };
+            match due {
+                Due::Module(token) => self.handle(&mut inner, now, Event::Timer(token)),
+                Due::Attempt(id) => self.expire(&mut inner, id),
+                // Most are over by now.
+                Due::Command(id) if !inner.commands.contains_key(&id) => {}
+                Due::Command(id) => {
+                    // The attempts' time-outs come first and let the module end it; this guards against
+                    // a command that it has forgotten.
+                    let out: Vec<_> =
+                        inner.attempts.iter().filter(|(_, r)| r.command == id).map(|(id, _)| *id).collect();
+                    out.into_iter().for_each(|id| self.expire(&mut inner, id));
+                    if inner.commands.contains_key(&id) {
+                        count(&self.counters.overdue);
+                        self.finish(&mut inner, id, Answer::Failed);
+                        self.handle(&mut inner, now, Event::Gone(id.request()));
+                    }
+                }
+            }
+        }
+    }
+}
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -4,7 +4,9 @@
 //! [`values`] are what every front and every protocol shares.
 
 pub mod bans;
+pub mod carrier;
 pub mod clock;
+pub mod command;
 pub mod counters;
 pub mod exchange;
 pub mod long;
--- a/exchange/src/long.rs
+++ b/exchange/src/long.rs
@@ -4,15 +4,16 @@
 //! The last byte is held back until the host's end of the value has been seen, so that a client can always tell
 //! a value that broke off, or whose end was wrong, from a whole one.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::RefCell;
 use std::future::poll_fn;
 use std::rc::Rc;
 
 use bytes::Bytes;
-use juniperladder::ServerId;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
-use crate::exchange::Attempt;
 use crate::tally::{Passing, Tally};
 
 /// Pieces that may wait between the two sides.
@@ -127,103 +128,3 @@
         self.pieces.send(self.last).await.map_err(|_| Unwanted)
     }
 }
-
-/// The attempt that a long value waits for, to send its last byte.
-#[derive(Debug)]
-pub struct Go {
-    /// What to send, where to and until when.
-    pub attempt: Attempt,
-    /// The last byte.
-    pub last: Bytes,
-}
-
-/// Where a connection that has all but the last byte of a value hears of the attempt.
-pub type Going = oneshot::Receiver<Go>;
-
-/// Stands in a command for a long value, all of which but the last byte is on its way to one server. The way ends
-/// where the last holder lets go of it unused: that value never ran.
-#[derive(Clone, Debug)]
-pub struct Ticket {
-    server: ServerId,
-    last: Bytes,
-    go: Rc<RefCell<Option<oneshot::Sender<Go>>>>,
-}
-
-/// A ticket to this server, and what it leads to.
-pub fn ticket(server: ServerId) -> (Ticket, Going) {
-    let (sender, receiver) = oneshot::channel();
-    (Ticket { server, last: Bytes::new(), go: Rc::new(RefCell::new(Some(sender))) }, receiver)
-}
-
-impl Ticket {
-    /// The whole value has come, and this is its last byte.
-    pub fn whole(self, last: Bytes) -> Ticket {
-        Ticket { last, ..self }
-    }
-
-    /// Sends the last byte as this attempt. False where that cannot be: it has been used, leads to another
-    /// server, or its connection has ended.
-    pub fn give(&self, attempt: Attempt) -> bool {
-        if attempt.server != self.server || self.last.is_empty() {
-            return false;
-        }
-        let go = Go { attempt, last: self.last.clone() };
-        self.go.take().is_some_and(|sender| sender.send(go).is_ok())
-    }
-}
-
-/// Two are the same if they lead to the same connection.
-impl PartialEq for Ticket {
-    fn eq(&self, other: &Ticket) -> bool {
-        Rc::ptr_eq(&self.go, &other.go)
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::testing;
-
-    /// Whatever the pieces, the client gets the last byte only once the end was found right.
-    #[test]
-    fn the_last_byte_waits_for_the_end() {
-        testing::run(async {
-            for cut in [1, 3, 10] {
-                for right in [true, false] {
-                    let (long, mut feed) = long(10);
-                    let host = async move {
-                        for piece in b"0123456789".chunks(cut) {
-                            feed.push(Bytes::copy_from_slice(piece)).await.unwrap();
-                        }
-                        if right {
-                            feed.finish().await.unwrap();
-                        }
-                    };
-                    let client = async {
-                        let mut got = Vec::new();
-                        while let Some(piece) = long.next().await {
-                            got.extend_from_slice(&piece);
-                        }
-                        got
-                    };
-                    let (got, ()) = tokio::join!(client, host);
-                    assert_eq!(got, if right { &b"0123456789"[..] } else { b"012345678" });
-                }
-            }
-        });
-    }
-
-    /// The host's side waits for the client, and ends when the client is gone.
-    #[test]
-    fn a_client_that_is_slow_holds_the_host_back() {
-        testing::run(async {
-            let (long, mut feed) = long(100);
-            feed.push(Bytes::from_static(b"a")).await.unwrap();
-            let second = feed.push(Bytes::from_static(b"b"));
-            assert!(tokio::time::timeout(std::time::Duration::from_secs(9), second).await.is_err());
-            drop(long);
-            assert_eq!(feed.push(Bytes::from_static(b"c")).await, Err(Unwanted));
-            feed.unwanted().await;
-        });
-    }
-}
--- a/exchange/src/values.rs
+++ b/exchange/src/values.rs
@@ -1,34 +1,11 @@
-//! The values that every protocol and every side shares: commands, answers, replies and hosts.
+//! The values that every protocol and every side shares: answers, replies and hosts.
 
 use std::net::SocketAddr;
 
 use bytes::Bytes;
 use juniperladder::{Entry, Micros};
 
-use crate::long::{Long, Ticket};
-
-/// What a client asks for.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Command {
-    /// The client's id for it.
-    pub id: Bytes,
-    /// What it is about.
-    pub key: Bytes,
-    /// The value that it writes; none for a read, and empty for a long one.
-    pub value: Option<Bytes>,
-    /// For a long value that it writes: what sends the last byte of it, where the rest is on its way already.
-    pub ticket: Option<Ticket>,
-    /// Its class, by its place in the settings.
-    pub class: u32,
-    /// Whose it is, by the tenant's place in the settings; beyond them for one that they do not name, and for nobody's.
-    pub tenant: u32,
-    /// Whether the client marked it as a retry of its own.
-    pub retry: bool,
-    /// How long the client waits; none if it does not say.
-    pub wait: Option<Micros>,
-    /// All names and values that came with it.
-    pub properties: Vec<(Bytes, Bytes)>,
-}
+use crate::long::Long;
 
 /// A command's final answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/node/src/writing.rs
+++ b/node/src/writing.rs
@@ -4,7 +4,8 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use juniperladder::ServerId;
-use juniperladder_exchange::long::{self, Feed, Ticket};
+use juniperladder_exchange::command::{ticket, Ticket};
+use juniperladder_exchange::long::Feed;
 
 use crate::exchange::{Command, Exchange};
 
@@ -72,7 +73,7 @@
         // Without a way it is taken all the same, and what decides hears that it did not go.
         let (ticket, last) = match self.way {
             Some((ticket, feed)) => (ticket, feed.last()),
-            None => (long::ticket(ServerId(0)).0, None),
+            None => (ticket(ServerId(0)).0, None),
         };
         let ticket = Some(ticket.whole(last.unwrap_or_default()));
         Command { ticket, ..*self.command }
--- a/protocols/src/http.rs
+++ b/protocols/src/http.rs
@@ -8,7 +8,8 @@
 use winnow::token::{take_till, take_while};
 
 use crate::memcache::{number, receipt, write_properties, MAX_LONG, MAX_VALUE};
-use juniperladder_exchange::values::{Answer, Command, Reply};
+use juniperladder_exchange::command::Command;
+use juniperladder_exchange::values::{Answer, Reply};
 
 /// The longest head of a response.
 const MAX_HEAD: usize = 16 * 1024;
--- a/protocols/src/memcache.rs
+++ b/protocols/src/memcache.rs
@@ -7,7 +7,8 @@
 use winnow::token::take_while;
 
 use juniperladder_exchange::clock::{from_ms, to_ms};
-use juniperladder_exchange::values::{Answer, Command, Reply};
+use juniperladder_exchange::command::Command;
+use juniperladder_exchange::values::{Answer, Reply};
 
 /// The longest line; a key, an id and a few properties are far shorter.
 const MAX_LINE: usize = 4096;
