--- a/fleet/src/clients.rs
+++ b/fleet/src/clients.rs
@@ -7,10 +7,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use juniperladder_world::chance::{chance, Chance, Purpose};
 use juniperladder_world::judge::Terms;
 use juniperladder_world::ledger::{Command, Ended};
 use juniperladder_world::load::{key_name, Arrival};
+use juniperladder_world::rng::{seeded_rng, RngStream, SeededRng};
 use juniperladder_world::{us_of_ms, Us};
 use rand::Rng;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -33,7 +33,7 @@
     terms: Terms,
     addresses: Vec<SocketAddr>,
     idle: Vec<RefCell<Vec<BufReader<TcpStream>>>>,
-    chance: RefCell<Chance>,
+    rng: RefCell<SeededRng>,
     numbers: Cell<u64>,
     /// Tries that are out.
     out: Cell<usize>,
@@ -93,8 +93,8 @@
     /// Clients of balancers at these addresses.
     pub fn new(rig: Rc<Rig>, terms: Terms, addresses: Vec<SocketAddr>) -> Rc<Clients> {
         let idle = addresses.iter().map(|_| RefCell::default()).collect();
-        let chance = RefCell::new(chance(rig.experiment.seed, Purpose::Clients));
-        Rc::new(Clients { rig, terms, addresses, idle, chance, numbers: Cell::new(1), out: Cell::new(0) })
+        let rng = RefCell::new(seeded_rng(rig.experiment.seed, RngStream::Clients));
+        Rc::new(Clients { rig, terms, addresses, idle, rng, numbers: Cell::new(1), out: Cell::new(0) })
     }
 
     /// Tries that are out.
@@ -161,10 +161,10 @@
     /// How long a client waits after a try that was not served, and the balancer that a front would deal it out to.
     fn after(&self, retry: u32, again: Us) -> (Us, usize) {
         let figures = self.rig.experiment.clients;
-        let mut chance = self.chance.borrow_mut();
-        let backoff = us_of_ms(figures.backoff_ms * f64::from(1 << retry) * chance.random_range(0.5..1.5));
-        let honours = chance.random::<f64>() < figures.honour;
-        (if honours { backoff.max(again) } else { backoff }, chance.random_range(0..self.addresses.len()))
+        let mut rng = self.rng.borrow_mut();
+        let backoff = us_of_ms(figures.backoff_ms * f64::from(1 << retry) * rng.random_range(0.5..1.5));
+        let honours = rng.random::<f64>() < figures.honour;
+        (if honours { backoff.max(again) } else { backoff }, rng.random_range(0..self.addresses.len()))
     }
 
     /// Puts a try into the ledger; gives its place there.
--- a/fleet/src/play.rs
+++ b/fleet/src/play.rs
@@ -6,12 +6,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use juniperladder_world::chance::{chance, Purpose};
 use juniperladder_world::discovery::{Entry, Life};
 use juniperladder_world::experiment::Experiment;
 use juniperladder_world::judge::{Stated, Terms};
 use juniperladder_world::ledger::{Ill, Ledger, Span};
 use juniperladder_world::load::draw;
+use juniperladder_world::rng::{seeded_rng, RngStream};
 use juniperladder_world::schedule::{schedule, Change, Step};
 use juniperladder_world::{us, Us};
 use nix::sys::resource::{getrusage, UsageWho};
@@ -348,8 +348,8 @@
             Change::OriginSlow(times) => rig.origin.borrow_mut().slow(*times),
             Change::DiscoveryDown(on) => rig.down.set(*on),
             Change::ListLate(most) => {
-                let mut chance = chance(rig.experiment.seed, Purpose::Lists);
-                rig.late.borrow_mut().iter_mut().for_each(|late| *late = chance.random_range(0..=*most));
+                let mut rng = seeded_rng(rig.experiment.seed, RngStream::Lists);
+                rig.late.borrow_mut().iter_mut().for_each(|late| *late = rng.random_range(0..=*most));
             }
         }
         rig.stir();
--- a/fleet/src/rig.rs
+++ b/fleet/src/rig.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use juniperladder_world::chance::{chance, spread, Chance, Purpose};
 use juniperladder_world::discovery::{Catalog, Door, Entry, Life};
 use juniperladder_world::experiment::Experiment;
 use juniperladder_world::group::zone_of;
@@ -14,6 +13,7 @@
 use juniperladder_world::links::{End, LinkState, Links};
 use juniperladder_world::load::key_name;
 use juniperladder_world::origin::Origin;
+use juniperladder_world::rng::{seeded_rng, spread, RngStream, SeededRng};
 use juniperladder_world::{us, us_of_ms, Us};
 use rand::Rng;
 use tokio::sync::watch;
@@ -66,8 +66,8 @@
     pub ledger: RefCell<Ledger>,
     /// Commands' misses: the hosts that lack the key, and which life of theirs it was.
     missed: RefCell<HashMap<u64, Vec<Missed>>>,
-    machines: RefCell<Chance>,
-    wires: RefCell<Chance>,
+    machines: RefCell<SeededRng>,
+    wires: RefCell<SeededRng>,
     /// Bumped whenever something changes that a waiting task must look at.
     pub weather: watch::Sender<u64>,
 }
@@ -104,8 +104,8 @@
             sides,
             ledger: RefCell::default(),
             missed: RefCell::default(),
-            machines: RefCell::new(chance(e.seed, Purpose::Machines)),
-            wires: RefCell::new(chance(e.seed, Purpose::Links)),
+            machines: RefCell::new(seeded_rng(e.seed, RngStream::Machines)),
+            wires: RefCell::new(seeded_rng(e.seed, RngStream::Links)),
             weather: watch::channel(0).0,
             experiment,
         })
@@ -126,8 +126,8 @@
         self.epoch_ms + at / 1_000
     }
 
-    /// Chance for the machines' work.
-    pub fn machines(&self) -> std::cell::RefMut<'_, Chance> {
+    /// Random numbers for the machines' work.
+    pub fn machines(&self) -> std::cell::RefMut<'_, SeededRng> {
         self.machines.borrow_mut()
     }
 
@@ -150,13 +150,13 @@
         };
         let net = &self.experiment.net;
         let base = us_of_ms(if zone(from) == zone(to) { net.same_ms } else { net.cross_ms });
-        let mut chance = self.wires.borrow_mut();
-        let jitter = if state.jitter > 0 { chance.random_range(0..=2 * state.jitter) } else { 0 };
+        let mut rng = self.wires.borrow_mut();
+        let jitter = if state.jitter > 0 { rng.random_range(0..=2 * state.jitter) } else { 0 };
         let mut lost = 0;
         if state.lose > 0.0 {
             let mut resend = RESEND;
             // A connection gives up after some losses in a row; a dozen is minutes.
-            while lost < 12 * RESEND && chance.random::<f64>() < state.lose {
+            while lost < 12 * RESEND && rng.random::<f64>() < state.lose {
                 lost += resend;
                 resend *= 2;
             }
@@ -171,10 +171,10 @@
 
     /// Spoils some bytes.
     pub fn spoil(&self, bytes: &mut [u8]) {
-        let mut chance = self.wires.borrow_mut();
+        let mut rng = self.wires.borrow_mut();
         for _ in 0..3 {
-            if let Some(byte) = (!bytes.is_empty()).then(|| chance.random_range(0..bytes.len())) {
-                bytes[byte] ^= chance.random_range(1..=255u8);
+            if let Some(byte) = (!bytes.is_empty()).then(|| rng.random_range(0..bytes.len())) {
+                bytes[byte] ^= rng.random_range(1..=255u8);
             }
         }
     }
--- a/lab/src/compare.rs
+++ b/lab/src/compare.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 
-use juniperladder_world::chance::{chance, Purpose};
+use juniperladder_world::rng::{seeded_rng, RngStream};
 use juniperladder_world::summary::Summary;
 use rand::Rng;
 
@@ -65,10 +65,10 @@
         }
         let differences: Vec<f64> = pairs.iter().map(|(before, after)| after - before).collect();
         let interval = (count >= FEWEST).then(|| {
-            let mut chance = chance(0, Purpose::Fair);
+            let mut rng = seeded_rng(0, RngStream::Fair);
             let mut means: Vec<f64> = (0..RESAMPLES)
                 .map(|_| {
-                    (0..count).map(|_| differences[chance.random_range(0..count)]).sum::<f64>() / count as f64
+                    (0..count).map(|_| differences[rng.random_range(0..count)]).sum::<f64>() / count as f64
                 })
                 .collect();
             means.sort_unstable_by(f64::total_cmp);
--- a/lab/src/replay.rs
+++ b/lab/src/replay.rs
@@ -5,8 +5,8 @@
 use std::fs::File;
 use std::path::Path;
 
-use juniperladder_world::chance::{chance, spread, Chance, Purpose};
 use juniperladder_world::experiment::Experiment;
+use juniperladder_world::rng::{seeded_rng, spread, RngStream, SeededRng};
 use rand::Rng;
 
 use crate::exit::{KEPT, NOT_ALLOWED};
@@ -56,9 +56,9 @@
         carried * 100.0
     );
     println!("{:44} {:>6} {:>6}", "", "peak", "least");
-    let mut draw = chance(experiment.seed, Purpose::Fair);
+    let mut draw = seeded_rng(experiment.seed, RngStream::Fair);
     let homes = Homes::new(hosts);
-    let mut show = |name: &str, deal: &mut dyn FnMut(&Begin, &mut Chance) -> Option<usize>| {
+    let mut show = |name: &str, deal: &mut dyn FnMut(&Begin, &mut SeededRng) -> Option<usize>| {
         let (peak, least) = unevenness(&windows, hosts, |begin| deal(begin, &mut draw));
         println!("{name:44} {peak:6.2} {least:6.2}");
     };
--- a/world/src/check.rs
+++ b/world/src/check.rs
@@ -4,9 +4,9 @@
 #[cfg(test)]
 mod tests;
 
-use crate::chance::{chance, Purpose};
 use crate::experiment::{Experiment, Fault, Problem, What};
 use crate::group::{members, Members};
+use crate::rng::{seeded_rng, RngStream};
 
 /// The most processes of a run: as many as a fleet's membership holds.
 const MOST_BALANCERS: usize = 1_024;
@@ -78,10 +78,10 @@
     found.need(over(e.origin.fall_times), "origin", "fall_times", "is a number over 0");
     found.need(over(e.discovery.calls_per_s), "discovery", "calls_per_s", "is a number over 0");
     found.need(e.net.same_ms >= 0.0 && e.net.cross_ms >= 0.0, "net", "cross_ms", "is a number from 0 up");
-    let mut chance = chance(e.seed, Purpose::Groups);
+    let mut rng = seeded_rng(e.seed, RngStream::Groups);
     let mut named = Vec::new();
     for (number, fault) in e.fault.iter().enumerate() {
-        named.push(found.fault(e, number, fault, &mut chance));
+        named.push(found.fault(e, number, fault, &mut rng));
     }
     contradictions(&mut found, e, &named);
     found.problems
@@ -112,7 +112,7 @@
         e: &Experiment,
         number: usize,
         fault: &Fault,
-        chance: &mut crate::chance::Chance,
+        rng: &mut crate::rng::SeededRng,
     ) -> Vec<Members> {
         if !(fault.at >= 0.0 && fault.at.is_finite()) {
             self.at_fault(number, "at", "it begins at 0 s or later".into());
@@ -169,7 +169,7 @@
             .collect();
         let mut named = Vec::new();
         for (field, text) in texts {
-            match members(text, &e.fleet, chance) {
+            match members(text, &e.fleet, rng) {
                 Ok(group) => {
                     if let Some(problem) = wrong_target(fault.what, &group) {
                         self.at_fault(number, field, format!("{text:?}: {problem}"));
--- a/world/src/group.rs
+++ b/world/src/group.rs
@@ -5,8 +5,8 @@
 
 use rand::seq::index::sample;
 
-use crate::chance::Chance;
 use crate::experiment::Fleet;
+use crate::rng::SeededRng;
 
 /// What a group names.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -26,11 +26,11 @@
     number % fleet.zones.max(1)
 }
 
-/// The members that a group's text names; a share is drawn by chance.
+/// The members that a group's text names; a share is drawn.
 ///
 /// # Errors
 /// One line that says what is wrong with the text and what would be right.
-pub fn members(text: &str, fleet: &Fleet, chance: &mut Chance) -> Result<Members, String> {
+pub fn members(text: &str, fleet: &Fleet, rng: &mut SeededRng) -> Result<Members, String> {
     let (kind, which) = text.split_once(':').unwrap_or((text, ""));
     let all = |count: usize| (0..count).collect::<Vec<_>>();
     let mut found = Members::default();
@@ -39,8 +39,8 @@
         ("discovery", "") => found.discovery = true,
         ("balancers", "") => found.balancers = all(fleet.balancers),
         ("hosts", "") => found.hosts = all(fleet.hosts),
-        ("balancers", which) => found.balancers = some(kind, which, fleet.balancers, chance)?,
-        ("hosts", which) => found.hosts = some(kind, which, fleet.hosts, chance)?,
+        ("balancers", which) => found.balancers = some(kind, which, fleet.balancers, rng)?,
+        ("hosts", which) => found.hosts = some(kind, which, fleet.hosts, rng)?,
         ("zone", which) => {
             let zone: usize = which.parse().map_err(|_| format!("{text:?}: a zone is a number, as in zone:1"))?;
             if zone >= fleet.zones {
@@ -60,7 +60,7 @@
 }
 
 /// The numbers of `3`, `0-49` or `12.5%` of so many.
-fn some(kind: &str, which: &str, count: usize, chance: &mut Chance) -> Result<Vec<usize>, String> {
+fn some(kind: &str, which: &str, count: usize, rng: &mut SeededRng) -> Result<Vec<usize>, String> {
     let wrong = || format!("{kind}:{which}: write a number, a range as 0-49, or a share as 10%");
     let beyond = |number: usize| format!("{kind}:{which}: there is no {number}, they are 0 to {}", count - 1);
     if let Some(share) = which.strip_suffix('%') {
@@ -70,7 +70,7 @@
         }
         // At least one: a share of a small fleet still names somebody.
         let many = ((count as f64 * share / 100.0).round() as usize).clamp(1, count);
-        let mut numbers = sample(chance, count, many).into_vec();
+        let mut numbers = sample(rng, count, many).into_vec();
         numbers.sort_unstable();
         return Ok(numbers);
     }
--- a/world/src/group/tests.rs
+++ b/world/src/group/tests.rs
@@ -1,13 +1,13 @@
 //! Groups and who they name.
 
 use super::*;
-use crate::chance::{chance, Purpose};
 use crate::reader::{read, tests::SOUND};
+use crate::rng::{seeded_rng, RngStream};
 
 #[test]
 fn groups_name_their_members() {
     let fleet = read(SOUND, &[]).unwrap().fleet;
-    let of = |text: &str| members(text, &fleet, &mut chance(1, Purpose::Groups));
+    let of = |text: &str| members(text, &fleet, &mut seeded_rng(1, RngStream::Groups));
     assert_eq!(of("balancers:2-4").unwrap().balancers, [2, 3, 4]);
     assert_eq!(of("hosts:5").unwrap().hosts, [5]);
     assert_eq!(of("hosts:50%").unwrap().hosts.len(), 3);
--- a/world/src/host.rs
+++ b/world/src/host.rs
@@ -7,8 +7,8 @@
 use rand::Rng;
 use rand_distr::{Distribution, Exp1};
 
-use crate::chance::Chance;
 use crate::experiment::Hosts;
+use crate::rng::SeededRng;
 use crate::{us_of_ms, Us, SECOND};
 
 /// How long a miss counts as a fetch that is out, where nobody stores the key.
@@ -140,7 +140,7 @@
     }
 
     /// A read has come, whole.
-    pub fn begin(&mut self, now: Us, key: u64, chance: &mut Chance) -> Outcome {
+    pub fn begin(&mut self, now: Us, key: u64, rng: &mut SeededRng) -> Outcome {
         let warmth = self.warmth(now);
         let cold = warmth < 1.0;
         self.pushed(now, cold);
@@ -158,7 +158,7 @@
         if self.ends.len() >= room {
             return turned_away(Answer::Busy);
         }
-        if chance.random::<f64>() < self.failing {
+        if rng.random::<f64>() < self.failing {
             return turned_away(Answer::Failed);
         }
         let answer = if self.kept.get(&key).is_some() {
@@ -169,7 +169,7 @@
             Answer::Miss { fetching: out }
         };
         let part = if answer == Answer::Hit { 1.0 } else { self.figures.miss };
-        let noise: f64 = Exp1.sample(chance);
+        let noise: f64 = Exp1.sample(rng);
         // Half of the work is always there, the other half varies.
         let work = us_of_ms(self.figures.work_ms * part * (0.5 + 0.5 * noise.min(8.0)) * self.slow / warmth);
         let Some(core) = self.free.iter_mut().min() else { return turned_away(Answer::Busy) };
@@ -219,10 +219,10 @@
     }
 
     /// The load report that an answer carries: late and noisy.
-    pub fn report(&mut self, now: Us, chance: &mut Chance) -> Report {
+    pub fn report(&mut self, now: Us, rng: &mut SeededRng) -> Report {
         if now >= self.reported + us_of_ms(self.figures.report_ms) {
             let mut noisy =
-                |value: f64| value * (1.0 + self.figures.report_noise * (2.0 * chance.random::<f64>() - 1.0));
+                |value: f64| value * (1.0 + self.figures.report_noise * (2.0 * rng.random::<f64>() - 1.0));
             let served = self.ends.iter().filter(|at| **at <= now + SECOND).count();
             let waiting = self.begins.iter().filter(|at| **at > now).count();
             self.report = Report { served_per_s: noisy(served as f64), waiting: noisy(waiting as f64) };
@@ -235,16 +235,16 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::chance::{chance, Purpose};
+    use crate::rng::{seeded_rng, RngStream};
 
-    fn host() -> (Host, Chance) {
-        (Host::new(Hosts::default(), 1.0, 3), chance(1, Purpose::Machines))
+    fn host() -> (Host, SeededRng) {
+        (Host::new(Hosts::default(), 1.0, 3), seeded_rng(1, RngStream::Machines))
     }
 
     #[test]
     fn keys_are_kept_to_a_size_voided_and_lost_with_a_restart() {
-        let (mut host, mut chance) = host();
-        let mut ask = |host: &mut Host, now, key| host.begin(now, key, &mut chance).answer;
+        let (mut host, mut rng) = host();
+        let mut ask = |host: &mut Host, now, key| host.begin(now, key, &mut rng).answer;
         assert_eq!(ask(&mut host, 0, 1), Answer::Miss { fetching: false });
         assert_eq!(ask(&mut host, 1, 1), Answer::Miss { fetching: true });
         host.store(1);
@@ -260,31 +260,31 @@
 
     #[test]
     fn a_core_does_one_thing_at_a_time_and_the_room_is_bounded() {
-        let (mut host, mut chance) = host();
+        let (mut host, mut rng) = host();
         host.store(1);
-        let first = host.begin(0, 1, &mut chance).at;
-        let second = host.begin(0, 1, &mut chance).at;
+        let first = host.begin(0, 1, &mut rng).at;
+        let second = host.begin(0, 1, &mut rng).at;
         assert!(first >= 10_000 && second >= first + 10_000);
-        let answers: Vec<Answer> = (0..300).map(|_| host.begin(0, 1, &mut chance).answer).collect();
+        let answers: Vec<Answer> = (0..300).map(|_| host.begin(0, 1, &mut rng).answer).collect();
         assert_eq!(
             answers.iter().filter(|a| **a == Answer::Hit).count(),
             206,
             "8 slots and 200 places, 2 taken"
         );
-        assert!(host.report(SECOND, &mut chance).waiting > 100.0);
+        assert!(host.report(SECOND, &mut rng).waiting > 100.0);
         host.closed = true;
-        assert_eq!(host.begin(100 * SECOND, 1, &mut chance).answer, Answer::Busy);
+        assert_eq!(host.begin(100 * SECOND, 1, &mut rng).answer, Answer::Busy);
     }
 
     /// 50 a second when warm, 17.5 at the start, four times which it bears.
     #[test]
     fn a_cold_host_falls_when_pushed_and_else_warms_up() {
         for (rate, falls) in [(60, false), (120, true)] {
-            let (mut host, mut chance) = host();
+            let (mut host, mut rng) = host();
             host.restart(SECOND);
             assert!((host.capacity(SECOND) - 17.5).abs() < 0.01 && host.warmth(4 * SECOND) < 1.0);
             for n in 0..rate * 2 {
-                host.begin(SECOND + n * SECOND / rate, 1, &mut chance);
+                host.begin(SECOND + n * SECOND / rate, 1, &mut rng);
             }
             assert_eq!(host.fallen(), falls, "{rate} a second");
             assert_eq!(host.warmth(7 * SECOND), 1.0);
--- a/world/src/judge/spread.rs
+++ b/world/src/judge/spread.rs
@@ -9,8 +9,8 @@
 use rand::Rng;
 
 use super::{quantile, Terms};
-use crate::chance::{chance, Chance, Purpose};
 use crate::ledger::{At, Ledger};
+use crate::rng::{seeded_rng, RngStream, SeededRng};
 use crate::summary::Spread;
 use crate::{Us, SECOND};
 
@@ -45,11 +45,11 @@
 /// The spread of a run.
 pub fn spread(ledger: &Ledger, terms: &Terms) -> Spread {
     let windows = windows(ledger, terms);
-    let seen = deal(&windows, |_, place, _| place, &mut chance(terms.seed, Purpose::Fair));
+    let seen = deal(&windows, |_, place, _| place, &mut seeded_rng(terms.seed, RngStream::Fair));
     let mut fair = [0.0; 3];
-    let mut draw = chance(terms.seed, Purpose::Fair);
+    let mut draw = seeded_rng(terms.seed, RngStream::Fair);
     for _ in 0..DRAWS {
-        let mut one = deal(&windows, |window, _, chance| pick(&window.parts, chance), &mut draw);
+        let mut one = deal(&windows, |window, _, rng| pick(&window.parts, rng), &mut draw);
         fair[0] += quantile(&mut one.peaks, 0.95) / DRAWS as f64;
         fair[1] += quantile(&mut one.leasts, 0.05) / DRAWS as f64;
         fair[2] += one.herd / DRAWS as f64;
@@ -105,8 +105,8 @@
 /// Deals the begins out by this choice and counts.
 fn deal(
     windows: &[Window],
-    choose: impl Fn(&Window, usize, &mut Chance) -> usize,
-    chance: &mut Chance,
+    choose: impl Fn(&Window, usize, &mut SeededRng) -> usize,
+    rng: &mut SeededRng,
 ) -> Deal {
     let mut deal = Deal::default();
     for window in windows {
@@ -114,7 +114,7 @@
         let mut near: Vec<VecDeque<Us>> = vec![VecDeque::new(); window.hosts.len()];
         let all = window.begins.len() as f64;
         for (at, place) in &window.begins {
-            let place = choose(window, *place, chance);
+            let place = choose(window, *place, rng);
             counts[place] += 1.0;
             let near = &mut near[place];
             near.push_back(*at);
@@ -138,8 +138,8 @@
 }
 
 /// One place, by weight.
-fn pick(parts: &[f64], chance: &mut Chance) -> usize {
-    let mut left: f64 = chance.random();
+fn pick(parts: &[f64], rng: &mut SeededRng) -> usize {
+    let mut left: f64 = rng.random();
     for (place, part) in parts.iter().enumerate() {
         left -= part;
         if left < 0.0 {
--- a/world/src/lib.rs
+++ b/world/src/lib.rs
@@ -1,10 +1,9 @@
 //! The model of the platform, without I/O and without a clock: cache hosts, the origin, discovery, the load and the
 //! faults of an experiment, and the judge that reads what clients sent and what hosts received.
 //!
-//! Time comes in as [`Us`], microseconds since the run's beginning; chance comes in as a seeded generator that gives
+//! Time comes in as [`Us`], microseconds since the run's beginning; random numbers come in as a seeded generator that gives
 //! the same numbers on every machine. `fleet/` carries this world onto sockets round real processes.
 
-pub mod chance;
 pub mod check;
 pub mod discovery;
 pub mod experiment;
@@ -16,6 +15,7 @@
 pub mod load;
 pub mod origin;
 pub mod reader;
+pub mod rng;
 pub mod schedule;
 pub mod summary;
 
--- a/world/src/load.rs
+++ b/world/src/load.rs
@@ -3,8 +3,8 @@
 use rand::Rng;
 use rand_distr::{Distribution, Zipf};
 
-use crate::chance::{chance, spread, Chance, Purpose};
 use crate::experiment::{Experiment, Load};
+use crate::rng::{seeded_rng, spread, RngStream, SeededRng};
 use crate::{us, Us, SECOND};
 
 /// A client's first try.
@@ -30,7 +30,7 @@
 /// Draws all first tries of a run, in order.
 pub fn draw(e: &Experiment) -> Vec<Arrival> {
     let load = &e.load;
-    let mut chance = chance(e.seed, Purpose::Load);
+    let mut rng = seeded_rng(e.seed, RngStream::Load);
     let warming = us(load.warm);
     let end = warming + us(e.seconds);
     let most = load.rate * load.ramp.max(1.0) * load.burst.iter().map(|b| b.times).fold(1.0, f64::max);
@@ -38,22 +38,22 @@
     let mut keys: Vec<u64> = (0..load.keys).collect();
     let (mut drifted, mut at, mut all) = (0, 0.0, Vec::new());
     loop {
-        at += -(1.0 - chance.random::<f64>()).ln() / most;
+        at += -(1.0 - rng.random::<f64>()).ln() / most;
         let now = us(at);
         if now >= end {
             return all;
         }
         while drifted < now / SECOND {
-            drift(&mut keys, load.drift, &mut chance);
+            drift(&mut keys, load.drift, &mut rng);
             drifted += 1;
         }
         let since = at - load.warm;
-        if chance.random::<f64>() * most >= rate(load, since, e.seconds) {
+        if rng.random::<f64>() * most >= rate(load, since, e.seconds) {
             continue;
         }
-        let rank = zipf.as_ref().map_or(1.0, |zipf| zipf.sample(&mut chance));
+        let rank = zipf.as_ref().map_or(1.0, |zipf| zipf.sample(&mut rng));
         let mut key = keys[(rank as usize).clamp(1, keys.len()) - 1];
-        let mut left: f64 = chance.random();
+        let mut left: f64 = rng.random();
         for (place, _) in load.hot.iter().enumerate().filter(|(_, hot)| since >= hot.at) {
             left -= load.hot[place].share;
             if left < 0.0 {
@@ -62,12 +62,12 @@
                 break;
             }
         }
-        let write = chance.random::<f64>() < load.writes;
-        let patience = 0.5 + 0.3 * chance.random::<f64>();
-        let impatient = chance.random::<f64>() < e.clients.impatient;
+        let write = rng.random::<f64>() < load.writes;
+        let patience = 0.5 + 0.3 * rng.random::<f64>();
+        let impatient = rng.random::<f64>() < e.clients.impatient;
         all.push(Arrival {
             at: now,
-            balancer: balancer(e, &mut chance),
+            balancer: balancer(e, &mut rng),
             key,
             write,
             patience: if impatient { 0.1 } else { patience },
@@ -83,21 +83,21 @@
 }
 
 /// The balancer of a first try; the first ones are those with most of an uneven load.
-fn balancer(e: &Experiment, chance: &mut Chance) -> u32 {
+fn balancer(e: &Experiment, rng: &mut SeededRng) -> u32 {
     let count = e.fleet.balancers;
-    let Some(uneven) = e.load.uneven else { return chance.random_range(0..count) as u32 };
+    let Some(uneven) = e.load.uneven else { return rng.random_range(0..count) as u32 };
     let many = ((count as f64 * uneven.at).round() as usize).clamp(1, count);
-    if chance.random::<f64>() < uneven.share || many == count {
-        chance.random_range(0..many) as u32
+    if rng.random::<f64>() < uneven.share || many == count {
+        rng.random_range(0..many) as u32
     } else {
-        chance.random_range(many..count) as u32
+        rng.random_range(many..count) as u32
     }
 }
 
 /// So many keys change places with others.
-fn drift(keys: &mut [u64], share: f64, chance: &mut Chance) {
+fn drift(keys: &mut [u64], share: f64, rng: &mut SeededRng) {
     for _ in 0..(keys.len() as f64 * share) as usize {
-        let (a, b) = (chance.random_range(0..keys.len()), chance.random_range(0..keys.len()));
+        let (a, b) = (rng.random_range(0..keys.len()), rng.random_range(0..keys.len()));
         keys.swap(a, b);
     }
 }
--- a/world/src/origin.rs
+++ b/world/src/origin.rs
@@ -4,8 +4,8 @@
 
 use rand_distr::{Distribution, Exp1};
 
-use crate::chance::Chance;
 use crate::experiment::Origin as Figures;
+use crate::rng::SeededRng;
 use crate::{us, us_of_ms, Us, SECOND};
 
 /// Sent too much for so long, it stops for as long.
@@ -76,9 +76,9 @@
         write: Option<u64>,
         cold: bool,
         until: Us,
-        chance: &mut Chance,
+        rng: &mut SeededRng,
     ) -> Outcome {
-        let noise: f64 = Exp1.sample(chance);
+        let noise: f64 = Exp1.sample(rng);
         let work = self.figures.work_ms * (0.5 + 0.5 * noise.min(8.0));
         if let Some(key) = write {
             self.ran.retain(|_, at| *at + REPEATS > now);
@@ -131,16 +131,16 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::chance::{chance, Purpose};
+    use crate::rng::{seeded_rng, RngStream};
 
     fn played(rate: u64, seconds: u64, slow: f64) -> (Origin, Vec<Outcome>) {
         let mut origin = Origin::new(Figures { capacity: 100.0, ..Figures::default() });
-        let mut chance = chance(1, Purpose::Machines);
+        let mut rng = seeded_rng(1, RngStream::Machines);
         origin.slow(slow);
         let all = (0..rate * seconds)
             .map(|n| {
                 let now = n * SECOND / rate;
-                origin.begin(now, None, n % 4 == 0, now + SECOND, &mut chance)
+                origin.begin(now, None, n % 4 == 0, now + SECOND, &mut rng)
             })
             .collect();
         (origin, all)
@@ -169,8 +169,8 @@
     #[test]
     fn a_repeat_of_a_keyed_write_runs_once() {
         let (mut origin, _) = played(1, 1, 1.0);
-        let mut chance = chance(1, Purpose::Machines);
-        let mut write = |now| match origin.begin(now, Some(7), false, now + SECOND, &mut chance) {
+        let mut rng = seeded_rng(1, RngStream::Machines);
+        let mut write = |now| match origin.begin(now, Some(7), false, now + SECOND, &mut rng) {
             Outcome::Runs { repeat, .. } => repeat,
             other => panic!("{other:?}"),
         };
--- a/world/src/chance.rs
+++ b/world/src/rng.rs
@@ -1,15 +1,15 @@
-//! Seeded chance: one generator for each purpose of a run, the same numbers on every machine.
+//! Seeded random numbers: a stream for each purpose of a run, the same numbers on every machine.
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-/// The generator of all chance here. ChaCha is portable, unlike rand's own standard generator.
-pub type Chance = ChaCha8Rng;
+/// The generator of all random numbers here. ChaCha is portable, unlike rand's own standard generator.
+pub type SeededRng = ChaCha8Rng;
 
-/// What a generator is drawn for. Each purpose has a stream of its own, so that a change of one (more hosts, say)
+/// What a stream of random numbers is for. Each purpose has one of its own, so that a change of one (more hosts, say)
 /// leaves the numbers of the others as they were.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Purpose {
+pub enum RngStream {
     /// When commands come, at which balancer, for which key.
     Load = 1,
     /// Which processes and hosts a share of a group names.
@@ -28,11 +28,11 @@
     Fair = 8,
 }
 
-/// The generator of this purpose in a run of this seed.
-pub fn chance(seed: u64, purpose: Purpose) -> Chance {
-    let mut chance = Chance::seed_from_u64(seed);
-    chance.set_stream(purpose as u64);
-    chance
+/// The generator of this stream in a run of this seed.
+pub fn seeded_rng(seed: u64, stream: RngStream) -> SeededRng {
+    let mut rng = SeededRng::seed_from_u64(seed);
+    rng.set_stream(stream as u64);
+    rng
 }
 
 /// Spreads a number over 64 bits, the same everywhere: names of keys and hosts are made of it.
@@ -50,10 +50,10 @@
 
     #[test]
     fn the_numbers_are_the_same_everywhere_and_apart_by_purpose() {
-        let first = |seed, purpose| chance(seed, purpose).next_u64();
-        assert_eq!(first(1, Purpose::Load), first(1, Purpose::Load));
-        assert_ne!(first(1, Purpose::Load), first(1, Purpose::Groups));
-        assert_ne!(first(1, Purpose::Load), first(2, Purpose::Load));
+        let first = |seed, stream| seeded_rng(seed, stream).next_u64();
+        assert_eq!(first(1, RngStream::Load), first(1, RngStream::Load));
+        assert_ne!(first(1, RngStream::Load), first(1, RngStream::Groups));
+        assert_ne!(first(1, RngStream::Load), first(2, RngStream::Load));
         assert_eq!(spread(0), 0xe220_a839_7b1d_cdaf);
     }
 }
--- a/world/src/schedule.rs
+++ b/world/src/schedule.rs
@@ -2,10 +2,10 @@
 
 use rand::seq::SliceRandom;
 
-use crate::chance::{chance, spread, Purpose};
 use crate::experiment::{Experiment, Fault, What};
 use crate::group::{members, Members};
 use crate::links::Links;
+use crate::rng::{seeded_rng, spread, RngStream};
 use crate::{us, Us};
 
 /// One change of the world.
@@ -67,11 +67,11 @@
 
 /// Compiles a checked experiment's faults. The same seed gives the same targets.
 pub fn schedule(e: &Experiment) -> Schedule {
-    let mut chance = chance(e.seed, Purpose::Groups);
+    let mut rng = seeded_rng(e.seed, RngStream::Groups);
     let mut all = Schedule::default();
     for (number, fault) in e.fault.iter().enumerate() {
         // A checked file has groups that name somebody.
-        let mut group = |text: &String| members(text, &e.fleet, &mut chance).unwrap_or_default();
+        let mut group = |text: &String| members(text, &e.fleet, &mut rng).unwrap_or_default();
         if let Some([first, second]) = &fault.between {
             let (from, to) = (group(first), group(second));
             all.links.add(number, fault, from, to);
@@ -108,7 +108,7 @@
         What::Freeze => pair(Change::Freeze(balancers.clone()), Change::Thaw(balancers)),
         What::Roll => {
             let mut order = balancers;
-            order.shuffle(&mut chance(spread(e.seed ^ number as u64), Purpose::Groups));
+            order.shuffle(&mut seeded_rng(spread(e.seed ^ number as u64), RngStream::Groups));
             let many = ((order.len() as f64 * share).round() as usize).max(1);
             let every = us(fault.every.unwrap_or(1.0));
             let parts = order.chunks(many).enumerate();
