Call the laboratory's keeper a child reaper

NAMES.md withdraws `keeper` for the process that ends what a killed rig had started, and node/ has a keeper of another kind. fleet/src/keeper.rs is fleet/src/child_reaper.rs, `Keeper` ChildReaper, `keep` reap, `Options::keeper` child_reaper, and the hidden command by which the laboratory starts it `reap`. What it does is as before; its test is unchanged but for the name.

--- a/fleet/src/keeper.rs
+++ b/fleet/src/child_reaper.rs
@@ -1,6 +1,6 @@
-//! The keeper: a process that outlives a rig that is killed outright, and ends what the rig had started.
+//! The child reaper: a process that outlives a rig that is killed outright, and ends what the rig had started.
 //!
-//! Handles that end their processes when they are dropped do so at every end of the rig but SIGKILL. The keeper reads
+//! Handles that end their processes when they are dropped do so at every end of the rig but SIGKILL. The reaper reads
 //! the numbers of the rig's processes from a pipe; when the pipe closes it ends those that still run, told apart from
 //! later processes of the same number by the time at which they started.
 
@@ -12,41 +12,41 @@
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 
-/// The rig's side of the keeper.
-pub struct Keeper {
+/// The rig's side of the child reaper.
+pub struct ChildReaper {
     pipe: Option<ChildStdin>,
     process: Child,
 }
 
-impl Keeper {
-    /// Starts `program keep`, which has to call [`keep`].
+impl ChildReaper {
+    /// Starts `program reap`, which has to call [`reap`].
     ///
     /// # Errors
     /// What kept it from starting.
-    pub fn start(program: &Path) -> std::io::Result<Keeper> {
+    pub fn start(program: &Path) -> std::io::Result<ChildReaper> {
         let mut command = Command::new(program);
-        let mut process = command.arg("keep").stdin(Stdio::piped()).stdout(Stdio::null()).spawn()?;
-        Ok(Keeper { pipe: process.stdin.take(), process })
+        let mut process = command.arg("reap").stdin(Stdio::piped()).stdout(Stdio::null()).spawn()?;
+        Ok(ChildReaper { pipe: process.stdin.take(), process })
     }
 
     /// A process has been started.
-    pub fn born(&mut self, pid: i32) {
+    pub fn on_start(&mut self, pid: i32) {
         if let Some(pipe) = &mut self.pipe {
-            // A keeper that is gone keeps nothing; the handles still do.
+            // A reaper that is gone ends nothing; the handles still do.
             let _ = writeln!(pipe, "{pid} {}", started(pid).unwrap_or(0));
         }
     }
 }
 
-impl Drop for Keeper {
+impl Drop for ChildReaper {
     fn drop(&mut self) {
         drop(self.pipe.take());
         let _ = self.process.wait();
     }
 }
 
-/// The keeper's own side: reads until the pipe closes, then ends what still runs.
-pub fn keep(pipe: impl BufRead) {
+/// The reaper's own side: reads until the pipe closes, then ends what still runs.
+pub fn reap(pipe: impl BufRead) {
     let mut born: HashMap<i32, u64> = HashMap::new();
     for line in pipe.lines().map_while(Result::ok) {
         let mut words = line.split(' ').map(str::parse::<u64>);
@@ -79,7 +79,7 @@
         let (mut ours, mut other) = (sleeper(), sleeper());
         let (pid, not) = (ours.id() as i32, other.id() as i32);
         let text = format!("{pid} {}\n{not} 1\nnonsense\n", started(pid).unwrap());
-        keep(Cursor::new(text));
+        reap(Cursor::new(text));
         assert!(!ours.wait().unwrap().success());
         assert!(other.try_wait().unwrap().is_none(), "it started at another time than the one named");
         other.kill().unwrap();
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -4,12 +4,12 @@
 //! its own and is met through its sockets alone. What stands here decides nothing: machines, faults and the judge are
 //! `world/`'s. [`play`] plays one experiment and gives the ledger.
 
+pub mod child_reaper;
 mod clients;
 mod discovery;
 mod doors;
 pub mod holders;
 mod hosts;
-pub mod keeper;
 mod operator;
 mod origin;
 pub mod peers;
--- a/fleet/src/play.rs
+++ b/fleet/src/play.rs
@@ -20,11 +20,11 @@
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tokio::time::{sleep, sleep_until};
 
+use crate::child_reaper::ChildReaper;
 use crate::clients::Clients;
 use crate::discovery::{self, Addresses};
 use crate::doors::Door;
 use crate::holders::{self, Holder};
-use crate::keeper::Keeper;
 use crate::operator::Operator;
 use crate::peers::{Relay, Sent};
 use crate::processes::Processes;
@@ -42,7 +42,7 @@
     /// Told as the run goes on.
     pub progress: &'a mut dyn FnMut(Progress),
     /// Ends the processes should the rig be killed outright.
-    pub keeper: Option<Keeper>,
+    pub child_reaper: Option<ChildReaper>,
     /// The run ends with what it has once this is set.
     pub stop: tokio::sync::watch::Receiver<bool>,
 }
@@ -100,7 +100,7 @@
             None => None,
         };
         let operator = operator.zip(relay.clone()).map(|(table, relay)| Operator::new(table, relay));
-        let run = Run::prepare(rig, options.out, operator, options.keeper.take())?;
+        let run = Run::prepare(rig, options.out, operator, options.child_reaper.take())?;
         let mut played = run.play(plan.steps, relay.clone(), options).await?;
         played.stated = stated;
         Ok(played)
@@ -125,7 +125,7 @@
         rig: Rc<Rig>,
         out: &Path,
         operator: Option<Operator>,
-        keeper: Option<Keeper>,
+        child_reaper: Option<ChildReaper>,
     ) -> Result<Run, Problem> {
         let machines = rig.hosts.len() + 1;
         let sides = rig.sides.len();
@@ -150,7 +150,7 @@
                 discovery::accept(rig, balancer, addresses, listener).await;
             });
         }
-        let processes = Processes::prepare(&rig, out, &told, &addresses, operator, keeper)?;
+        let processes = Processes::prepare(&rig, out, &told, &addresses, operator, child_reaper)?;
         let listeners = (0..machines).map(|_| Vec::new()).collect();
         let mut run = Run { rig, processes, doors, listeners };
         for machine in 0..machines {
--- a/fleet/src/processes.rs
+++ b/fleet/src/processes.rs
@@ -25,9 +25,9 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+use crate::child_reaper::ChildReaper;
 use crate::discovery::{kind_name, list, zone_name, Addresses};
 use crate::doors::Door;
-use crate::keeper::Keeper;
 use crate::operator::Operator;
 use crate::rig::Rig;
 use crate::Problem;
@@ -66,7 +66,7 @@
     all: Vec<Rc<Process>>,
     program: PathBuf,
     operator: Option<Operator>,
-    keeper: RefCell<Option<Keeper>>,
+    child_reaper: RefCell<Option<ChildReaper>>,
     /// Those that ended without being told to: who and how, with the last log lines.
     pub crashes: RefCell<Vec<String>>,
 }
@@ -79,7 +79,7 @@
         discovery: &[SocketAddr],
         addresses: &[Addresses],
         operator: Option<Operator>,
-        keeper: Option<Keeper>,
+        child_reaper: Option<ChildReaper>,
     ) -> Result<Rc<Processes>, Problem> {
         let e = &rig.experiment;
         let broken = |what: &str, e: std::io::Error| Problem::NotAllowed(format!("{what}: {e}"));
@@ -112,8 +112,8 @@
                 ended: watch::channel(0).0,
             }));
         }
-        let (rig, keeper) = (Rc::clone(rig), RefCell::new(keeper));
-        let processes = Processes { rig, all, program, operator, keeper, crashes: RefCell::default() };
+        let (rig, child_reaper) = (Rc::clone(rig), RefCell::new(child_reaper));
+        let processes = Processes { rig, all, program, operator, child_reaper, crashes: RefCell::default() };
         for number in 0..processes.all.len() {
             processes.configure(number, discovery[number], &addresses[number])?;
         }
@@ -192,8 +192,8 @@
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).kill_on_drop(true);
         let child = command.spawn().map_err(|e| problem(format!("{}: {e}", self.program.display())))?;
         process.pid.set(child.id().map_or(0, |pid| pid as i32));
-        if let Some(keeper) = &mut *self.keeper.borrow_mut() {
-            keeper.born(process.pid.get());
+        if let Some(reaper) = &mut *self.child_reaper.borrow_mut() {
+            reaper.on_start(process.pid.get());
         }
         process.told.set(false);
         process.starts.set(process.starts.get() + 1);
--- a/fleet/tests/controls.rs
+++ b/fleet/tests/controls.rs
@@ -22,7 +22,8 @@
     let experiment = read(&text, &[]).unwrap();
     let (_keep, stop) = tokio::sync::watch::channel(false);
     let run =
-        play(&experiment, Options { out: folder.path(), progress: &mut |_| {}, keeper: None, stop }).unwrap();
+        play(&experiment, Options { out: folder.path(), progress: &mut |_| {}, child_reaper: None, stop })
+            .unwrap();
     assert_eq!(run.crashes, [""; 0]);
     // Tests share the machine with others: an answer may be half a second late before it counts as that.
     let terms = Terms { slack: SECOND / 2, ..Terms::of(&experiment) };
@@ -102,7 +103,7 @@
              [load]\nrate = 1\nkeys = 1\n"
         );
         let (_keep, stop) = tokio::sync::watch::channel(false);
-        let options = Options { out: folder.path(), progress: &mut |_| {}, keeper: None, stop };
+        let options = Options { out: folder.path(), progress: &mut |_| {}, child_reaper: None, stop };
         play(&read(&text, &[]).unwrap(), options).err().unwrap()
     };
     let ended = reason(
--- a/lab/src/commands.rs
+++ b/lab/src/commands.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
-use juniperladder_fleet::keeper::{keep, Keeper};
+use juniperladder_fleet::child_reaper::{reap, ChildReaper};
 use juniperladder_fleet::{play, Options, Played, Problem, Progress};
 use juniperladder_world::experiment::Experiment;
 use juniperladder_world::judge::told::told;
@@ -106,8 +106,8 @@
 }
 
 /// Ends the processes of a rig that is gone.
-pub fn keep_processes() -> u8 {
-    keep(std::io::stdin().lock());
+pub fn reap_processes() -> u8 {
+    reap(std::io::stdin().lock());
     KEPT
 }
 
@@ -224,9 +224,9 @@
             bar.set_position((at * 10.0) as u64);
         }
     };
-    // Without a keeper the processes still end with the rig, unless that is killed outright.
-    let keeper = std::env::current_exe().and_then(|own| Keeper::start(&own)).ok();
-    let run = play(experiment, Options { out, progress: &mut progress, keeper, stop: stopped });
+    // Without a child reaper the processes still end with the rig, unless that is killed outright.
+    let child_reaper = std::env::current_exe().and_then(|own| ChildReaper::start(&own)).ok();
+    let run = play(experiment, Options { out, progress: &mut progress, child_reaper, stop: stopped });
     bar.finish_and_clear();
     run
 }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -66,7 +66,7 @@
     },
     /// Ends the processes named on standard input once it closes; the laboratory starts this itself
     #[command(hide = true)]
-    Keep,
+    Reap,
     /// Plays a small whole fleet with one fault, about 20 s, and says where the report is
     Demo {
         /// The folder for what it leaves
@@ -85,7 +85,7 @@
         Command::Overview { folder, chart } => overview::overview(&folder, chart.as_deref()),
         Command::Replay { folder } => replay::replay(&folder),
         Command::Report { folder } => report::again(&folder),
-        Command::Keep => commands::keep_processes(),
+        Command::Reap => commands::reap_processes(),
         Command::Demo { out } => commands::demo(&out),
     };
     ExitCode::from(code)
--- a/lab/tests/fleet.rs
+++ b/lab/tests/fleet.rs
@@ -89,7 +89,8 @@
     let experiment = read(&text, &[]).unwrap();
     let (_keep, stop) = tokio::sync::watch::channel(false);
     let run =
-        play(&experiment, Options { out: folder.path(), progress: &mut |_| {}, keeper: None, stop }).unwrap();
+        play(&experiment, Options { out: folder.path(), progress: &mut |_| {}, child_reaper: None, stop })
+            .unwrap();
     // Half a second is the least that a machine shared with other tests may be late by.
     let terms = Terms { slack: SECOND / 2, stated: run.stated, ..Terms::of(&experiment) };
     let verdict = judge(&run.ledger, &terms);
