--- a/fleet/src/play.rs
+++ b/fleet/src/play.rs
@@ -6,12 +6,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use juniperladder_world::chance::{chance, Purpose};
 use juniperladder_world::discovery::{Entry, Life};
 use juniperladder_world::experiment::Experiment;
 use juniperladder_world::judge::{Stated, Terms};
 use juniperladder_world::ledger::{Ill, Ledger, Span};
 use juniperladder_world::load::draw;
+use juniperladder_world::rng::{seeded_rng, RngStream};
 use juniperladder_world::schedule::{schedule, Change, Step};
 use juniperladder_world::{us, Us};
 use nix::sys::resource::{getrusage, UsageWho};
@@ -20,11 +20,11 @@
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tokio::time::{sleep, sleep_until};
 
+use crate::child_reaper::ChildReaper;
 use crate::clients::Clients;
 use crate::discovery::{self, Addresses};
 use crate::doors::Door;
 use crate::holders::{self, Holder};
-use crate::keeper::Keeper;
 use crate::operator::Operator;
 use crate::peers::{Relay, Sent};
 use crate::processes::Processes;
@@ -42,7 +42,7 @@
     /// Told as the run goes on.
     pub progress: &'a mut dyn FnMut(Progress),
     /// Ends the processes should the rig be killed outright.
-    pub keeper: Option<Keeper>,
+    pub child_reaper: Option<ChildReaper>,
     /// The run ends with what it has once this is set.
     pub stop: tokio::sync::watch::Receiver<bool>,
 }
@@ -100,7 +100,7 @@
             None => None,
         };
         let operator = operator.zip(relay.clone()).map(|(table, relay)| Operator::new(table, relay));
-        let run = Run::prepare(rig, options.out, operator, options.keeper.take())?;
+        let run = Run::prepare(rig, options.out, operator, options.child_reaper.take())?;
         let mut played = run.play(plan.steps, relay.clone(), options).await?;
         played.stated = stated;
         Ok(played)
@@ -125,7 +125,7 @@
         rig: Rc<Rig>,
         out: &Path,
         operator: Option<Operator>,
-        keeper: Option<Keeper>,
+        child_reaper: Option<ChildReaper>,
     ) -> Result<Run, Problem> {
         let machines = rig.hosts.len() + 1;
         let sides = rig.sides.len();
@@ -150,7 +150,7 @@
                 discovery::accept(rig, balancer, addresses, listener).await;
             });
         }
-        let processes = Processes::prepare(&rig, out, &told, &addresses, operator, keeper)?;
+        let processes = Processes::prepare(&rig, out, &told, &addresses, operator, child_reaper)?;
         let listeners = (0..machines).map(|_| Vec::new()).collect();
         let mut run = Run { rig, processes, doors, listeners };
         for machine in 0..machines {
@@ -348,8 +348,8 @@
             Change::OriginSlow(times) => rig.origin.borrow_mut().slow(*times),
             Change::DiscoveryDown(on) => rig.down.set(*on),
             Change::ListLate(most) => {
-                let mut chance = chance(rig.experiment.seed, Purpose::Lists);
-                rig.late.borrow_mut().iter_mut().for_each(|late| *late = chance.random_range(0..=*most));
+                let mut rng = seeded_rng(rig.experiment.seed, RngStream::Lists);
+                rig.late.borrow_mut().iter_mut().for_each(|late| *late = rng.random_range(0..=*most));
             }
         }
         rig.stir();
