--- /dev/null
+++ b/cli/benches/data_path/balancer.rs
@@ -0,0 +1,134 @@
+//! One process of the program, and what the kernel says it uses.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::stand_ins::StandIns;
+
+/// The process, killed at the end.
+pub struct Balancer {
+    child: Child,
+    address: SocketAddr,
+    /// Keeps its configuration for as long as it runs.
+    _folder: TempDir,
+}
+
+/// What a process has used and holds.
+#[derive(Clone, Copy, Debug)]
+pub struct Usage {
+    /// Processor time of all threads, in seconds.
+    pub cpu_s: f64,
+    /// Resident memory.
+    pub rss_kb: u64,
+    /// Open descriptors.
+    pub descriptors: usize,
+}
+
+impl Usage {
+    /// The same, but the processor time since then.
+    pub fn since(&self, before: &Usage) -> Usage {
+        Usage { cpu_s: self.cpu_s - before.cpu_s, ..*self }
+    }
+}
+
+impl Balancer {
+    /// Starts one that knows so many servers and may hold so many descriptors, and waits until it is ready.
+    pub async fn start(stand_ins: &StandIns, servers: usize, sockets: usize, seed: u64) -> Balancer {
+        let address = free_address().await;
+        let folder = tempfile::tempdir().expect("a folder");
+        let path = folder.path().join("config.json");
+        fs::write(&path, configuration(address, stand_ins, servers, sockets, seed)).expect("written");
+        let child = Command::new(env!("CARGO_BIN_EXE_juniperladder"))
+            .env_clear()
+            .env("NODE_CONFIG", &path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        let balancer = Balancer { child, address, _folder: folder };
+        while !ready(address).await {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        balancer
+    }
+
+    /// Where clients connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// What it has used until now, and holds.
+    pub fn usage(&self) -> Usage {
+        let folder = PathBuf::from(format!("/proc/{}", self.child.id()));
+        let status = fs::read_to_string(folder.join("status")).expect("its status");
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let rss_kb = resident.and_then(|text| text.split_whitespace().next()?.parse().ok()).expect("VmRSS");
+        let threads = fs::read_dir(folder.join("task")).expect("its threads").flatten();
+        let nanoseconds = |thread: fs::DirEntry| -> Option<u64> {
+            let text = fs::read_to_string(thread.path().join("schedstat")).ok()?;
+            text.split_whitespace().next()?.parse().ok()
+        };
+        let cpu_s = threads.filter_map(nanoseconds).sum::<u64>() as f64 / 1e9;
+        let descriptors = fs::read_dir(folder.join("fd")).expect("its descriptors").count();
+        Usage { cpu_s, rss_kb, descriptors }
+    }
+
+    /// Processor time in seconds that it uses over so long.
+    pub async fn over(&self, time: Duration) -> f64 {
+        let before = self.usage();
+        tokio::time::sleep(time).await;
+        self.usage().since(&before).cpu_s
+    }
+}
+
+impl Drop for Balancer {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+async fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    listener.local_addr().expect("its address")
+}
+
+async fn ready(address: SocketAddr) -> bool {
+    let asked = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        stream.write_all(b"mn\r\n").await.ok()?;
+        let mut answer = [0; 4];
+        stream.read_exact(&mut answer).await.ok()
+    };
+    asked.await.is_some()
+}
+
+fn configuration(
+    address: SocketAddr,
+    stand_ins: &StandIns,
+    servers: usize,
+    sockets: usize,
+    seed: u64,
+) -> String {
+    format!(
+        r#"{{"name":"b0","listen":"{address}","discovery":"{discovery}","seed":"{seed:016x}",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
+        "known":{known},
+        "settings":{{"az":0,"balancers":2000,"categories":[{{"aim":4000000,"effect":"pure","give-up":5000000,
+          "name":"read","worth":1.0}},
+          {{"aim":4000000,"effect":"side_effect","give-up":5000000,"name":"put","worth":1.0}}],"kinds":["cache"],"zones":["x"],"tick":5000,"membership-mode":"subscribe",
+        "limits":{{"conn-idle":5000000,"connect-timeout":1000000,"max-attempts":3,"retry-after":true}},
+        "rules":{{"ask-within":1000000,"cold-share":0.32,"warm-up":9000000}}}}}}"#,
+        discovery = stand_ins.discovery(),
+        known = stand_ins.list(servers, true, 1),
+    )
+}
--- /dev/null
+++ b/cli/benches/data_path/load.rs
@@ -0,0 +1,153 @@
+//! Clients: an open loop of reads over connections that stay, and connections that are held to be counted.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::TcpStream;
+use tokio::task::{spawn_local, LocalSet};
+
+/// Keys that are asked for, all alike.
+const KEYS: u64 = 1_000_000;
+/// A client's deadline in milliseconds.
+const DEADLINE_MS: u64 = 4_000;
+/// How long after the last send answers are read.
+const LAST_ANSWERS: Duration = Duration::from_millis(1_500);
+
+/// So many requests a second, sent whatever the answers.
+#[derive(Clone, Copy)]
+pub struct Load {
+    /// Requests a second.
+    pub rate: f64,
+    /// Connections that they are dealt out to.
+    pub clients: usize,
+    /// Bytes of a value that is written; 0, the requests are reads.
+    pub upload: usize,
+    /// Of the keys.
+    pub seed: u64,
+}
+
+/// How requests ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Requests {
+    /// Sent.
+    pub sent: u64,
+    /// Answered with a value, or with its receipt.
+    pub served: u64,
+    /// Bytes of those values.
+    pub bytes: u64,
+    /// The most that a send was behind its time, in milliseconds.
+    pub lag_ms: f64,
+}
+
+impl Load {
+    /// Runs for so long, and then until the last answers are in or given up.
+    pub async fn run(&self, address: SocketAddr, time: Duration) -> Requests {
+        LocalSet::new().run_until(self.play(address, time)).await
+    }
+
+    async fn play(&self, address: SocketAddr, time: Duration) -> Requests {
+        let served = Rc::new(Cell::new((0, 0)));
+        let mut writers = Vec::new();
+        for _ in 0..self.clients {
+            let (read, write) = TcpStream::connect(address).await.expect("connected").into_split();
+            spawn_local(count_values(read, self.upload, Rc::clone(&served)));
+            writers.push(write);
+        }
+        let mut rng = fastrand::Rng::with_seed(self.seed);
+        let (begun, total) = (Instant::now(), (self.rate * time.as_secs_f64()) as u64);
+        let mut lag_ms: f64 = 0.0;
+        for number in 0..total {
+            let due = Duration::from_secs_f64(number as f64 / self.rate);
+            if let Some(wait) = due.checked_sub(begun.elapsed()) {
+                tokio::time::sleep(wait).await;
+            }
+            lag_ms = lag_ms.max(begun.elapsed().saturating_sub(due).as_secs_f64() * 1e3);
+            let (key, id) = (rng.u64(..KEYS), rng.u64(..));
+            let client = number as usize % writers.len();
+            let request = if self.upload > 0 { upload(key, id, self.upload) } else { read(key, id).into() };
+            let _ = writers[client].write_all(&request).await;
+        }
+        let until = Instant::now() + LAST_ANSWERS;
+        while served.get().0 < total && Instant::now() < until {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let (served, bytes) = served.get();
+        Requests { sent: total, served, bytes, lag_ms }
+    }
+}
+
+fn upload(key: u64, id: u64, length: usize) -> Vec<u8> {
+    let line = format!("ms {key:016x} {length} O{id:016x} Pc=put,d={DEADLINE_MS}\r\n");
+    [line.into_bytes(), vec![b'x'; length], b"\r\n".to_vec()].concat()
+}
+
+fn read(key: u64, id: u64) -> String {
+    format!("mg {key:016x} v O{id:016x} Pc=read,d={DEADLINE_MS}\r\n")
+}
+
+/// Counts the values that come, or the receipts of those written, and their bytes.
+async fn count_values(read: OwnedReadHalf, upload: usize, served: Rc<Cell<(u64, u64)>>) {
+    let (mut reader, mut line, mut value) =
+        (BufReader::with_capacity(64 << 10, read), String::new(), Vec::new());
+    while reader.read_line(&mut line).await.is_ok_and(|length| length > 0) {
+        if let Some(length) = value_length(&line) {
+            value.resize(length + 2, 0);
+            if reader.read_exact(&mut value).await.is_err() {
+                return;
+            }
+            let (count, bytes) = served.get();
+            served.set((count + 1, bytes + length as u64));
+        } else if line.starts_with("HD") {
+            let (count, bytes) = served.get();
+            served.set((count + 1, bytes + upload as u64));
+        }
+        line.clear();
+    }
+}
+
+fn value_length(line: &str) -> Option<usize> {
+    line.strip_prefix("VA ")?.split_whitespace().next()?.parse().ok()
+}
+
+/// Connections that are open at the same time.
+pub struct Held(Vec<BufReader<TcpStream>>);
+
+impl Held {
+    /// Opens so many, each of which has been answered once.
+    pub async fn open(address: SocketAddr, clients: usize) -> Held {
+        let mut held = Vec::new();
+        for _ in 0..clients {
+            let mut stream = TcpStream::connect(address).await.expect("connected");
+            stream.write_all(b"mn\r\n").await.expect("written");
+            held.push(BufReader::new(stream));
+        }
+        let mut held = Held(held);
+        held.answered().await;
+        held
+    }
+
+    /// Sends a read on each.
+    pub async fn ask(&mut self, seed: u64) {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        for client in &mut self.0 {
+            let line = read(rng.u64(..KEYS), rng.u64(..));
+            client.get_mut().write_all(line.as_bytes()).await.expect("written");
+        }
+    }
+
+    /// Reads an answer on each.
+    pub async fn answered(&mut self) {
+        for client in &mut self.0 {
+            let mut line = String::new();
+            let _ = client.read_line(&mut line).await;
+            if let Some(length) = value_length(&line) {
+                let mut value = vec![0; length + 2];
+                let _ = client.read_exact(&mut value).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cli/benches/data_path/main.rs
@@ -0,0 +1,197 @@
+//! What the data path costs one process of the program: processor time, memory and descriptors by number of cache
+//! servers, size of values, connections and changes of the list. The figures of docs/CAPACITY.md come from here.
+//!
+//! `cargo bench -p juniperladder-cli --bench data_path -- SCENARIO SEED [SIZE]`, where SCENARIO is `servers`, `pairs`,
+//! `values`, `uploads`, `connections` or `discovery`, and SIZE one of its sizes, by default all. It prints
+//! rows of comma-separated values. Real time on loopback: nothing else may run beside it, and nothing is asserted.
+
+mod balancer;
+mod load;
+mod stand_ins;
+
+use std::time::Duration;
+
+use balancer::{Balancer, Usage};
+use load::{Load, Requests};
+use stand_ins::StandIns;
+
+/// Requests a second at one balancer at the peak: 1.3 million over 2,000.
+const PEAK_RATE: f64 = 650.0;
+/// Bytes of a value that make 1.2 Gbit/s of that.
+const PEAK_VALUE: usize = 231_000;
+/// Bytes a second through one balancer at the peak: 2.4 Tbit/s over 2,000.
+const PEAK_BYTES: f64 = 150e6;
+/// Servers listed.
+const SERVERS: [usize; 7] = [10, 125, 230, 500, 1_000, 2_000, 4_096];
+/// Bytes of a value.
+const VALUES: [usize; 9] =
+    [1_024, 16 << 10, 64 << 10, 128 << 10, PEAK_VALUE, 512 << 10, 1 << 20, 2 << 20, 4_000_000];
+/// Mean time of an answer.
+const SERVICE_MS: [usize; 4] = [2, 5, 20, 50];
+/// Clients' connections.
+const CLIENTS: [usize; 6] = [0, 125, 250, 500, 1_000, 2_000];
+/// How long the load runs before it is measured, and while it is.
+const WARM: Duration = Duration::from_secs(3);
+const WARM_VALUES: Duration = Duration::from_secs(1);
+const MEASURED: Duration = Duration::from_secs(4);
+/// Longer than an idle connection to a server is kept.
+const WARM_PAIRS: Duration = Duration::from_secs(6);
+
+fn main() {
+    // Cargo passes `--bench`, and other options of its harness, beside ours.
+    let arguments: Vec<String> = std::env::args().skip(1).filter(|a| !a.starts_with("--")).collect();
+    let scenario = arguments.first().map_or("", String::as_str);
+    let seed = arguments.get(1).and_then(|text| text.parse().ok()).unwrap_or(1);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let only: Option<usize> = arguments.get(2).and_then(|text| text.parse().ok());
+    let sizes =
+        |all: &[usize]| all.iter().copied().filter(|size| only.is_none_or(|only| only == *size)).collect();
+    match scenario {
+        "servers" => runtime.block_on(servers(seed, sizes(&SERVERS))),
+        "pairs" => runtime.block_on(pairs(seed, sizes(&SERVICE_MS))),
+        "values" => runtime.block_on(values(seed, sizes(&VALUES), false)),
+        "uploads" => runtime.block_on(values(seed, sizes(&VALUES), true)),
+        "connections" => runtime.block_on(connections(seed, sizes(&CLIENTS))),
+        "discovery" => runtime.block_on(discovery(seed, sizes(&SERVERS))),
+        _ => eprintln!(
+            "data_path: name a scenario: servers, pairs, values, uploads, connections or discovery, and a seed"
+        ),
+    }
+}
+
+/// What the process used while a load ran.
+struct Cost {
+    used: Usage,
+    requests: Requests,
+    /// The process right after the load.
+    after: Usage,
+}
+
+async fn measure(balancer: &Balancer, load: Load, warm: Duration) -> Cost {
+    load.run(balancer.address(), warm).await;
+    let before = balancer.usage();
+    let requests = load.run(balancer.address(), MEASURED).await;
+    let after = balancer.usage();
+    Cost { used: after.since(&before), requests, after }
+}
+
+/// The ordinary peak in small values, by number of servers listed.
+async fn servers(seed: u64, sizes: Vec<usize>) {
+    println!("servers,seed,service_ms,served,cpu_ms_per_request,cores_at_650,idle_rss_kb,rss_kb,connections,opened_per_request");
+    for servers in sizes {
+        small_values(seed, servers, 5.0, WARM).await;
+    }
+}
+
+/// Connections to 230 servers at the ordinary peak, by the mean time of an answer.
+async fn pairs(seed: u64, service_ms: Vec<usize>) {
+    println!("servers,seed,service_ms,served,cpu_ms_per_request,cores_at_650,idle_rss_kb,rss_kb,connections,opened_per_request");
+    for service_ms in service_ms {
+        small_values(seed, 230, service_ms as f64, WARM_PAIRS).await;
+    }
+}
+
+async fn small_values(seed: u64, servers: usize, service_ms: f64, warm: Duration) {
+    let stand_ins = StandIns::start(64, service_ms, seed);
+    let balancer = Balancer::start(&stand_ins, servers, 8_192, seed).await;
+    let idle = balancer.usage();
+    let cost = measure(&balancer, Load { rate: PEAK_RATE, clients: 64, upload: 0, seed }, warm).await;
+    let requests = PEAK_RATE * (warm + MEASURED).as_secs_f64();
+    let each_s = cost.used.cpu_s / cost.requests.sent as f64;
+    println!(
+        "{servers},{seed},{service_ms},{},{:.4},{:.3},{},{},{},{:.3}",
+        cost.requests.served as f64 / cost.requests.sent as f64,
+        each_s * 1e3,
+        each_s * PEAK_RATE,
+        idle.rss_kb,
+        cost.after.rss_kb,
+        stand_ins.open(),
+        stand_ins.opened() as f64 / requests
+    );
+}
+
+/// The bytes of the ordinary peak in values of one size, read or written.
+async fn values(seed: u64, sizes: Vec<usize>, written: bool) {
+    println!("value_bytes,seed,rate,served,mib_passed,cpu_ms_per_request,cpu_ms_per_mib,cores,rss_kb,lag_ms");
+    for size in sizes {
+        let stand_ins = StandIns::start(if written { 64 } else { size }, 5.0, seed);
+        let balancer = Balancer::start(&stand_ins, 230, 8_192, seed).await;
+        // The small ones at the rate of the peak, the large ones at its bytes.
+        let rate = PEAK_RATE.min(PEAK_BYTES / size as f64);
+        // A connection that asks for nothing for 2.2 s is closed: each asks once a second at least.
+        let clients = 128.min(rate as usize);
+        let load = Load { rate, clients, upload: if written { size } else { 0 }, seed };
+        let cost = measure(&balancer, load, WARM_VALUES).await;
+        let mib = cost.requests.bytes as f64 / f64::from(1 << 20);
+        println!(
+            "{size},{seed},{rate:.1},{:.4},{mib:.1},{:.4},{:.4},{:.3},{},{:.1}",
+            cost.requests.served as f64 / cost.requests.sent as f64,
+            cost.used.cpu_s * 1e3 / cost.requests.served.max(1) as f64,
+            cost.used.cpu_s * 1e3 / mib,
+            cost.used.cpu_s / MEASURED.as_secs_f64(),
+            cost.after.rss_kb,
+            cost.requests.lag_ms
+        );
+    }
+}
+
+/// Memory and descriptors by connections: clients that rest, requests in flight, and servers' connections that rest.
+async fn connections(seed: u64, sizes: Vec<usize>) {
+    println!("clients,seed,state,rss_kb,descriptors");
+    for clients in sizes {
+        let stand_ins = StandIns::start(64, 0.0, seed);
+        let balancer = Balancer::start(&stand_ins, 1_000, 8_192, seed).await;
+        let row = |state: &str| {
+            let usage = balancer.usage();
+            println!("{clients},{seed},{state},{},{}", usage.rss_kb, usage.descriptors);
+        };
+        row("started");
+        let mut held = load::Held::open(balancer.address(), clients).await;
+        row("clients_rest");
+        stand_ins.answer_after(1_000.0);
+        held.ask(seed).await;
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        row("in_flight");
+        held.answered().await;
+        row("servers_rest");
+    }
+}
+
+/// Whole lists and single changes by number of servers, with no load.
+async fn discovery(seed: u64, sizes: Vec<usize>) {
+    const LISTS: u32 = 20;
+    const CHANGES: u32 = 100;
+    println!(
+        "servers,seed,list_bytes,cpu_ms_per_list,change_bytes,cpu_ms_per_change,idle_cpu_ms_per_s,rss_kb"
+    );
+    for servers in sizes {
+        let stand_ins = StandIns::start(64, 5.0, seed);
+        let balancer = Balancer::start(&stand_ins, servers, 8_192, seed).await;
+        stand_ins.watched().await;
+        let idle = balancer.over(Duration::from_secs(1)).await;
+        let list = stand_ins.list(servers, true, 0);
+        let before = balancer.usage();
+        for number in 0..LISTS {
+            stand_ins.push(&stand_ins.list(servers, true, u64::from(number) + 50));
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        let lists = balancer.usage().since(&before).cpu_s - idle * f64::from(LISTS) * 0.05;
+        let change = stand_ins.list(1, false, 0);
+        let before = balancer.usage();
+        for number in 0..CHANGES {
+            stand_ins.push(&stand_ins.list(1, false, u64::from(number) + 100));
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let used = balancer.usage().since(&before).cpu_s;
+        let changes = used - idle * f64::from(CHANGES) * 0.011;
+        println!(
+            "{servers},{seed},{},{:.3},{},{:.4},{:.2},{}",
+            list.len(),
+            lists * 1e3 / f64::from(LISTS),
+            change.len(),
+            changes * 1e3 / f64::from(CHANGES),
+            idle * 1e3,
+            balancer.usage().rss_kb
+        );
+    }
+}
--- /dev/null
+++ b/cli/benches/data_path/stand_ins.rs
@@ -0,0 +1,206 @@
+//! The stand-ins on a thread of their own: a cache server that all entries of the list lead to, and discovery.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::broadcast;
+use tokio::task::{spawn_local, LocalSet};
+
+/// While nothing changes, discovery writes an empty line this often.
+const EMPTY_LINE: Duration = Duration::from_secs(2);
+
+/// What the stand-ins' thread shares with the bench.
+#[derive(Default)]
+struct Shared {
+    open: AtomicUsize,
+    opened: AtomicUsize,
+    watches: AtomicUsize,
+    /// The mean time of an answer, in microseconds.
+    service_us: AtomicU64,
+}
+
+/// All stand-ins.
+pub struct StandIns {
+    shared: Arc<Shared>,
+    cache: SocketAddr,
+    discovery: SocketAddr,
+    lists: broadcast::Sender<String>,
+}
+
+impl StandIns {
+    /// Starts them: values of so many bytes, answered after a drawn time of this mean.
+    pub fn start(value_bytes: usize, service_ms: f64, seed: u64) -> StandIns {
+        let shared = Arc::new(Shared::default());
+        let (lists, _) = broadcast::channel(1_024);
+        let listen = || {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+            listener.set_nonblocking(true).expect("a socket");
+            let address = listener.local_addr().expect("its address");
+            (listener, address)
+        };
+        let ((cache_listener, cache), (discovery_listener, discovery)) = (listen(), listen());
+        let stand_ins = StandIns { shared, cache, discovery, lists };
+        stand_ins.answer_after(service_ms);
+        let (shared, lists) = (Arc::clone(&stand_ins.shared), stand_ins.lists.clone());
+        std::thread::spawn(move || {
+            let runtime =
+                tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+            let value = Rc::new([vec![b'x'; value_bytes], b"\r\n".to_vec()].concat());
+            LocalSet::new().block_on(&runtime, async move {
+                spawn_local(accept_watches(discovery_listener, Arc::clone(&shared), lists));
+                accept_requests(cache_listener, shared, value, seed).await;
+            });
+        });
+        stand_ins
+    }
+
+    /// From now on answers take a drawn time of this mean.
+    pub fn answer_after(&self, service_ms: f64) {
+        self.shared.service_us.store((service_ms * 1e3) as u64, Ordering::Relaxed);
+    }
+
+    /// Where discovery is.
+    pub fn discovery(&self) -> SocketAddr {
+        self.discovery
+    }
+
+    /// Connections to cache servers that are open.
+    pub fn open(&self) -> usize {
+        self.shared.open.load(Ordering::Relaxed)
+    }
+
+    /// Connections to cache servers that ever were.
+    pub fn opened(&self) -> usize {
+        self.shared.opened.load(Ordering::Relaxed)
+    }
+
+    /// Waits until a watch is open.
+    pub async fn watched(&self) {
+        while self.shared.watches.load(Ordering::Relaxed) == 0 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+
+    /// Has every watch told this.
+    pub fn push(&self, list: &str) {
+        let _ = self.lists.send(format!("{list}\n"));
+    }
+
+    /// A list of so many servers, or the changes of them, in discovery's form.
+    pub fn list(&self, servers: usize, whole: bool, generation: u64) -> String {
+        let entry = |number: usize| {
+            format!(
+                r#"{{"instanceId":"s-{number:08x}","hostPort":"{}","zone":"x","machineType":"cache","cell":{},"lifecycle":"in_service","weight":1.0,"startedAtMs":{}}}"#,
+                self.cache,
+                number / 8,
+                1_700_000_000_000_u64 + number as u64
+            )
+        };
+        let entries: Vec<String> = (0..servers).map(entry).collect();
+        format!(r#"{{"generation":{generation},"reset":{whole},"instances":[{}]}}"#, entries.join(","))
+    }
+}
+
+async fn accept_requests(
+    listener: std::net::TcpListener,
+    shared: Arc<Shared>,
+    value: Rc<Vec<u8>>,
+    seed: u64,
+) {
+    let listener = TcpListener::from_std(listener).expect("a listener");
+    let rng = Rc::new(Cell::new(seed));
+    while let Ok((stream, _)) = listener.accept().await {
+        let (shared, value, rng) = (Arc::clone(&shared), Rc::clone(&value), Rc::clone(&rng));
+        spawn_local(async move {
+            shared.open.fetch_add(1, Ordering::Relaxed);
+            shared.opened.fetch_add(1, Ordering::Relaxed);
+            let _ = serve(stream, &shared, &value, &rng).await;
+            shared.open.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
+/// Answers the reads of one connection in turn, each with the value.
+async fn serve(stream: TcpStream, shared: &Shared, value: &[u8], seed: &Cell<u64>) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    seed.set(seed.get().wrapping_add(1));
+    let mut rng = fastrand::Rng::with_seed(seed.get());
+    let (mut stream, mut line) = (BufReader::new(stream), String::new());
+    while stream.read_line(&mut line).await? > 0 {
+        let id = line.split_whitespace().find(|word| word.starts_with('O')).unwrap_or("O0").to_owned();
+        let mean = Duration::from_micros(shared.service_us.load(Ordering::Relaxed));
+        // The fixed part keeps what is held for the count apart from chance.
+        let time = mean.mul_f64(0.5 - 0.5 * (1.0 - rng.f64()).ln());
+        if !time.is_zero() {
+            tokio::time::sleep(time).await;
+        }
+        if let Some(length) = upload_length(&line) {
+            read_value(&mut stream, length).await?;
+            stream.get_mut().write_all(format!("HD {id}\r\n").as_bytes()).await?;
+            line.clear();
+            continue;
+        }
+        let head = format!("VA {} {id} h1\r\n", value.len() - 2);
+        stream.get_mut().write_all(head.as_bytes()).await?;
+        stream.get_mut().write_all(value).await?;
+        line.clear();
+    }
+    Ok(())
+}
+
+fn upload_length(line: &str) -> Option<usize> {
+    line.strip_prefix("ms ")?.split_whitespace().nth(1)?.parse().ok()
+}
+
+/// Reads a value of this length and its end.
+async fn read_value(stream: &mut BufReader<TcpStream>, length: usize) -> std::io::Result<()> {
+    let (mut left, mut piece) = (length + 2, vec![0; 64 << 10]);
+    while left > 0 {
+        let most = left.min(piece.len());
+        left -= stream.read_exact(&mut piece[..most]).await?;
+    }
+    Ok(())
+}
+
+async fn accept_watches(
+    listener: std::net::TcpListener,
+    shared: Arc<Shared>,
+    lists: broadcast::Sender<String>,
+) {
+    let listener = TcpListener::from_std(listener).expect("a listener");
+    while let Ok((stream, _)) = listener.accept().await {
+        let (shared, lists) = (Arc::clone(&shared), lists.subscribe());
+        spawn_local(async move {
+            shared.watches.fetch_add(1, Ordering::Relaxed);
+            let _ = tell(stream, lists).await;
+            shared.watches.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
+/// Tells one watch what changes; at first nothing has, since the process was started with what is known.
+async fn tell(mut stream: TcpStream, mut lists: broadcast::Receiver<String>) -> std::io::Result<()> {
+    let mut call = [0; 4_096];
+    let _ = stream.read(&mut call).await?;
+    stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
+    stream.write_all(chunk("{\"generation\":1,\"reset\":false,\"instances\":[]}\n").as_bytes()).await?;
+    loop {
+        let line = match tokio::time::timeout(EMPTY_LINE, lists.recv()).await {
+            Ok(Ok(line)) => line,
+            Ok(Err(_)) => return Ok(()),
+            Err(_) => "\n".to_owned(),
+        };
+        stream.write_all(chunk(&line).as_bytes()).await?;
+    }
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -7,6 +7,7 @@
 use super::*;
 use proptest::prelude::*;
 
+mod capacity;
 mod fleet;
 mod limits;
 mod miniature;
--- /dev/null
+++ b/src/rules/tests/capacity.rs
@@ -0,0 +1,237 @@
+//! Measures the data path by number of balancers for docs/CAPACITY.md, in virtual time and seeded. Nothing is asserted
+//! here and nothing of it runs in CI: each entry point prints rows of comma-separated values.
+//!
+//! `cargo test --release -p juniperladder --locked capacity_ -- --ignored --nocapture --test-threads 1`
+
+use std::collections::BTreeMap;
+
+use super::miniature::{play_scaled, Day, Plan, Scale};
+use super::*;
+
+const SIZES: [usize; 5] = [125, 250, 500, 1_000, 2_000];
+const SEEDS: [u64; 3] = [1, 2, 3];
+const CACHES: u64 = 12;
+/// Requests a second from one balancer to one cache server at the peak: 1.3 million over 2,000 and 230.
+const PAIR_RATE: f64 = 2.8;
+/// How busy a cache server is at the ordinary peak.
+const UTILISATION: f64 = 0.5;
+/// Requests a second that one worker of a cache serves: the base model has two for 20.
+const WORKER_RATE: f64 = 10.0;
+
+/// As many workers and keys as keep the utilisation while the number of balancers grows.
+fn scale(balancers: usize) -> Scale {
+    let workers = balancers as f64 * PAIR_RATE / UTILISATION / WORKER_RATE;
+    Scale { times: (workers / 2.0).round() as u64, ..Scale::default() }
+}
+
+fn plan(balancers: usize, seed: u64, seconds: u64) -> Plan {
+    let rate = balancers as f64 * CACHES as f64 * PAIR_RATE;
+    Plan { seed, balancers, caches: CACHES, rate, seconds, slow: (0, 0, 1.0), silent: (0, 0, 1) }
+}
+
+/// Greatest load over mean load of the caches, over these seconds.
+fn peak_over_mean(day: &Day, from: usize, to: usize) -> f64 {
+    let load = |cache: usize| day.sends[from..to].iter().map(|second| second[cache]).sum::<f64>();
+    let loads: Vec<f64> = (0..day.sends[0].len()).map(load).collect();
+    let mean = loads.iter().sum::<f64>() / loads.len() as f64;
+    loads.into_iter().fold(0.0, f64::max) / mean
+}
+
+fn each_size(mut row: impl FnMut(usize, u64)) {
+    for balancers in SIZES {
+        for seed in SEEDS {
+            row(balancers, seed);
+        }
+    }
+}
+
+/// The ordinary peak: spread over the caches, attempts and fetches a request.
+#[test]
+#[ignore = "measures for docs/CAPACITY.md, minutes in a release build"]
+fn capacity_calm() {
+    println!("balancers,seed,served,peak_over_mean,attempts_per_request,fetches_per_request");
+    each_size(|balancers, seed| {
+        let day = play_scaled(plan(balancers, seed, 10), scale(balancers));
+        let asked: f64 = day.asked[..10].iter().sum();
+        println!(
+            "{balancers},{seed},{:.4},{:.3},{:.4},{:.4}",
+            day.share(5, 10),
+            peak_over_mean(&day, 5, 10),
+            day.attempts / asked,
+            day.fetches.iter().sum::<f64>() / asked
+        );
+    });
+}
+
+/// The ordinary peak by number of caches, before 125 balancers: spread over the caches.
+#[test]
+#[ignore = "measures for docs/CAPACITY.md, minutes in a release build"]
+fn capacity_spread_by_servers() {
+    const BALANCERS: usize = 125;
+    println!("servers,seed,served,peak_over_mean,attempts_per_request");
+    for caches in [12, 30, 60, 115, 230] {
+        for seed in SEEDS {
+            let rate = BALANCERS as f64 * caches as f64 * PAIR_RATE;
+            let day = play_scaled(Plan { caches, rate, ..plan(BALANCERS, seed, 6) }, scale(BALANCERS));
+            let asked: f64 = day.asked[..6].iter().sum();
+            println!(
+                "{caches},{seed},{:.4},{:.3},{:.4}",
+                day.share(3, 6),
+                peak_over_mean(&day, 3, 6),
+                day.attempts / asked
+            );
+        }
+    }
+}
+
+/// One cache has a tenth, or a hundredth, of its strength from second 4 to 12: what is sent there over what it can do,
+/// in the first second and once all have had four.
+#[test]
+#[ignore = "measures for docs/CAPACITY.md, minutes in a release build"]
+fn capacity_overloaded_server() {
+    println!("times,balancers,seed,demand,first_second,settled,least,most,served,sends_per_balancer");
+    for times in [10.0, 100.0] {
+        each_size(|balancers, seed| overloaded_server(balancers, seed, times));
+    }
+}
+
+fn overloaded_server(balancers: usize, seed: u64, times: f64) {
+    let scale = Scale { slow_cache: (5, 13, times), ..scale(balancers) };
+    let day = play_scaled(plan(balancers, seed, 12), scale);
+    let can = scale.cache_rate() / times;
+    let load: Vec<f64> = (4..12).map(|second| day.sends[second][1]).collect();
+    let settled = load[4..].iter().sum::<f64>() / 4.0;
+    let demand = day.sends[..4].iter().map(|second| second[1]).sum::<f64>() / 4.0;
+    println!(
+        "{times},{balancers},{seed},{:.2},{:.2},{:.2},{:.2},{:.2},{:.4},{:.3}",
+        demand / can,
+        load[0] / can,
+        settled / can,
+        load[4..].iter().copied().fold(f64::MAX, f64::min) / can,
+        load[4..].iter().copied().fold(0.0, f64::max) / can,
+        day.share(8, 12),
+        settled / balancers as f64
+    );
+}
+
+/// All caches are asked for twice what they can do.
+#[test]
+#[ignore = "measures for docs/CAPACITY.md, minutes in a release build"]
+fn capacity_overloaded_fleet() {
+    println!("balancers,seed,admitted_over_capacity,useful_over_capacity,fetches_over_origin");
+    each_size(|balancers, seed| {
+        let scale = scale(balancers);
+        let calm = plan(balancers, seed, 10);
+        let day = play_scaled(Plan { rate: calm.rate * 2.0 / UTILISATION, ..calm }, scale);
+        let can = CACHES as f64 * scale.cache_rate();
+        // The origin has as many workers as all caches and takes half as long again.
+        let origin = can / 1.5;
+        let admitted = day.sends[5..10].iter().flatten().sum::<f64>() / 5.0;
+        let useful = day.served[5..10].iter().sum::<f64>() / 5.0;
+        let fetches = day.fetches[5..10].iter().sum::<f64>() / 5.0;
+        println!("{balancers},{seed},{:.3},{:.3},{:.3}", admitted / can, useful / can, fetches / origin);
+    });
+}
+
+/// Two caches of twelve are silent for three seconds and come back cold: the most sends in a second over what a cold
+/// one can do then, and the most by which they passed what it bears and chance together.
+#[test]
+#[ignore = "measures for docs/CAPACITY.md, minutes in a release build"]
+fn capacity_cold_server() {
+    println!(
+        "cold,balancers,seed,most_over_capacity,over_chance,served_meanwhile,sends_lost,lost_per_balancer"
+    );
+    each_size(|balancers, seed| {
+        let plan = Plan { silent: (4, 7, 6), ..plan(balancers, seed, 14) };
+        let day = play_scaled(plan, scale(balancers));
+        let lost: f64 = day.lost.iter().sum();
+        println!(
+            "{balancers},{seed},{:.3},{:.1},{:.4},{lost:.0},{:.2}",
+            day.pushed,
+            day.over_chance,
+            day.share(3, 6),
+            lost / balancers as f64
+        );
+    });
+}
+
+/// Discovery's calls, answered in turn.
+struct CallQueue {
+    service: u64,
+    free: u64,
+}
+
+impl CallQueue {
+    /// The longest wait before a caller gives up, as in `node/src/discovery/budget.rs`.
+    const PATIENCE: u64 = 1_900_000;
+
+    /// When a call that comes now is answered, or given up.
+    fn call(&mut self, now: u64) -> Result<u64, u64> {
+        let begin = self.free.max(now);
+        if begin + self.service > now + Self::PATIENCE {
+            return Err(now + Self::PATIENCE);
+        }
+        self.free = begin + self.service;
+        Ok(self.free)
+    }
+}
+
+/// Two balancers in five start at once before a discovery that answers calls in turn: when half, 99% and all of them
+/// have their list, and how many calls that took.
+#[test]
+#[ignore = "measures for docs/CAPACITY.md"]
+fn capacity_discovery_wave() {
+    println!("balancers,seed,service_ms,callers,half_s,p99_s,all_s,calls,most_calls_in_a_second");
+    for service_ms in [1, 5, 20, 100] {
+        each_size(|balancers, seed| discovery_wave(balancers, seed, service_ms));
+    }
+}
+
+fn discovery_wave(balancers: usize, seed: u64, service_ms: u64) {
+    let mut settings = settings(Effect::Safe, Group::All);
+    (settings.subscribe, settings.balancers) = (true, balancers as u32);
+    let callers = balancers * 2 / 5;
+    let mut wave: Vec<Balancer> =
+        (0..callers as u64).map(|n| Balancer::new(settings.clone(), seed * 10_000 + n)).collect();
+    let known = super::fleet(6);
+    let mut due = BTreeMap::new();
+    let plan = |due: &mut BTreeMap<(u64, usize), bool>, n: usize, actions: &[Action]| match actions {
+        [Action::Timer { at, .. }] => due.insert((at.0, n), true),
+        other => panic!("{other:?}"),
+    };
+    for (n, balancer) in wave.iter_mut().enumerate() {
+        let actions = step(balancer, SECOND, Event::Endpoints(ListKind::Restored, &known));
+        plan(&mut due, n, &actions);
+    }
+    let mut queue = CallQueue { service: service_ms * 1_000, free: 0 };
+    let (mut listed, mut calls) = (Vec::new(), BTreeMap::<u64, usize>::new());
+    while let Some(((now, n), is_call)) = due.pop_first() {
+        if !is_call {
+            let actions = step(&mut wave[n], now, Event::Endpoints(ListKind::Unavailable, &[]));
+            plan(&mut due, n, &actions);
+            continue;
+        }
+        if step(&mut wave[n], now, Event::Timer(DISCOVERY)) != [Action::Watch] {
+            continue;
+        }
+        *calls.entry(now / SECOND).or_default() += 1;
+        match queue.call(now) {
+            Ok(at) => {
+                step(&mut wave[n], at, Event::Endpoints(ListKind::Replace, &known));
+                listed.push((at - SECOND) as f64 / 1e6);
+            }
+            Err(at) => {
+                due.insert((at, n), false);
+            }
+        }
+    }
+    listed.sort_by(f64::total_cmp);
+    println!(
+        "{balancers},{seed},{service_ms},{callers},{:.2},{:.2},{:.2},{},{}",
+        listed[callers / 2],
+        listed[callers * 99 / 100],
+        listed[callers - 1],
+        calls.values().sum::<usize>(),
+        calls.values().max().unwrap_or(&0)
+    );
+}
--- a/src/rules/tests/miniature.rs
+++ b/src/rules/tests/miniature.rs
@@ -50,6 +50,8 @@
     /// The most by which those of balancers that had heard of its start were over what it bears, 1.5 times what it can do
     /// then, and what chance adds to that, 2 roots and 2.
     pub over_chance: f64,
+    /// Sends to each cache, by second.
+    pub sends: Vec<Vec<f64>>,
 }
 
 /// What is played.
@@ -68,6 +70,37 @@
     pub silent: (u64, u64, u64),
 }
 
+/// How large the model is: the tests of the fleet play one time its base, the capacity figures more.
+#[derive(Clone, Copy)]
+pub struct Scale {
+    /// Times the workers of each cache and of the origin, and times the keys.
+    pub times: u64,
+    /// Between these seconds cache 1 takes so many times as long.
+    pub slow_cache: (u64, u64, f64),
+}
+
+impl Default for Scale {
+    fn default() -> Scale {
+        Scale { times: 1, slow_cache: (0, 0, 1.0) }
+    }
+}
+
+impl Scale {
+    fn keys(&self) -> u64 {
+        KEYS * self.times
+    }
+
+    /// The workers of a cache.
+    fn workers(&self) -> u64 {
+        2 * self.times
+    }
+
+    /// Requests a second that a warm cache can serve.
+    pub fn cache_rate(&self) -> f64 {
+        self.workers() as f64 / HIT
+    }
+}
+
 impl Day {
     pub fn share(&self, from: usize, to: usize) -> f64 {
         self.served[from..to].iter().sum::<f64>() / self.asked[from..to].iter().sum::<f64>()
@@ -83,8 +116,9 @@
     tries: HashMap<u64, Try>,
     kept: Vec<HashSet<u64>>,
     /// When each of the origin's workers, and each cache's, is free.
-    workers: Vec<Vec<u64>>,
+    workers: Vec<BinaryHeap<Reverse<u64>>>,
     plan: Plan,
+    scale: Scale,
     cold: HashMap<(u64, u64), f64>,
     /// The balancers that have heard of the start, and what was sent to each cold cache by these, by second.
     told: HashSet<usize>,
@@ -99,6 +133,10 @@
 }
 
 pub fn play_fleet(plan: Plan) -> Day {
+    play_scaled(plan, Scale::default())
+}
+
+pub fn play_scaled(plan: Plan, scale: Scale) -> Day {
     let Plan { seed, balancers, caches, rate, seconds, silent, .. } = plan;
     let mut settings = settings(Effect::Safe, Group::All);
     (settings.balancers, settings.limits.max_attempts) = (balancers as u32, 3);
@@ -113,10 +151,13 @@
             b
         })
         .collect();
-    let kept = vec![(0..KEYS).collect(); caches as usize];
-    let workers = (0..=caches).map(|n| vec![0; if n == caches { 2 * caches as usize } else { 2 }]).collect();
+    let keys = scale.keys();
+    let kept = vec![(0..keys).collect(); caches as usize];
+    let workers_of = |n| if n == caches { scale.workers() * caches } else { scale.workers() };
+    let workers = (0..=caches).map(|n| (0..workers_of(n)).map(|_| Reverse(0)).collect()).collect();
     let zeros = || vec![0.0; seconds as usize + 5];
     let day = Day { asked: zeros(), served: zeros(), fetches: zeros(), lost: zeros(), ..Day::default() };
+    let day = Day { sends: vec![vec![0.0; caches as usize]; seconds as usize + 5], ..day };
     let rng = fastrand::Rng::with_seed(seed);
     let (due, tries) = (BinaryHeap::new(), HashMap::new());
     let (cold, told, cold_told) = Default::default();
@@ -131,6 +172,7 @@
         kept,
         workers,
         plan,
+        scale,
         cold,
         told,
         cold_told,
@@ -149,7 +191,7 @@
                 let gap = -(1.0 - world.rng.f64()).ln() / rate;
                 world.plan(at + (gap * 1e6) as u64, Due::Arrival);
                 // A few keys are far more popular than the rest.
-                let key = ((KEYS as f64).powf(world.rng.f64()) - 1.0) as u64;
+                let key = ((keys as f64).powf(world.rng.f64()) - 1.0) as u64;
                 let (write, router) = (world.rng.f64() < 0.1, world.rng.usize(..balancers));
                 let second = (at / SECOND - 1) as usize;
                 world.day.asked[second] += 1.0;
@@ -224,7 +266,7 @@
             let warm = 0.32 + 0.68 * (self.now - to * SECOND) as f64 / (9 * SECOND) as f64;
             let sends = self.cold.entry((server, second)).or_default();
             *sends += 1.0;
-            let can = 2.0 / HIT * warm;
+            let can = self.scale.cache_rate() * warm;
             self.day.pushed = self.day.pushed.max(*sends / can);
             if self.told.contains(&self.tries[&n].at) {
                 let sends = self.cold_told.entry((server, second)).or_default();
@@ -242,19 +284,26 @@
         let (attempt, deadline) = (one.attempts.len() as u32 - 1, one.deadline);
         let (begin, over, times) = self.plan.slow;
         let slow = origin && (begin..over).contains(&second);
-        let work = if origin { FETCH } else { HIT } * if slow { times } else { 1.0 };
+        let (begin, over, cache_times) = self.scale.slow_cache;
+        let slow_cache = server == 1 && (begin..over).contains(&second);
+        let times = if slow { times } else { 1.0 } * if slow_cache { cache_times } else { 1.0 };
+        let work = if origin { FETCH } else { HIT } * times;
         let work = work * (0.4 - 0.6 * (1.0 - self.rng.f64()).ln()) * if hit { 1.0 } else { 0.45 };
-        let free = self.workers[at].iter_mut().min().expect("workers");
-        let begin = (*free).max(self.now);
+        let mut free = self.workers[at].peek_mut().expect("workers");
+        let begin = free.0.max(self.now);
         let expired = if timeout == 0 { deadline } else { deadline.min(self.now + timeout) };
         // The origin drops what nobody waits for; a cache goes on with it.
         if !origin || begin < expired {
-            *free = begin + (work * 1e6) as u64;
+            *free = Reverse(begin + (work * 1e6) as u64);
         }
+        drop(free);
         let done = begin + (work * 1e6) as u64;
         if origin {
             self.day.fetches[(self.now / SECOND - 1) as usize] += 1.0;
         }
+        if !origin {
+            self.day.sends[second as usize - 1][at] += 1.0;
+        }
         if silent {
             self.day.lost[second as usize - 1] += 1.0;
             return self.plan(expired, Due::Expired(n, attempt));
