--- a/cluster/src/lib.rs
+++ b/cluster/src/lib.rs
@@ -30,7 +30,7 @@
 pub const LONGEST: usize = 1_200;
 
 /// The most members of a fleet. What a table of them takes is there only once they are.
-pub const MOST_MEMBERS: usize = 1_024;
+pub const MOST_MEMBERS: usize = 4_096;
 
 /// The most starts of hosts of which something is held at once: all hosts of a fleet, and as many that they replace.
-pub const MOST_HOSTS: usize = 2_048;
+pub const MOST_HOSTS: usize = 8_192;
