--- a/control/src/completion.rs
+++ b/control/src/completion.rs
@@ -66,6 +66,8 @@
 struct HomeReport {
     incarnation: u64,
     round: u64,
+    /// What the home knew of then: its laggards are behind this.
+    held: Position,
     change: u64,
     report: MemberReport,
 }
@@ -204,6 +206,7 @@
             let report = HomeReport {
                 incarnation: reply.incarnation,
                 round: reply.round,
+                held: reply.vector.get(self.me),
                 change: reply.change,
                 report: reply.report.clone(),
             };
@@ -228,7 +231,13 @@
         for registration in self.registrations_of(&quorum, tables).values() {
             match self.coverage(registration, tables, own_report) {
                 Coverage::Released => {}
-                Coverage::AppliedThrough(position) => through = through.min(position),
+                Coverage::AppliedThrough(position) => {
+                    through = through.min(position);
+                    let home = registration.home;
+                    if position < holders.through && !self.names_laggards(home, holders.through) {
+                        outstanding.add_member(registration.member);
+                    }
+                }
                 Coverage::Unknown => {
                     is_uncovered = true;
                     outstanding.add_member(registration.member);
@@ -239,13 +248,21 @@
             self.done = self.done.max(through);
         }
         outstanding.add_report(own_report);
-        for home in self.reports.values() {
-            outstanding.add_report(&home.report);
+        for (home, known) in &self.reports {
+            if self.names_laggards(*home, holders.through) {
+                outstanding.add_report(&known.report);
+            }
         }
         outstanding.replicas = std::mem::take(&mut self.outstanding.replicas);
         self.outstanding = outstanding;
     }
 
+    /// Whether the last report of a home names those of its members that are behind this position. One that has not
+    /// reported since it had the position names nobody: all its members are outstanding.
+    fn names_laggards(&self, home: ReplicaId, through: Position) -> bool {
+        home == self.me || self.reports.get(&home).is_some_and(|known| known.held >= through)
+    }
+
     /// The holders that have shown in this round that they still hold it, and whose tables as of then are here.
     fn confirmed_quorum(&self, holders: &Holders, tables: Tables<'_>) -> Vec<ReplicaId> {
         let is_confirmed = |replica: &ReplicaId, reply: &RoundReply| {
--- a/control/src/home.rs
+++ b/control/src/home.rs
@@ -5,7 +5,7 @@
 //! A registration is reported as expired only when no lease of it can run at its member: the home counts from the
 //! receipt of the last pull that it answered, the member from the sending of it, and the home's count is longer by the
 //! drift of two clocks. A registration that the home learned from another replica is never granted a lease; it expires a
-//! lease after the home's start, or after it was learned.
+//! lease after it was learned, which is not before the home's start.
 
 use std::collections::BTreeMap;
 
--- a/control/src/member.rs
+++ b/control/src/member.rs
@@ -233,7 +233,10 @@
             next = now + self.more_pace();
         }
         self.pulls.schedule(next);
-        self.progress = now;
+        // A home that answers, but has not what the target needs, is left after a while.
+        if more || !matches!(self.phase, Phase::Reaching { .. }) {
+            self.progress = now;
+        }
         if epoch == Some(self.epoch) {
             let counted_from = if self.config.timing.flaws.has(Flaw::LeaseFromReceipt) { now } else { sent };
             self.granted_until = self.granted_until.max(counted_from + self.config.timing.lease);
--- a/control/src/registration.rs
+++ b/control/src/registration.rs
@@ -195,22 +195,19 @@
             self.put(*registration);
         }
         self.through = self.through.max(chunk.through);
+        if self.registrations.len() > 2 * MAX_MEMBERS {
+            // Too much is here that was evicted there: the copy begins anew.
+            *self = TableCopy { incarnation: self.incarnation, ..TableCopy::default() };
+            return false;
+        }
         true
     }
 
     fn put(&mut self, registration: Registration) {
         let known = self.registrations.get(&registration.member);
-        if known.is_some_and(|known| known.change >= registration.change) {
-            return;
-        }
-        if known.is_none() && self.registrations.len() >= 2 * MAX_MEMBERS {
-            // What was evicted there, and is released, need not be kept here.
-            self.registrations.retain(|_, known| known.state != RegistrationState::Released);
-            if self.registrations.len() >= 2 * MAX_MEMBERS {
-                return;
-            }
+        if known.is_none_or(|known| known.change < registration.change) {
+            self.registrations.insert(registration.member, registration);
         }
-        self.registrations.insert(registration.member, registration);
     }
 }
 
--- a/control/src/registration/tests.rs
+++ b/control/src/registration/tests.rs
@@ -84,3 +84,25 @@
     assert_eq!(table.registrations().len(), MAX_MEMBERS);
     assert_eq!(table.by_change.len(), MAX_MEMBERS);
 }
+
+/// A copy that overflows with what was evicted at its origin never claims to be complete without all that is there.
+#[test]
+fn a_copy_that_overflows_begins_anew() {
+    let mut table = RegistrationTable::default();
+    let mut copy = TableCopy::default();
+    let mut largest = 0;
+    for member in 0..5 * MAX_MEMBERS as u32 {
+        if member >= MAX_MEMBERS as u32 {
+            let evicted = MemberId(member - MAX_MEMBERS as u32);
+            assert!(table.set_state(evicted, epoch(1), RegistrationState::Released));
+        }
+        assert_eq!(store(&mut table, member, 1), StoreOutcome::Stored);
+        let chunk = table.changes_after(1, copy.through(1));
+        copy.apply(&chunk);
+        largest = largest.max(copy.registrations().len());
+        if member.is_multiple_of(512) && copy.is_complete(1, table.change()) {
+            assert!(table.registrations().keys().all(|member| copy.registrations().contains_key(member)));
+        }
+    }
+    assert!(largest <= 2 * MAX_MEMBERS && largest > MAX_MEMBERS, "{largest}");
+}
--- a/control/src/replica.rs
+++ b/control/src/replica.rs
@@ -24,7 +24,7 @@
 use crate::registration::{RegistrationState, RegistrationTable, TableCopy};
 use crate::wire::{decode, Message};
 use crate::Micros;
-use peers::Peer;
+use peers::{Fetch, Peer};
 use recovery::Recovery;
 
 /// How far a purge has come.
@@ -72,7 +72,6 @@
 pub struct Replica {
     config: ReplicaConfig,
     rng: ChaCha8Rng,
-    started: Micros,
     /// Until it has recovered.
     recovery: Option<Recovery>,
     log: Log,
@@ -85,8 +84,8 @@
     needs_evaluation: bool,
     next_round: Micros,
     round_started: Micros,
-    /// To whom a request for entries is under way, and since when.
-    fetching: Option<(ReplicaId, Micros)>,
+    /// The request for entries that is under way.
+    fetching: Option<Fetch>,
     /// The last position published here that was pushed.
     pushed: Position,
     bucket: TokenBucket,
@@ -104,7 +103,6 @@
         let recovery = (!config.bootstrap).then(|| Recovery::new(count, settings.flaws));
         let mut replica = Replica {
             rng: ChaCha8Rng::seed_from_u64(config.seed),
-            started: now,
             recovery,
             log: Log::new(settings.log_entries),
             table: RegistrationTable::default(),
@@ -167,7 +165,7 @@
         self.finish_recovery(now);
         self.release_expired(now);
         let timed_out = |since: Micros| now.saturating_sub(since) >= self.config.settings.request_timeout;
-        if self.fetching.is_some_and(|(_, since)| timed_out(since)) {
+        if self.fetching.as_ref().is_some_and(|fetch| timed_out(fetch.since)) {
             self.fetching = None;
         }
         self.request_tables(now);
--- a/control/src/replica/peers.rs
+++ b/control/src/replica/peers.rs
@@ -29,6 +29,15 @@
     requested: Option<Micros>,
 }
 
+/// A request for entries.
+#[derive(Clone, Debug)]
+pub(super) struct Fetch {
+    peer: ReplicaId,
+    pub(super) since: Micros,
+    /// What it is to bring.
+    wanted: VersionVector,
+}
+
 impl Replica {
     fn address(&self, replica: ReplicaId) -> Option<SocketAddr> {
         self.config.replicas.get(replica.index()).copied()
@@ -118,7 +127,7 @@
     fn fetch_missing(&mut self, now: Micros, from: ReplicaId, vector: &VersionVector) {
         let own = self.log.vector();
         if self.fetching.is_none() && !own.covers(vector) {
-            self.fetching = Some((from, now));
+            self.fetching = Some(Fetch { peer: from, since: now, wanted: vector.clone() });
             self.send_to_peer(from, PeerMessage::Fetch { vector: own });
         }
     }
@@ -186,9 +195,14 @@
         for run in runs.into_iter().filter(|run| run.replica.index() < self.config.replicas.len()) {
             self.needs_evaluation |= self.log.append_run(run);
         }
-        if more && self.fetching.is_some_and(|(peer, _)| peer == from) {
-            self.fetching = Some((from, now));
-            self.send_to_peer(from, PeerMessage::Fetch { vector: self.log.vector() });
+        let vector = self.log.vector();
+        match &mut self.fetching {
+            Some(fetch) if vector.covers(&fetch.wanted) => self.fetching = None,
+            Some(fetch) if more && fetch.peer == from => {
+                fetch.since = now;
+                self.send_to_peer(from, PeerMessage::Fetch { vector });
+            }
+            _ => {}
         }
     }
 
--- a/control/src/replica/recovery.rs
+++ b/control/src/replica/recovery.rs
@@ -69,7 +69,7 @@
             _ => return,
         }
         self.recovery = None;
-        self.take_over_registrations();
+        self.take_over_registrations(now);
         self.start_stream();
         let (me, count) = (self.config.replica, self.config.replicas.len());
         let round = self.completion.round();
@@ -77,9 +77,10 @@
         self.begin_round(now);
     }
 
-    /// Takes the registrations of all copies into the own table. Those whose home this replica was may have leases of
-    /// its earlier incarnations, granted until its start.
-    fn take_over_registrations(&mut self) {
+    /// Takes the registrations of all copies into the own table. Those whose home this replica is may have leases of its
+    /// earlier incarnations, granted until its start, or of earlier epochs at other homes, granted until the member
+    /// registered anew: that may have been later than the start, but not later than now.
+    fn take_over_registrations(&mut self, now: Micros) {
         let me = self.config.replica;
         for registration in self.copies.values().flat_map(|copy| copy.registrations().values()) {
             let state = match registration.state {
@@ -95,7 +96,7 @@
         for registration in self.table.registrations().values() {
             if registration.home == me && registration.state != RegistrationState::Released {
                 let (member, epoch) = (registration.member, registration.epoch);
-                self.home.learn(member, epoch, self.started, &self.config.settings);
+                self.home.learn(member, epoch, now, &self.config.settings);
             }
         }
     }
--- /dev/null
+++ b/control/tests/behaviour.rs
@@ -0,0 +1,145 @@
+//! What operators rely on, played by hand: cuts, moves, ends, floods, and what is dropped.
+
+mod support;
+
+use juniperladder_control::{MemberId, PurgeStatus, RejectReason, ReplicaId};
+use support::schedule::{MILLISECOND, SECOND};
+use support::scripted::Plane;
+
+const KEY: &[u8] = b"the key";
+
+/// Three replicas and a member near each.
+fn plane_of_three() -> Plane {
+    let mut plane = Plane::new(3, 3, None);
+    for replica in 0..3 {
+        plane.start_member(3 + replica, &[replica]);
+    }
+    plane.run(1_500);
+    assert!((3..6).all(|member| plane.may_serve(member)));
+    plane
+}
+
+#[test]
+fn a_region_that_is_cut_off_with_its_home_goes_on_and_is_named() {
+    let mut plane = plane_of_three();
+    plane.cut(&[2, 5], &[0, 1, 3, 4]);
+    plane.run(5_000);
+    let outside = plane.publish(0, KEY);
+    let inside = plane.publish(2, b"inside");
+    plane.run(5_000);
+    assert!(plane.may_serve(5) && plane.has_purged(5, b"inside") && !plane.has_purged(5, KEY));
+    assert!(plane.has_purged(3, KEY) && plane.has_purged(4, KEY));
+    let PurgeStatus::Pending { members, members_total, replicas } = plane.status(0, outside) else {
+        panic!("it is not done")
+    };
+    assert_eq!((members, members_total, replicas), (vec![MemberId(5)], 1, vec![]));
+    let PurgeStatus::Pending { replicas, .. } = plane.status(2, inside) else { panic!("it is not done") };
+    assert_eq!(replicas, [ReplicaId(0), ReplicaId(1)]);
+    plane.join(&[2, 5], &[0, 1, 3, 4]);
+    plane.run(5_000);
+    assert_eq!(plane.status(0, outside), PurgeStatus::Done);
+    assert_eq!(plane.status(2, inside), PurgeStatus::Done);
+    assert!((3..6).all(|member| plane.has_purged(member, KEY) && plane.has_purged(member, b"inside")));
+}
+
+#[test]
+fn a_member_moves_to_another_home_without_a_gap_and_comes_back() {
+    let mut plane = plane_of_three();
+    plane.kill(2);
+    for _ in 0..40 {
+        plane.run(100);
+        assert!(plane.may_serve(5), "its lease outlasts the move");
+    }
+    assert_ne!(plane.member(5).figures().home, 2);
+    plane.restart_replica(2);
+    plane.run(60_000);
+    assert!(plane.has_recovered(2) && plane.may_serve(5));
+    assert_eq!((plane.member(5).figures().home, plane.member(5).figures().lapses), (2, 0));
+}
+
+#[test]
+fn a_member_that_leaves_holds_up_nothing_and_one_that_dies_only_until_its_lease_ends() {
+    let mut plane = plane_of_three();
+    plane.member(5).leave();
+    plane.run(50);
+    assert!(!plane.may_serve(5));
+    plane.kill(5);
+    let purge = plane.publish(0, KEY);
+    plane.run(1_500);
+    assert_eq!(plane.status(0, purge), PurgeStatus::Done, "before a lease could run out");
+    plane.kill(4);
+    let purge = plane.publish(0, b"another");
+    plane.run(1_500);
+    assert!(matches!(plane.status(0, purge), PurgeStatus::Pending { .. }), "it may still serve");
+    plane.run(1_500);
+    assert_eq!(plane.status(0, purge), PurgeStatus::Done);
+}
+
+#[test]
+fn a_publisher_that_floods_is_told_when_to_come_again() {
+    let mut plane = plane_of_three();
+    let now = plane.now;
+    let replica = plane.replica(0);
+    let taken = (0..10_000).take_while(|_| replica.publish(now, KEY).is_ok()).count();
+    assert_eq!(taken, 200, "the burst");
+    let rejected = replica.publish(now, KEY).expect_err("the burst is used up");
+    assert_eq!(rejected.reason, RejectReason::RateLimited);
+    assert!(replica.publish(now + rejected.retry_after - 1, KEY).is_err());
+    assert!(replica.publish(now + rejected.retry_after, KEY).is_ok());
+    let rejected = replica.publish(now, &[b'k'; 251]).expect_err("longer than any key");
+    assert_eq!(rejected.reason, RejectReason::KeyTooLong);
+    plane.cut(&[0], &[1, 2]);
+    let mut last = None;
+    for _ in 0..100 {
+        plane.run(1_000);
+        let now = plane.now;
+        last = (0..200).find_map(|_| plane.replica(0).publish(now, KEY).err());
+    }
+    assert_eq!(last.map(|rejected| rejected.reason), Some(RejectReason::TooManyPending));
+    plane.restart_replica(1);
+    let now = plane.now;
+    let rejected = plane.replica(1).publish(now, KEY).expect_err("it recovers");
+    assert_eq!(rejected.reason, RejectReason::Recovering);
+}
+
+#[test]
+fn what_cannot_be_read_or_comes_from_elsewhere_is_dropped_by_cause() {
+    let mut plane = plane_of_three();
+    let now = plane.now;
+    let (stranger, peer) = (([127, 0, 0, 1], 9).into(), ([127, 0, 0, 1], 1_001).into());
+    let status_request = [b'J', b'P', b'C', 1, 2, 0, 1, 1, 0];
+    let replica = plane.replica(0);
+    let before = replica.figures().dropped;
+    replica.on_datagram(now, peer, &[0; 1_201]);
+    replica.on_datagram(now, peer, b"JPC\x02");
+    replica.on_datagram(now, peer, b"JPC\x01\xff");
+    replica.on_datagram(now, stranger, &status_request);
+    let dropped = replica.figures().dropped;
+    assert_eq!((dropped.too_long, dropped.version), (before.too_long + 1, before.version + 1));
+    assert_eq!(
+        (dropped.malformed, dropped.unknown_sender),
+        (before.malformed + 1, before.unknown_sender + 1)
+    );
+    let member = plane.member(3);
+    member.on_datagram(now, stranger, &status_request);
+    member.on_datagram(now, peer, &status_request);
+    assert_eq!(member.figures().dropped.unknown_sender, 2);
+}
+
+/// A member that was away for longer than the log reaches back voids before it serves again; see also the schedules.
+#[test]
+fn a_member_that_was_cut_off_does_not_serve_until_it_has_caught_up() {
+    let mut plane = plane_of_three();
+    plane.cut(&[5], &[0, 1, 2]);
+    plane.run(2 * SECOND / MILLISECOND + 100);
+    assert!(!plane.may_serve(5));
+    let purge = plane.publish(0, KEY);
+    plane.run(2_000);
+    assert_eq!(plane.status(0, purge), PurgeStatus::Done);
+    plane.join(&[5], &[0, 1, 2]);
+    for _ in 0..500 {
+        plane.step();
+        assert!(!plane.may_serve(5) || plane.has_purged(5, KEY));
+    }
+    assert!(plane.may_serve(5));
+}
--- a/control/tests/quorums.rs
+++ b/control/tests/quorums.rs
@@ -112,7 +112,7 @@
     let home = OTHERS[0];
     plane.cut(&[MEMBER], &[ORIGIN, SECOND, OTHERS[1]]);
     plane.start_member(MEMBER, &[home]);
-    while plane.datagrams_sent(MEMBER) == 0 {
+    while plane.member(MEMBER).figures().sent.datagrams == 0 {
         plane.step();
     }
     // Its first pull reaches the home; what it sends there afterwards waits.
@@ -171,3 +171,26 @@
     let (plane, purge) = recovery_reaches_one(Some(Flaw::RecoveryFromOne));
     assert!(plane.is_breached(0, purge, KEY, 3), "one is not enough");
 }
+
+/// A purge is done while the third replica is cut from the others; then a member starts whose home that one is.
+fn home_lacks_a_done_purge(flaw: Option<Flaw>) -> (Plane, PurgeId) {
+    let mut plane = Plane::new(3, 1, flaw);
+    plane.cut(&[2], &[0, 1]);
+    let purge = plane.publish(0, KEY);
+    plane.run(4_500);
+    assert_eq!(plane.status(0, purge), PurgeStatus::Done, "nobody serves");
+    plane.start_member(3, &[2]);
+    plane.run(1_500);
+    (plane, purge)
+}
+
+#[test]
+fn a_member_does_not_serve_before_its_target_even_if_its_home_lacks_it() {
+    let (mut plane, _) = home_lacks_a_done_purge(None);
+    assert!(!plane.may_serve(3), "its home has not what the majority named");
+    plane.run(10_000);
+    assert!(plane.may_serve(3) && plane.has_purged(3, KEY), "it has found another home");
+
+    let (plane, purge) = home_lacks_a_done_purge(Some(Flaw::TargetIgnored));
+    assert!(plane.is_breached(0, purge, KEY, 3), "the target must be reached");
+}
--- a/control/tests/schedules.rs
+++ b/control/tests/schedules.rs
@@ -71,14 +71,14 @@
     assert!(sum(|report| report.log_trimmed) > 0 && sum(|report| report.rejected as u64) > 0);
 }
 
-/// Each step of the protocol that is left out must be found by the schedules of an ordinary run.
+/// Each of these steps that is left out must be found by the schedules of an ordinary run. The others, whose races are too
+/// rare for drawn schedules, are played by hand in `quorums.rs`.
 #[test]
 fn every_defect_put_in_on_purpose_is_found() {
     let flaws = [
         Flaw::LeaseFromReceipt,
         Flaw::EarlyRelease,
         Flaw::LeaseCutShort,
-        Flaw::TargetIgnored,
         Flaw::VoidForgotten,
         Flaw::OwnTableOnly,
     ];
--- a/control/tests/support/network.rs
+++ b/control/tests/support/network.rs
@@ -15,6 +15,9 @@
 }
 
 impl LinkQuality {
+    /// Between regions, in ordinary times.
+    pub const ORDINARY: LinkQuality =
+        LinkQuality { loss: 0.0, repeat: 0.0, delay: (1_000, 100_000), late: 0.0, late_by: 0 };
     pub const GOOD: LinkQuality =
         LinkQuality { loss: 0.0, repeat: 0.0, delay: (1_000, 20_000), late: 0.0, late_by: 0 };
 }
--- a/control/tests/support/schedule.rs
+++ b/control/tests/support/schedule.rs
@@ -8,6 +8,8 @@
 
 pub const MILLISECOND: u64 = 1_000;
 pub const SECOND: u64 = 1_000_000;
+/// Seconds after which all members of an ordinary schedule serve.
+const SETTLED: u64 = 5;
 
 /// What happens at a time.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -70,6 +72,10 @@
     pub log_entries: usize,
     pub void_behind: usize,
     pub tick: u64,
+    /// What the numbers of starts are counted from: as large as they are where they are times of day.
+    pub first_start: u64,
+    /// The least and the greatest length of keys; drawn ones are of any length.
+    pub key_bytes: Option<(usize, usize)>,
     pub faults: Vec<(u64, FaultKind)>,
     /// When all faults end.
     pub healed_at: u64,
@@ -103,6 +109,8 @@
             log_entries: if has_short_log { rng.random_range(4..=40) } else { 65_536 },
             void_behind: rng.random_range(2..=64),
             tick: rng.random_range(20..=50) * MILLISECOND,
+            first_start: 0,
+            key_bytes: None,
             faults: Vec::new(),
             healed_at: rng.random_range(8..=16) * SECOND,
             members,
@@ -111,6 +119,47 @@
         schedule
     }
 
+    /// An ordinary time: no faults but so much loss, so many purges a second in all once members have settled.
+    pub fn ordinary(
+        seed: u64,
+        replicas: usize,
+        members: usize,
+        loss: f64,
+        rate: u64,
+        seconds: u64,
+    ) -> Schedule {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut faults = Vec::new();
+        for _ in 0..rate * (seconds - SETTLED) {
+            let publish = FaultKind::Publish(rng.random_range(0..replicas), 1);
+            faults.push((rng.random_range(SETTLED * SECOND..seconds * SECOND), publish));
+        }
+        Schedule {
+            seed,
+            profile: Profile::Mixed,
+            replicas,
+            members: vec![CatchUp::Void; members],
+            early_members: u64::MAX,
+            regions: draw_regions(&mut rng, replicas, members),
+            quality: LinkQuality { loss, ..LinkQuality::ORDINARY },
+            drift_ppm: 100,
+            lease: 2 * SECOND,
+            round_interval: 250 * MILLISECOND,
+            log_entries: 65_536,
+            void_behind: 64,
+            tick: 50 * MILLISECOND,
+            first_start: 1_764_000_000_000_000,
+            key_bytes: Some((40, 64)),
+            faults,
+            healed_at: seconds * SECOND,
+        }
+    }
+
+    /// Whether a member runs from the beginning.
+    pub fn is_early(&self, member: usize) -> bool {
+        self.early_members.rotate_right(member as u32) & 1 == 1
+    }
+
     fn draw_faults(&mut self, rng: &mut ChaCha8Rng) {
         let seconds = self.healed_at as f64 / 1e6;
         let (replica_kills, member_kills, freezes, cuts) = match self.profile {
@@ -146,7 +195,7 @@
             let cut = self.draw_cut(rng);
             self.add(rng, (FaultKind::BeginCut(cut), FaultKind::EndCut(cut)), 8_000);
         }
-        for member in (0..self.members.len()).filter(|member| self.early_members >> member & 1 == 0) {
+        for member in (0..self.members.len()).filter(|member| !self.is_early(*member)).collect::<Vec<_>>() {
             self.faults.push((rng.random_range(0..self.healed_at), FaultKind::StartMember(member)));
         }
         self.draw_publications(rng);
--- a/control/tests/support/scripted.rs
+++ b/control/tests/support/scripted.rs
@@ -231,14 +231,25 @@
         matches!(&self.machines[replica], Some(Machine::Replica(machine)) if !machine.figures().recovering)
     }
 
-    /// Datagrams that a member has sent.
-    pub fn datagrams_sent(&self, node: usize) -> u64 {
-        match &self.machines[node] {
-            Some(Machine::Member { member, .. }) => member.figures().sent.datagrams,
-            _ => 0,
+    pub fn replica(&mut self, node: usize) -> &mut Replica {
+        match &mut self.machines[node] {
+            Some(Machine::Replica(replica)) => replica,
+            _ => panic!("no replica"),
         }
     }
 
+    pub fn member(&mut self, node: usize) -> &mut Member {
+        match &mut self.machines[node] {
+            Some(Machine::Member { member, .. }) => member,
+            _ => panic!("no member"),
+        }
+    }
+
+    /// The process of a node ends without a word.
+    pub fn kill(&mut self, node: usize) {
+        self.machines[node] = None;
+    }
+
     pub fn may_serve(&self, node: usize) -> bool {
         matches!(&self.machines[node], Some(Machine::Member { member, .. }) if member.may_serve(self.now))
     }
--- a/control/tests/support/simulation.rs
+++ b/control/tests/support/simulation.rs
@@ -4,6 +4,7 @@
 use std::collections::{BinaryHeap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
 
+use juniperladder_control::figures::Traffic;
 use juniperladder_control::flaw::{Flaw, Flaws};
 use juniperladder_control::limits::{MAX_DATAGRAM_BYTES, MAX_MEMBERS};
 use juniperladder_control::{
@@ -20,6 +21,8 @@
 /// How long after the end of all faults everything must be in order again.
 const TIME_TO_SETTLE: u64 = 60 * SECOND;
 const FIRST_PORT: u16 = 1_000;
+/// Heads of IP and UDP.
+const HEAD_BYTES: u64 = 28;
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
@@ -75,6 +78,10 @@
     pub log_trimmed: u64,
     pub voided: u64,
     pub lapses: u64,
+    /// Bytes of each member, in both directions, with the heads of IP and UDP, a second.
+    pub member_bytes_per_second: Vec<u64>,
+    /// Bytes that each replica sent, with those heads, a second.
+    pub replica_bytes_per_second: Vec<u64>,
 }
 
 pub struct Simulation {
@@ -122,7 +129,7 @@
         };
         for node in 0..count {
             let member = node.checked_sub(simulation.schedule.replicas);
-            if member.is_none_or(|member| simulation.schedule.early_members >> member & 1 == 1) {
+            if member.is_none_or(|member| simulation.schedule.is_early(member)) {
                 simulation.start(node, true);
             }
         }
@@ -189,7 +196,7 @@
         let regions = &self.schedule.regions;
         let is_near = |replica: &usize| regions[*replica] == regions[node];
         let mut preferred: Vec<usize> = (0..replicas).filter(is_near).collect();
-        if seed % 2 == 0 {
+        if seed.is_multiple_of(2) {
             preferred.insert(0, (seed / 2) as usize % replicas);
         }
         MemberConfig {
@@ -254,11 +261,21 @@
             log_trimmed: 0,
             voided: self.voided,
             lapses: self.lapses,
+            member_bytes_per_second: Vec::new(),
+            replica_bytes_per_second: Vec::new(),
         };
+        let per_second = |bytes: u64| bytes * SECOND / self.now.max(1);
         for node in &self.nodes {
             match &node.machine {
-                Some(Machine::Replica(replica)) => report.log_trimmed += replica.figures().log_trimmed,
+                Some(Machine::Replica(replica)) => {
+                    report.log_trimmed += replica.figures().log_trimmed;
+                    let sent = with_heads(replica.figures().sent);
+                    report.replica_bytes_per_second.push(per_second(sent));
+                }
                 Some(Machine::Member(member, _)) => {
+                    let figures = member.figures();
+                    let both = with_heads(figures.sent) + with_heads(figures.received);
+                    report.member_bytes_per_second.push(per_second(both));
                     report.voided += member.figures().voided;
                     report.lapses += member.figures().lapses;
                 }
@@ -419,7 +436,11 @@
     fn publish(&mut self, node: usize, count: usize) {
         let now = self.local_now(node);
         for _ in 0..count {
-            let length = if self.rng.random_bool(0.1) { 250 } else { self.rng.random_range(8..=64) };
+            let drawn = if self.rng.random_bool(0.1) { 250 } else { self.rng.random_range(8..=64) };
+            let length = match self.schedule.key_bytes {
+                Some((least, greatest)) => self.rng.random_range(least..=greatest),
+                None => drawn,
+            };
             let key = self.checker.next_key(length);
             if self.nodes[node].frozen {
                 return;
@@ -487,11 +508,16 @@
     }
 }
 
+/// Bytes with the heads of IP and UDP.
+fn with_heads(traffic: Traffic) -> u64 {
+    traffic.bytes + traffic.datagrams * HEAD_BYTES
+}
+
 fn draw_node(rng: &mut ChaCha8Rng, schedule: &Schedule) -> Node {
     let drift = rng.random_range(-schedule.drift_ppm..=schedule.drift_ppm);
     Node {
         machine: None,
-        start: 0,
+        start: schedule.first_start,
         frozen: false,
         backlog: VecDeque::new(),
         rate: (1_000_000 + drift) as u64,
