--- a/cli/benches/data_path/stand_ins.rs
+++ b/cli/benches/data_path/stand_ins.rs
@@ -143,7 +143,7 @@
         }
         if let Some(length) = upload_length(&line) {
             read_value(&mut stream, length).await?;
-            stream.get_mut().write_all(format!("HD {id}\r\n").as_bytes()).await?;
+            stream.get_mut().write_all(format!("HD {id} c1\r\n").as_bytes()).await?;
             line.clear();
             continue;
         }
