--- a/cli/benches/data_path/main.rs
+++ b/cli/benches/data_path/main.rs
@@ -2,8 +2,9 @@
 //! servers, size of values, connections and changes of the list. The figures of docs/CAPACITY.md come from here.
 //!
 //! `cargo bench -p juniperladder-cli --bench data_path -- SCENARIO SEED [SIZE]`, where SCENARIO is `servers`, `pairs`,
-//! `values`, `uploads`, `connections` or `discovery`, and SIZE one of its sizes, by default all. It prints
-//! rows of comma-separated values. Real time on loopback: nothing else may run beside it, and nothing is asserted.
+//! `values`, `uploads`, `connections` or `discovery`, and SIZE one of its sizes, by default all. It prints rows of
+//! comma-separated values. `uploads` does not work yet: none of its writes is served. Real time on loopback: nothing else
+//! may run beside it, and nothing is asserted.
 
 mod balancer;
 mod load;
