--- a/cluster/src/cluster.rs
+++ b/cluster/src/cluster.rs
@@ -257,6 +257,11 @@
         self.verdicts.as_mut().map(|(verdicts, _)| verdicts)
     }
 
+    /// Who is there.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
     /// Members by state, this one included.
     pub fn members(&self) -> Counts {
         self.membership.counts()
--- a/cluster/src/membership.rs
+++ b/cluster/src/membership.rs
@@ -242,6 +242,11 @@
         self.swim.iter_membership_state().any(|member| member.id().address == address)
     }
 
+    /// Whether a member at this address is thought to be there, in whatever life.
+    pub fn is_alive(&self, address: SocketAddr) -> bool {
+        self.swim.iter_members().any(|member| member.id().address == address)
+    }
+
     /// Members by state, this one included.
     pub fn counts(&self) -> Counts {
         let mut counts = Counts { alive: 1, ..Counts::default() };
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 mod processes;
 mod rig;
 mod room;
+pub mod scale;
 
 pub use play::{play, Options, Played, Progress};
 
--- /dev/null
+++ b/fleet/src/scale/cluster_endpoint.rs
@@ -0,0 +1,195 @@
+//! The control code of today's balancers as endpoints: the membership alone, and all of `juniperladder_cluster`.
+
+use std::net::SocketAddr;
+
+use juniperladder_cluster::membership::{Membership, Name};
+use juniperladder_cluster::packet::{self, About, Item, Packet};
+use juniperladder_cluster::{budget, cold, shares, verdicts, Cluster, Plan, SECOND};
+
+use super::endpoint::{Datagram, Endpoint, PacketKind, StateQuery};
+use super::workload::{Workload, WorkloadConfig, ORIGIN_LIMIT};
+use super::Micros;
+
+/// The length of a packet's head.
+const HEAD_LENGTH: usize = 4;
+/// The figures of `deploy/operator.example.toml`.
+const LEASE: Micros = 2 * SECOND;
+const DRIFT: f64 = 0.001;
+const SPREAD: Micros = 50_000;
+const COLD_PER_S: u32 = 100;
+const COLD_SHARE: f64 = 0.25;
+const WARM_UP: Micros = 10 * SECOND;
+const RETRY_SHARE: f64 = 0.4;
+const RETRIES_SAVED: f64 = 10.0;
+const REPORTERS: usize = 3;
+const REPORT_EXPIRY: Micros = 6 * SECOND;
+const AVOIDED_SHARE: f64 = 0.34;
+const TRIES_PER_S: f64 = 1.0;
+
+/// Who a member is.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its number, from 0.
+    pub number: usize,
+    /// Its zone.
+    pub zone: usize,
+    /// Which life of it this is; a later one is greater.
+    pub life: u64,
+    /// Members that are called first.
+    pub seeds: Vec<SocketAddr>,
+    /// The seed of its random numbers.
+    pub seed: u64,
+}
+
+/// The membership alone.
+pub struct MembershipEndpoint(Membership);
+
+impl MembershipEndpoint {
+    /// A member that starts now.
+    pub fn new(identity: Identity, now: Micros) -> MembershipEndpoint {
+        let name = Name { address: identity.address, life: identity.life };
+        MembershipEndpoint(Membership::new(name, identity.seeds, identity.seed, now))
+    }
+}
+
+impl Endpoint for MembershipEndpoint {
+    fn on_datagram(&mut self, now: Micros, _from: SocketAddr, bytes: &[u8]) {
+        if let Ok(Packet::Membership(bytes)) = packet::read(bytes) {
+            self.0.heard(now, bytes);
+        }
+    }
+
+    fn on_tick(&mut self, now: Micros) {
+        self.0.tick(now);
+    }
+
+    fn drain(&mut self) -> Vec<Datagram> {
+        self.0.drain().map(|(to, bytes)| (to, packet::membership(&bytes))).collect()
+    }
+
+    fn satisfies(&mut self, query: &StateQuery) -> bool {
+        about_members(&self.0, query)
+    }
+
+    fn known_members(&self) -> Option<usize> {
+        Some(self.0.counts().alive)
+    }
+}
+
+/// All of a balancer's coordination, with drawn traffic in place of client connections.
+pub struct ClusterEndpoint {
+    cluster: Cluster,
+    workload: Workload,
+}
+
+impl ClusterEndpoint {
+    /// A member that starts now, one of `members`.
+    pub fn new(
+        identity: Identity,
+        members: usize,
+        zones: usize,
+        config: WorkloadConfig,
+        now: Micros,
+    ) -> ClusterEndpoint {
+        let seed = identity.seed;
+        let mut cluster = Cluster::new(plan(identity, members, &config), now);
+        let workload = Workload::new(config, seed ^ 0x10ad, now);
+        if let Some(verdicts) = cluster.verdicts() {
+            verdicts.listed(workload.hosts(zones));
+        }
+        ClusterEndpoint { cluster, workload }
+    }
+}
+
+impl Endpoint for ClusterEndpoint {
+    fn on_datagram(&mut self, now: Micros, from: SocketAddr, bytes: &[u8]) {
+        self.cluster.heard(now, from, bytes);
+    }
+
+    fn on_tick(&mut self, now: Micros) {
+        self.workload.play(&mut self.cluster, now);
+        self.cluster.tick(now);
+    }
+
+    fn drain(&mut self) -> Vec<Datagram> {
+        self.cluster.drain()
+    }
+
+    fn satisfies(&mut self, query: &StateQuery) -> bool {
+        match query {
+            StateQuery::HostAvoided => {
+                self.cluster.verdicts().is_some_and(|verdicts| verdicts.figures().against > 0)
+            }
+            query => about_members(self.cluster.membership(), query),
+        }
+    }
+
+    fn known_members(&self) -> Option<usize> {
+        Some(self.cluster.members().alive)
+    }
+}
+
+fn about_members(membership: &Membership, query: &StateQuery) -> bool {
+    match query {
+        StateQuery::Alive(address) => membership.is_alive(*address),
+        StateQuery::Gone(address) => !membership.is_alive(*address),
+        StateQuery::HostAvoided => false,
+    }
+}
+
+/// What a balancer is told at its start, with the defaults of the operators' example file.
+fn plan(identity: Identity, members: usize, config: &WorkloadConfig) -> Plan {
+    let holders = members as u32;
+    let terms = |whole| shares::Terms { whole, spread: SPREAD, holders, lease: LEASE, drift: DRIFT };
+    Plan {
+        address: identity.address,
+        life: identity.life,
+        position: identity.number as u32,
+        zone: identity.zone as u32,
+        seeds: identity.seeds,
+        limits: vec![(ORIGIN_LIMIT.to_owned(), terms(config.origin_limit(members)))],
+        cold: Some(cold::Terms { shares: terms(COLD_PER_S), share: COLD_SHARE, warm_up: WARM_UP }),
+        second: Some(budget::Terms {
+            share: RETRY_SHARE,
+            saved: RETRIES_SAVED * f64::from(holders),
+            holders,
+        }),
+        verdicts: Some(verdicts::Terms {
+            witnesses: REPORTERS,
+            expiry: REPORT_EXPIRY,
+            most: AVOIDED_SHARE,
+            tries: TRIES_PER_S,
+            drift: DRIFT,
+        }),
+        seed: identity.seed,
+    }
+}
+
+/// Divides a packet's bytes among what they are for; the head goes to the first part.
+pub fn packet_parts(bytes: &[u8], mut add: impl FnMut(PacketKind, usize)) {
+    match packet::read(bytes) {
+        Ok(Packet::Membership(_)) => add(PacketKind::Membership, bytes.len()),
+        Ok(Packet::Talk(_)) => {
+            let (mut rest, mut head) = (&bytes[HEAD_LENGTH..], HEAD_LENGTH);
+            while let Ok((item, more)) = postcard::take_from_bytes::<Item>(rest) {
+                add(kind_of(&item.about), rest.len() - more.len() + head);
+                (rest, head) = (more, 0);
+                if rest.is_empty() {
+                    break;
+                }
+            }
+        }
+        Err(_) => add(PacketKind::Unknown, bytes.len()),
+    }
+}
+
+fn kind_of(about: &About) -> PacketKind {
+    match about {
+        About::Limit(..) => PacketKind::Limits,
+        About::Cold(..) => PacketKind::WarmUp,
+        About::Second(_) => PacketKind::Retries,
+        About::Verdicts(_) => PacketKind::Verdicts,
+    }
+}
--- /dev/null
+++ b/fleet/src/scale/mod.rs
@@ -0,0 +1,77 @@
+//! Scale tests: many members' control code in one process, over real UDP sockets on loopback or in simulated time.
+//!
+//! A *hollow* member runs the real control code with drawn traffic in place of client connections. Packets between members
+//! pass a network with delays by zone and region, losses and cuts that follow from the seed. What members send and cost is
+//! counted by the test bed and not by their own counters. `docs/design/scale.md` says what this can show and what it cannot.
+
+mod calibration;
+mod cluster_endpoint;
+pub mod config;
+pub mod endpoint;
+mod meter;
+mod network;
+pub mod resources;
+pub mod results;
+mod run;
+mod schedule;
+mod shard;
+mod sockets;
+mod topology;
+mod virtual_time;
+mod workload;
+
+#[cfg(test)]
+mod tests;
+
+use std::sync::Arc;
+
+pub use calibration::CalibrationTraffic;
+pub use config::{Event, Flaw, Mechanism, ScaleConfig};
+pub use results::{Outcome, Summary};
+
+use crate::Problem;
+use meter::Lateness;
+use run::Run;
+
+/// Microseconds on the run's clock.
+pub type Micros = juniperladder_cluster::Us;
+
+/// The fewest members of a run.
+const MEMBERS_MIN: usize = 2;
+/// The most members of a run: what the rule of the project demands of a list of balancers.
+const MEMBERS_MAX: usize = 4_096;
+
+/// Plays a scale test.
+///
+/// # Errors
+/// One line that says what does not allow the run, or what broke it.
+pub fn play(config: ScaleConfig) -> Result<Outcome, Problem> {
+    check(&config)?;
+    if config.virtual_time {
+        return Ok(play_virtual(config));
+    }
+    let broken = |error: std::io::Error| Problem::Broken(format!("the sockets of a scale test: {error}"));
+    let (sockets, addresses) = sockets::bind(config.members).map_err(broken)?;
+    let run = Arc::new(Run::new(config, addresses));
+    let played = sockets::play(&run, sockets).map_err(broken)?;
+    Ok(Outcome::of_sockets(&run, played))
+}
+
+fn play_virtual(config: ScaleConfig) -> Outcome {
+    let addresses = (0..config.members).map(virtual_time::address).collect();
+    let run = Arc::new(Run::new(config, addresses));
+    let before = resources::resident_bytes();
+    let (observed, memory) = virtual_time::play(&run);
+    Outcome::new(&run, observed, &Lateness::default(), memory.saturating_sub(before))
+}
+
+fn check(config: &ScaleConfig) -> Result<(), Problem> {
+    if !(MEMBERS_MIN..=MEMBERS_MAX).contains(&config.members) {
+        let line = format!("members lie from {MEMBERS_MIN} to {MEMBERS_MAX}, not {}", config.members);
+        return Err(Problem::NotAllowed(line));
+    }
+    if !(config.seconds > 0.0 && config.warm_up_s >= 0.0) {
+        return Err(Problem::NotAllowed("a run lasts longer than 0 s".to_owned()));
+    }
+    resources::check(config)
+}
--- /dev/null
+++ b/fleet/src/scale/run.rs
@@ -0,0 +1,83 @@
+//! What all threads of a run share and nobody changes: who is where, what happens when, and how a member is made.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use super::calibration::CalibrationEndpoint;
+use super::cluster_endpoint::{ClusterEndpoint, Identity, MembershipEndpoint};
+use super::config::{Mechanism, ScaleConfig};
+use super::endpoint::Endpoint;
+use super::network::Network;
+use super::schedule::Schedule;
+use super::topology::Topology;
+use super::workload::WorkloadConfig;
+use super::Micros;
+
+/// How often a member does what is due.
+pub const TICK: Micros = 50_000;
+/// Members that each other member calls first.
+const SEEDS: usize = 3;
+
+/// A run, fixed before it starts.
+#[derive(Debug)]
+pub struct Run {
+    /// What it was told.
+    pub config: ScaleConfig,
+    /// The network with its faults.
+    pub network: Network,
+    /// What happens when.
+    pub schedule: Schedule,
+    /// The address of each member.
+    pub addresses: Vec<SocketAddr>,
+    members: HashMap<SocketAddr, usize>,
+}
+
+impl Run {
+    /// A run of members at these addresses.
+    pub fn new(config: ScaleConfig, addresses: Vec<SocketAddr>) -> Run {
+        let topology = Topology::new(addresses.len(), config.zones, config.regions, config.seed);
+        let mut network = Network::new(topology, config.seed);
+        let schedule = Schedule::new(&config, &mut network, &addresses);
+        let members = addresses.iter().enumerate().map(|(member, address)| (*address, member)).collect();
+        Run { config, network, schedule, addresses, members }
+    }
+
+    /// The member at an address.
+    pub fn member_at(&self, address: SocketAddr) -> Option<usize> {
+        self.members.get(&address).copied()
+    }
+
+    /// Makes a member that starts now; a later start is a later life.
+    pub fn start(&self, member: usize, now: Micros) -> Box<dyn Endpoint> {
+        let config = &self.config;
+        let seed = config.seed ^ (member as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ now;
+        let identity = Identity {
+            address: self.addresses[member],
+            number: member,
+            zone: self.network.topology().zone(member),
+            life: now,
+            seeds: self.addresses.iter().take(SEEDS).copied().collect(),
+            seed,
+        };
+        match config.mechanism {
+            Mechanism::Membership => Box::new(MembershipEndpoint::new(identity, now)),
+            Mechanism::Cluster => {
+                let workload = self.workload();
+                Box::new(ClusterEndpoint::new(identity, config.members, config.zones, workload, now))
+            }
+            Mechanism::Calibration => {
+                let peers: Rc<[SocketAddr]> = self.addresses.as_slice().into();
+                Box::new(CalibrationEndpoint::new(config.calibration, peers, seed, now))
+            }
+        }
+    }
+
+    fn workload(&self) -> WorkloadConfig {
+        WorkloadConfig {
+            requests_per_s: self.config.requests_per_s,
+            hosts: self.config.cache_hosts,
+            silent: self.schedule.silent_hosts.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/scale/schedule.rs
@@ -0,0 +1,273 @@
+//! What happens when in a run, and what members are expected to know of it: fixed by the configuration and the seed before
+//! anything starts.
+
+use std::net::SocketAddr;
+use std::ops::Range;
+
+use super::config::{Event, ScaleConfig};
+use super::endpoint::StateQuery;
+use super::network::{Cut, CutKind, Loss, Network};
+use super::topology::Topology;
+use super::Micros;
+
+/// The time at which every run starts: no real clock reads so little, and no span before it underflows.
+pub const START: Micros = 1_000_000_000;
+/// The share of the observed time in which the fleet is in its ordinary state.
+const ORDINARY_SHARE: f64 = 1.0 / 3.0;
+/// Parts of the time after the event begins at which it goes on.
+const RETURN_PART: f64 = 0.45;
+const SILENCE_PART: f64 = 0.7;
+/// The share of packets lost in [`Event::Loss`].
+const LOSS_SHARE: f64 = 0.01;
+/// The share of members that restart in [`Event::RestartWave`], within which time, and for how long each is away.
+const WAVE_SHARE: f64 = 0.4;
+const WAVE_SPREAD: Micros = 5_000_000;
+const WAVE_AWAY: Micros = 1_000_000;
+/// Members about which all others are asked after an event that concerns many.
+const SAMPLED: usize = 3;
+
+/// What is done to a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ActionKind {
+    /// It is killed.
+    Stop,
+    /// It starts anew, without memory.
+    Start,
+}
+
+/// Something that is done to a member at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Action {
+    /// When.
+    pub at: Micros,
+    /// To whom.
+    pub member: usize,
+    /// What.
+    pub kind: ActionKind,
+}
+
+/// A change that all observers should come to know.
+#[derive(Clone, Debug)]
+pub struct Expectation {
+    /// Its name in tables.
+    pub name: &'static str,
+    /// From when on it is true.
+    pub at: Micros,
+    /// Until when observers are asked.
+    pub until: Micros,
+    /// What they are asked.
+    pub query: StateQuery,
+    /// Who is asked, by member.
+    pub observers: Vec<bool>,
+}
+
+/// The phases of a run, for counting.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(usize)]
+pub enum Phase {
+    /// The fleet forms.
+    WarmUp,
+    /// Its ordinary state.
+    Ordinary,
+    /// The event, and what follows.
+    Event,
+}
+
+impl Phase {
+    /// How many phases there are.
+    pub const COUNT: usize = 3;
+}
+
+/// What happens when.
+#[derive(Clone, Debug)]
+pub struct Schedule {
+    /// The end of the first phase.
+    pub warm: Micros,
+    /// When the event begins.
+    pub event: Micros,
+    /// The end of the run.
+    pub end: Micros,
+    /// What is done to members, in order of time.
+    pub actions: Vec<Action>,
+    /// What members should come to know.
+    pub expectations: Vec<Expectation>,
+    /// Cache hosts that fall silent, and when.
+    pub silent_hosts: Vec<(u64, Range<Micros>)>,
+}
+
+impl Schedule {
+    /// The schedule of a run, with its faults added to the network.
+    pub fn new(config: &ScaleConfig, network: &mut Network, addresses: &[SocketAddr]) -> Schedule {
+        let micros = |seconds: f64| (seconds * 1e6) as Micros;
+        let warm = START + micros(config.warm_up_s);
+        let end = warm + micros(config.seconds);
+        let event = match config.event {
+            Event::None => end,
+            _ => warm + micros(config.seconds * ORDINARY_SHARE),
+        };
+        let schedule = Schedule {
+            warm,
+            event,
+            end,
+            actions: Vec::new(),
+            expectations: Vec::new(),
+            silent_hosts: Vec::new(),
+        };
+        let rng = fastrand::Rng::with_seed(config.seed ^ 0x5c4e_d01e);
+        let mut builder = Builder { schedule, network, addresses, rng };
+        builder.add(config.event);
+        builder.schedule.actions.sort_by_key(|action| action.at);
+        builder.schedule
+    }
+
+    /// The phase at a time.
+    pub fn phase(&self, now: Micros) -> Phase {
+        if now < self.warm {
+            Phase::WarmUp
+        } else if now < self.event {
+            Phase::Ordinary
+        } else {
+            Phase::Event
+        }
+    }
+
+    /// How long a phase lasts, in seconds.
+    pub fn phase_seconds(&self, phase: Phase) -> f64 {
+        let span = match phase {
+            Phase::WarmUp => self.warm - START,
+            Phase::Ordinary => self.event - self.warm,
+            Phase::Event => self.end - self.event,
+        };
+        span as f64 / 1e6
+    }
+}
+
+/// Draws an event and adds what it consists of.
+struct Builder<'a> {
+    schedule: Schedule,
+    network: &'a mut Network,
+    addresses: &'a [SocketAddr],
+    rng: fastrand::Rng,
+}
+
+impl Builder<'_> {
+    fn topology(&self) -> &Topology {
+        self.network.topology()
+    }
+
+    /// The time that far into the event.
+    fn part(&self, part: f64) -> Micros {
+        let Schedule { event, end, .. } = self.schedule;
+        event + ((end - event) as f64 * part) as Micros
+    }
+
+    fn add(&mut self, event: Event) {
+        match event {
+            Event::None => {}
+            Event::MemberLost => self.add_member_lost(),
+            Event::Loss => {
+                let during = self.schedule.warm..self.schedule.end;
+                self.network.add_loss(Loss { during, share: LOSS_SHARE });
+                self.add_member_lost();
+            }
+            Event::ZoneLost => self.add_zone_lost(),
+            Event::RegionCut => self.add_region_cut(),
+            Event::RestartWave => self.add_restart_wave(),
+            // Only a mechanism with control machines has something to lose here.
+            Event::ControlLoss => {}
+        }
+    }
+
+    fn add_member_lost(&mut self) {
+        // The first members are the seeds of all others: an ordinary member is one of the rest.
+        let count = self.topology().members();
+        let member = self.rng.usize(count.min(3) % count..count);
+        let (stop, start, silence) = (self.part(0.0), self.part(RETURN_PART), self.part(SILENCE_PART));
+        self.act(stop, member, ActionKind::Stop);
+        self.act(start, member, ActionKind::Start);
+        let mut others = vec![true; count];
+        others[member] = false;
+        let address = self.addresses[member];
+        self.expect("member-gone", stop..start, StateQuery::Gone(address), others.clone());
+        self.expect("member-back", start..self.schedule.end, StateQuery::Alive(address), others.clone());
+        self.schedule.silent_hosts.push((self.rng.u64(0..64), silence..self.schedule.end));
+        self.expect("host-silent", silence..self.schedule.end, StateQuery::HostAvoided, vec![true; count]);
+    }
+
+    fn add_zone_lost(&mut self) {
+        let zone = self.rng.usize(0..self.topology().zones());
+        let (stop, start) = (self.part(0.0), self.part(RETURN_PART));
+        let lost: Vec<usize> =
+            (0..self.topology().members()).filter(|member| self.topology().zone(*member) == zone).collect();
+        for member in &lost {
+            self.act(stop, *member, ActionKind::Stop);
+            self.act(start, *member, ActionKind::Start);
+        }
+        let others = self.others(&lost);
+        for address in self.sample(&lost) {
+            self.expect("zone-gone", stop..start, StateQuery::Gone(address), others.clone());
+            self.expect("zone-back", start..self.schedule.end, StateQuery::Alive(address), others.clone());
+        }
+    }
+
+    fn add_region_cut(&mut self) {
+        let region = self.rng.usize(0..self.topology().regions());
+        let (cut, heal) = (self.part(0.0), self.part(RETURN_PART));
+        self.network.add_cut(Cut { during: cut..heal, kind: CutKind::Region(region) });
+        let inside: Vec<usize> = (0..self.topology().members())
+            .filter(|member| self.topology().region(*member) == region)
+            .collect();
+        let outside = self.others(&inside);
+        for address in self.sample(&inside) {
+            self.expect("region-gone", cut..heal, StateQuery::Gone(address), outside.clone());
+            self.expect("region-back", heal..self.schedule.end, StateQuery::Alive(address), outside.clone());
+        }
+    }
+
+    fn add_restart_wave(&mut self) {
+        let mut members: Vec<usize> = (0..self.topology().members()).collect();
+        self.rng.shuffle(&mut members);
+        members.truncate((members.len() as f64 * WAVE_SHARE) as usize);
+        for member in &members {
+            let stop = self.part(0.0) + self.rng.u64(0..WAVE_SPREAD);
+            self.act(stop, *member, ActionKind::Stop);
+            self.act(stop + WAVE_AWAY, *member, ActionKind::Start);
+        }
+        let over = self.part(0.0) + WAVE_SPREAD + WAVE_AWAY;
+        let all = vec![true; self.topology().members()];
+        for address in self.sample(&members) {
+            let mut others = all.clone();
+            if let Some(member) = self.addresses.iter().position(|other| *other == address) {
+                others[member] = false;
+            }
+            self.expect("restarted-known", over..self.schedule.end, StateQuery::Alive(address), others);
+        }
+    }
+
+    fn act(&mut self, at: Micros, member: usize, kind: ActionKind) {
+        if at < self.schedule.end {
+            self.schedule.actions.push(Action { at, member, kind });
+        }
+    }
+
+    fn expect(&mut self, name: &'static str, during: Range<Micros>, query: StateQuery, observers: Vec<bool>) {
+        let Range { start: at, end: until } = during;
+        if at < until {
+            self.schedule.expectations.push(Expectation { name, at, until, query, observers });
+        }
+    }
+
+    /// All members but these.
+    fn others(&self, members: &[usize]) -> Vec<bool> {
+        let mut others = vec![true; self.topology().members()];
+        members.iter().for_each(|member| others[*member] = false);
+        others
+    }
+
+    /// The addresses of a few of these members.
+    fn sample(&mut self, members: &[usize]) -> Vec<SocketAddr> {
+        let mut members = members.to_vec();
+        self.rng.shuffle(&mut members);
+        members.into_iter().take(SAMPLED).map(|member| self.addresses[member]).collect()
+    }
+}
--- /dev/null
+++ b/fleet/src/scale/shard.rs
@@ -0,0 +1,237 @@
+//! The members that one thread drives: calls their control code, applies the network's faults to what they send, counts, and
+//! notes what they come to know. Knows no socket and no clock; both drivers use it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::config::Flaw;
+use super::endpoint::{Datagram, Endpoint, EndpointEvent};
+use super::meter::{thread_cpu_ns, Calls, MemberCounts, MemberPhases};
+use super::run::Run;
+use super::schedule::{Action, ActionKind};
+use super::Micros;
+
+/// A packet that travels: when it arrives, and where.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Travelling {
+    /// When it arrives.
+    pub due: Micros,
+    /// Who sent it.
+    pub from: usize,
+    /// Whom it is for.
+    pub to: usize,
+    /// What it holds.
+    pub bytes: Vec<u8>,
+}
+
+/// A member that came to know of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reached {
+    /// The expectation, by its place in the schedule.
+    pub expectation: usize,
+    /// The member.
+    pub member: usize,
+    /// When.
+    pub at: Micros,
+}
+
+/// Something that a member did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemberEvent {
+    /// When.
+    pub at: Micros,
+    /// Who.
+    pub member: usize,
+    /// What.
+    pub event: EndpointEvent,
+}
+
+/// What a shard has counted and noted.
+#[derive(Debug, Default)]
+pub struct Observations {
+    /// The counts of each of its members.
+    pub counts: Vec<(usize, MemberPhases)>,
+    /// Who came to know of what.
+    pub reached: Vec<Reached>,
+    /// What members did.
+    pub events: Vec<MemberEvent>,
+    /// How many members each takes for alive at the end, where it runs and counts them.
+    pub known: Vec<usize>,
+    /// Packets to addresses of no member.
+    pub unroutable: u64,
+}
+
+struct Slot {
+    member: usize,
+    endpoint: Option<Box<dyn Endpoint>>,
+    counts: MemberPhases,
+    /// Packets that it has sent, for the network's draws.
+    sent: u64,
+    /// Expectations that it has reached, as bits.
+    reached: u64,
+    /// When [`Flaw::TalksToAll`] is due.
+    talks: Micros,
+}
+
+/// The members of one thread.
+pub struct Shard {
+    run: Arc<Run>,
+    number: usize,
+    shards: usize,
+    slots: Vec<Slot>,
+    observations: Observations,
+}
+
+impl Shard {
+    /// Shard `number` of `shards`; its members are not started yet.
+    pub fn new(run: Arc<Run>, number: usize, shards: usize) -> Shard {
+        let members = (number..run.addresses.len()).step_by(shards);
+        let slot = |member| Slot {
+            member,
+            endpoint: None,
+            counts: MemberPhases::default(),
+            sent: 0,
+            reached: 0,
+            talks: 0,
+        };
+        let slots = members.map(slot).collect();
+        Shard { run, number, shards, slots, observations: Observations::default() }
+    }
+
+    /// Which of the shards it is: its members' numbers leave this remainder.
+    pub fn number(&self) -> usize {
+        self.number
+    }
+
+    /// The members of this shard.
+    pub fn members(&self) -> Vec<usize> {
+        self.slots.iter().map(|slot| slot.member).collect()
+    }
+
+    /// Does what the schedule says.
+    pub fn on_action(&mut self, now: Micros, action: &Action, out: &mut Vec<Travelling>) {
+        let place = action.member / self.shards;
+        match action.kind {
+            ActionKind::Stop => self.slots[place].endpoint = None,
+            ActionKind::Start => {
+                let endpoint = self.run.start(action.member, now);
+                self.slots[place].endpoint = Some(endpoint);
+                self.after(now, place, out);
+            }
+        }
+    }
+
+    /// A packet has come for one of its members.
+    pub fn on_datagram(
+        &mut self,
+        now: Micros,
+        member: usize,
+        from: SocketAddr,
+        bytes: &[u8],
+        out: &mut Vec<Travelling>,
+    ) {
+        let place = member / self.shards;
+        let phase = self.run.schedule.phase(now) as usize;
+        let slot = &mut self.slots[place];
+        let Some(endpoint) = &mut slot.endpoint else { return };
+        let before = thread_cpu_ns();
+        endpoint.on_datagram(now, from, bytes);
+        let sent = endpoint.drain();
+        let counts = &mut slot.counts[phase];
+        count_call(&mut counts.datagrams, before);
+        counts.received.packets += 1;
+        counts.received.bytes += bytes.len() as u64;
+        self.send(now, place, sent, out);
+        self.note_events(now, place);
+    }
+
+    /// One of its members does what is due.
+    pub fn on_tick(&mut self, now: Micros, member: usize, out: &mut Vec<Travelling>) {
+        let place = member / self.shards;
+        let phase = self.run.schedule.phase(now) as usize;
+        let slot = &mut self.slots[place];
+        let Some(endpoint) = &mut slot.endpoint else { return };
+        let before = thread_cpu_ns();
+        endpoint.on_tick(now);
+        let mut sent = endpoint.drain();
+        count_call(&mut slot.counts[phase].ticks, before);
+        if self.run.config.flaw == Some(Flaw::TalksToAll) && now >= slot.talks {
+            slot.talks = now + 1_000_000;
+            sent.extend(talk_to_all(&self.run, member));
+        }
+        self.send(now, place, sent, out);
+        self.note_events(now, place);
+        self.note_reached(now, place);
+    }
+
+    /// What it has counted and noted, at the end.
+    pub fn finish(mut self) -> Observations {
+        for slot in &self.slots {
+            self.observations.counts.push((slot.member, slot.counts));
+            let known = slot.endpoint.as_ref().and_then(|endpoint| endpoint.known_members());
+            self.observations.known.extend(known);
+        }
+        self.observations
+    }
+
+    /// Sends what a member has to say since its start.
+    fn after(&mut self, now: Micros, place: usize, out: &mut Vec<Travelling>) {
+        let sent = self.slots[place].endpoint.as_mut().map(|endpoint| endpoint.drain()).unwrap_or_default();
+        self.send(now, place, sent, out);
+        self.note_events(now, place);
+    }
+
+    fn send(&mut self, now: Micros, place: usize, sent: Vec<Datagram>, out: &mut Vec<Travelling>) {
+        let phase = self.run.schedule.phase(now) as usize;
+        for (address, bytes) in sent {
+            let slot = &mut self.slots[place];
+            slot.sent += 1;
+            let counts: &mut MemberCounts = &mut slot.counts[phase];
+            counts.on_sent(&bytes);
+            let Some(to) = self.run.member_at(address) else {
+                self.observations.unroutable += 1;
+                continue;
+            };
+            let from = slot.member;
+            if let Some(delay) = self.run.network.delay(now, from, to, slot.sent) {
+                out.push(Travelling { due: now + delay, from, to, bytes });
+            }
+        }
+    }
+
+    fn note_events(&mut self, now: Micros, place: usize) {
+        let slot = &mut self.slots[place];
+        let Some(endpoint) = &mut slot.endpoint else { return };
+        let member = slot.member;
+        let events = endpoint.drain_events(now);
+        self.observations.events.extend(events.into_iter().map(|event| MemberEvent {
+            at: now,
+            member,
+            event,
+        }));
+    }
+
+    fn note_reached(&mut self, now: Micros, place: usize) {
+        let slot = &mut self.slots[place];
+        let Some(endpoint) = &mut slot.endpoint else { return };
+        for (number, expectation) in self.run.schedule.expectations.iter().enumerate() {
+            let due = (expectation.at..expectation.until).contains(&now);
+            let asked = due && expectation.observers[slot.member] && slot.reached & (1 << number) == 0;
+            if asked && endpoint.satisfies(&expectation.query) {
+                slot.reached |= 1 << number;
+                self.observations.reached.push(Reached { expectation: number, member: slot.member, at: now });
+            }
+        }
+    }
+}
+
+fn count_call(calls: &mut Calls, before_ns: u64) {
+    calls.count += 1;
+    calls.cpu_ns += thread_cpu_ns().saturating_sub(before_ns);
+}
+
+/// A packet to each other member.
+fn talk_to_all(run: &Run, member: usize) -> Vec<Datagram> {
+    let others = run.addresses.iter().enumerate().filter(|(other, _)| *other != member);
+    others.map(|(_, address)| (*address, vec![b'J', b'L', 0, 0])).collect()
+}
--- /dev/null
+++ b/fleet/src/scale/sockets.rs
@@ -0,0 +1,271 @@
+//! Drives the members of a run over real UDP sockets on loopback in real time: a few threads, each with its members' sockets in
+//! one poll.
+//!
+//! A packet waits at its sender until it is due to arrive, and is sent then. So no relay stands between two members, and the
+//! receiver sees the sender's own address.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Barrier};
+use std::time::{Duration, Instant};
+
+use mio::net::UdpSocket;
+use mio::{Events, Interest, Poll, Token};
+
+use super::meter::{thread_cpu_ns, Lateness};
+use super::run::{Run, TICK};
+use super::schedule::{Phase, START};
+use super::shard::{Observations, Shard, Travelling};
+use super::virtual_time::{start_action, start_of};
+use super::{resources, Micros};
+
+/// The longest packet that is read whole.
+const DATAGRAM_MAX: usize = 2_048;
+/// Packets read from one socket before the timers have their turn.
+const READS_PER_TURN: usize = 64;
+/// Socket events taken from one poll.
+const EVENTS_PER_POLL: usize = 1_024;
+/// How long before the end the memory is read, while all members still run.
+const MEMORY_READ_BEFORE_END: Duration = Duration::from_millis(200);
+
+/// What a run over sockets cost and left.
+#[derive(Debug, Default)]
+pub struct SocketRun {
+    /// What the shards counted and noted.
+    pub observations: Vec<Observations>,
+    /// How late the test bed's timers were once the fleet had formed.
+    pub lateness: Lateness,
+    /// Processor time of all worker threads by phase, in nanoseconds, the test bed's own share included.
+    pub cpu_ns: [u64; Phase::COUNT],
+    /// Resident memory before the members started and shortly before the end, in bytes.
+    pub memory: (u64, u64),
+    /// Packets that a full socket buffer did not take.
+    pub not_sent: u64,
+}
+
+/// Binds a socket for each member on loopback, at free ports.
+///
+/// # Errors
+/// What the system says.
+pub fn bind(members: usize) -> io::Result<(Vec<std::net::UdpSocket>, Vec<SocketAddr>)> {
+    let mut sockets = Vec::with_capacity(members);
+    let mut addresses = Vec::with_capacity(members);
+    for _ in 0..members {
+        let socket = std::net::UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+        socket.set_nonblocking(true)?;
+        addresses.push(socket.local_addr()?);
+        sockets.push(socket);
+    }
+    Ok((sockets, addresses))
+}
+
+/// Plays a run to its end.
+///
+/// # Errors
+/// What the system says of a socket or a poll.
+pub fn play(run: &Arc<Run>, sockets: Vec<std::net::UdpSocket>) -> io::Result<SocketRun> {
+    let workers = run.config.workers.max(1);
+    let mut shares: Vec<Vec<std::net::UdpSocket>> = (0..workers).map(|_| Vec::new()).collect();
+    for (member, socket) in sockets.into_iter().enumerate() {
+        shares[member % workers].push(socket);
+    }
+    let memory_before = resources::resident_bytes();
+    let barrier = Arc::new(Barrier::new(workers + 1));
+    let mut threads = Vec::new();
+    for (number, sockets) in shares.into_iter().enumerate() {
+        let (run, barrier) = (Arc::clone(run), Arc::clone(&barrier));
+        threads.push(std::thread::spawn(move || {
+            let worker = Worker::new(&run, number, workers, sockets);
+            barrier.wait();
+            worker?.play()
+        }));
+    }
+    barrier.wait();
+    let length = Duration::from_micros(run.schedule.end - START);
+    std::thread::sleep(length.saturating_sub(MEMORY_READ_BEFORE_END));
+    let mut whole =
+        SocketRun { memory: (memory_before, resources::resident_bytes()), ..SocketRun::default() };
+    for thread in threads {
+        let part = thread.join().map_err(|_| io::Error::other("a worker thread panicked"))??;
+        whole.add(part);
+    }
+    Ok(whole)
+}
+
+impl SocketRun {
+    fn add(&mut self, part: SocketRun) {
+        self.observations.extend(part.observations);
+        self.lateness.add(&part.lateness);
+        self.cpu_ns.iter_mut().zip(part.cpu_ns).for_each(|(sum, one)| *sum += one);
+        self.not_sent += part.not_sent;
+    }
+}
+
+/// A timer of a worker: a member's tick, or an action of the schedule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum TimerKind {
+    Action(usize),
+    Tick(usize),
+}
+
+struct Worker {
+    run: Arc<Run>,
+    shard: Shard,
+    workers: usize,
+    sockets: Vec<UdpSocket>,
+    poll: Poll,
+    timers: BinaryHeap<Reverse<(Micros, TimerKind)>>,
+    waiting: BinaryHeap<Reverse<Travelling>>,
+    out: Vec<Travelling>,
+    clock: Instant,
+    result: SocketRun,
+}
+
+impl Worker {
+    fn new(
+        run: &Arc<Run>,
+        number: usize,
+        workers: usize,
+        sockets: Vec<std::net::UdpSocket>,
+    ) -> io::Result<Worker> {
+        let poll = Poll::new()?;
+        let mut sockets: Vec<UdpSocket> = sockets.into_iter().map(UdpSocket::from_std).collect();
+        for (place, socket) in sockets.iter_mut().enumerate() {
+            poll.registry().register(socket, Token(place), Interest::READABLE)?;
+        }
+        Ok(Worker {
+            shard: Shard::new(Arc::clone(run), number, workers),
+            run: Arc::clone(run),
+            workers,
+            sockets,
+            poll,
+            timers: BinaryHeap::new(),
+            waiting: BinaryHeap::new(),
+            out: Vec::new(),
+            clock: Instant::now(),
+            result: SocketRun::default(),
+        })
+    }
+
+    fn now(&self) -> Micros {
+        START + self.clock.elapsed().as_micros() as Micros
+    }
+
+    fn play(mut self) -> io::Result<SocketRun> {
+        self.clock = Instant::now();
+        self.start();
+        let mut events = Events::with_capacity(EVENTS_PER_POLL);
+        let (mut cpu, mut unread) = (thread_cpu_ns(), Vec::new());
+        loop {
+            let now = self.now();
+            if now >= self.run.schedule.end {
+                break;
+            }
+            let phase = self.run.schedule.phase(now) as usize;
+            self.fire_timers();
+            self.send_due();
+            let pause = if unread.is_empty() { self.until_next() } else { Duration::ZERO };
+            match self.poll.poll(&mut events, Some(pause)) {
+                Err(error) if error.kind() != io::ErrorKind::Interrupted => return Err(error),
+                _ => {}
+            }
+            let mut ready = std::mem::take(&mut unread);
+            ready.extend(events.iter().map(|event| event.token().0));
+            for place in ready {
+                if self.read(place) {
+                    unread.push(place);
+                }
+            }
+            let spent = thread_cpu_ns();
+            self.result.cpu_ns[phase] += spent.saturating_sub(cpu);
+            cpu = spent;
+        }
+        self.result.observations.push(self.shard.finish());
+        Ok(self.result)
+    }
+
+    /// Puts in the first start of each member, and the actions that concern them.
+    fn start(&mut self) {
+        let members = self.run.addresses.len();
+        for member in self.shard.members() {
+            let at = start_of(member, members);
+            self.shard.on_action(at, &start_action(member, at), &mut self.out);
+            self.timers.push(Reverse((at + TICK, TimerKind::Tick(member))));
+        }
+        self.collect();
+        for (number, action) in self.run.schedule.actions.iter().enumerate() {
+            if action.member % self.workers == self.shard.number() {
+                self.timers.push(Reverse((action.at, TimerKind::Action(number))));
+            }
+        }
+    }
+
+    fn fire_timers(&mut self) {
+        loop {
+            let now = self.now();
+            let Some(Reverse((due, kind))) = self.timers.peek().copied() else { return };
+            if due > now {
+                return;
+            }
+            self.timers.pop();
+            if self.run.schedule.phase(now) != Phase::WarmUp {
+                self.result.lateness.on_timer(due, now);
+            }
+            match kind {
+                TimerKind::Action(number) => {
+                    self.shard.on_action(now, &self.run.schedule.actions[number], &mut self.out);
+                }
+                TimerKind::Tick(member) => {
+                    self.shard.on_tick(now, member, &mut self.out);
+                    // A tick that was missed is not made up for.
+                    let next = if now < due + TICK { due + TICK } else { now + TICK };
+                    self.timers.push(Reverse((next, TimerKind::Tick(member))));
+                }
+            }
+            self.collect();
+        }
+    }
+
+    fn collect(&mut self) {
+        self.waiting.extend(self.out.drain(..).map(Reverse));
+    }
+
+    fn send_due(&mut self) {
+        let now = self.now();
+        while self.waiting.peek().is_some_and(|Reverse(packet)| packet.due <= now) {
+            let Some(Reverse(packet)) = self.waiting.pop() else { return };
+            let socket = &self.sockets[packet.from / self.workers];
+            if socket.send_to(&packet.bytes, self.run.addresses[packet.to]).is_err() {
+                self.result.not_sent += 1;
+            }
+        }
+    }
+
+    fn until_next(&self) -> Duration {
+        let timer = self.timers.peek().map(|Reverse((due, _))| *due);
+        let packet = self.waiting.peek().map(|Reverse(packet)| packet.due);
+        let next = timer.into_iter().chain(packet).min().unwrap_or(self.run.schedule.end);
+        Duration::from_micros(next.min(self.run.schedule.end).saturating_sub(self.now()))
+    }
+
+    /// Reads what has come at a socket; whether there may be more.
+    fn read(&mut self, place: usize) -> bool {
+        let member = place * self.workers + self.shard.number();
+        let mut buffer = [0; DATAGRAM_MAX];
+        for _ in 0..READS_PER_TURN {
+            match self.sockets[place].recv_from(&mut buffer) {
+                Ok((length, from)) => {
+                    let now = self.now();
+                    self.shard.on_datagram(now, member, from, &buffer[..length], &mut self.out);
+                    self.collect();
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return false,
+                // Word that an earlier packet found nobody; the next one may.
+                Err(_) => {}
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/fleet/src/scale/tests.rs
@@ -0,0 +1,102 @@
+//! Tests of the test bed itself: what it draws follows from the seed, and what it counts is whole.
+
+use std::net::SocketAddr;
+
+use juniperladder_cluster::cold::Start;
+use juniperladder_cluster::packet::{self, About, Item};
+use juniperladder_cluster::{budget, shares};
+
+use super::endpoint::PacketKind;
+use super::meter::{Lateness, MemberCounts};
+use super::network::{Cut, CutKind, Loss, Network};
+use super::topology::Topology;
+use super::*;
+
+fn network(seed: u64) -> Network {
+    let mut network = Network::new(Topology::new(200, 38, 12, seed), seed);
+    network.add_cut(Cut { during: 100..200, kind: CutKind::Region(3) });
+    network.add_loss(Loss { during: 0..1_000, share: 0.25 });
+    network
+}
+
+fn fates(network: &Network) -> Vec<Option<Micros>> {
+    (0..4_000).map(|count| network.delay(500, count % 200, (count * 7 + 1) % 200, count as u64)).collect()
+}
+
+#[test]
+fn one_seed_gives_one_network() {
+    assert_eq!(fates(&network(1)), fates(&network(1)));
+    assert_ne!(fates(&network(1)), fates(&network(2)));
+    let lost = fates(&network(1)).iter().filter(|fate| fate.is_none()).count();
+    assert!((900..1_100).contains(&lost), "{lost} of 4000 at a share of 0.25");
+}
+
+#[test]
+fn delays_grow_with_the_distance_and_are_the_same_both_ways() {
+    let topology = Topology::new(200, 38, 12, 1);
+    assert_eq!(topology.delay(0, 38), 1_000, "one zone");
+    assert_eq!(topology.delay(0, 12), 5_000, "two zones of one region");
+    for (from, to) in [(0, 1), (3, 8), (11, 4)] {
+        assert!((20_000..90_000).contains(&topology.delay(from, to)));
+        assert_eq!(topology.delay(from, to), topology.delay(to, from));
+    }
+}
+
+#[test]
+fn a_region_that_is_cut_hears_itself_alone() {
+    let network = network(1);
+    let region = |member| network.topology().region(member);
+    let inside: Vec<usize> = (0..200).filter(|member| region(*member) == 3).collect();
+    let outside = (0..200).find(|member| region(*member) != 3).unwrap();
+    assert!(network.is_cut(150, inside[0], outside) && network.is_cut(150, outside, inside[0]));
+    assert!(!network.is_cut(150, inside[0], inside[1]));
+    assert!(!network.is_cut(200, inside[0], outside), "the end of the cut is not in it");
+}
+
+#[test]
+fn every_byte_of_a_packet_is_counted_for_one_kind() {
+    let to = SocketAddr::from(([127, 0, 0, 1], 9));
+    let hold = shares::Message::Hold(shares::Hold { life: 1, sent: 2, units: 3 });
+    let give = budget::Message::Give { life: 3, sent: 4, rights: 5 };
+    let abouts =
+        [About::Limit(0, hold), About::Cold(Start { host: 1, started: 2 }, hold), About::Second(give)];
+    let items = abouts.map(|about| (to, Item { terms: u32::MAX, about }));
+    let packets = packet::talk(items);
+    let mut counts = MemberCounts::default();
+    packets.iter().for_each(|(_, bytes)| counts.on_sent(bytes));
+    counts.on_sent(&packet::membership(&[7; 100]));
+    counts.on_sent(b"nonsense");
+    let sent = |kind: PacketKind| counts.sent[kind as usize];
+    let length: u64 = packets.iter().map(|(_, bytes)| bytes.len() as u64).sum();
+    assert_eq!(counts.sent_total().bytes, length + 104 + 8);
+    assert_eq!((counts.sent_total().packets, packets.len()), (3, 1));
+    assert_eq!((sent(PacketKind::Membership).bytes, sent(PacketKind::Unknown).bytes), (104, 8));
+    assert_eq!((sent(PacketKind::Limits).packets, sent(PacketKind::Retries).packets), (1, 0));
+    assert!(sent(PacketKind::WarmUp).bytes > 0 && sent(PacketKind::Retries).bytes > 0);
+}
+
+#[test]
+fn lateness_is_told_by_quantile_over_threads() {
+    let (mut one, mut other) = (Lateness::default(), Lateness::default());
+    (0..99).for_each(|_| one.on_timer(1_000, 1_050));
+    other.on_timer(1_000, 26_000);
+    one.add(&other);
+    assert_eq!(one.quantile_ms(0.99), 0.0);
+    assert_eq!(one.quantile_ms(1.0), 25.0);
+    assert_eq!(Lateness::default().quantile_ms(0.99), 0.0);
+}
+
+#[test]
+fn what_the_machine_does_not_allow_is_one_line_and_starts_nothing() {
+    for config in [
+        ScaleConfig { members: 1, ..ScaleConfig::default() },
+        ScaleConfig { members: 5_000, ..ScaleConfig::default() },
+        ScaleConfig { seconds: 0.0, ..ScaleConfig::default() },
+    ] {
+        let Err(Problem::NotAllowed(line)) = play(config) else { panic!("it ran") };
+        assert!(!line.contains('\n'));
+    }
+    let config = ScaleConfig { members: 4_000, ..ScaleConfig::default() };
+    assert!(resources::memory_needed(&config) > resources::MEMORY_MAX);
+    assert!(resources::descriptors_needed(&config) > 4_000);
+}
--- /dev/null
+++ b/fleet/src/scale/topology.rs
@@ -0,0 +1,72 @@
+//! Where members stand: each in a zone, each zone in a region, and how long a packet travels between two of them.
+//!
+//! All of it follows from the seed and the counts, so that two runs with one seed have the same network.
+
+use super::Micros;
+
+/// One-way delay within a zone.
+const SAME_ZONE_DELAY: Micros = 1_000;
+/// One-way delay between two zones of a region.
+const SAME_REGION_DELAY: Micros = 5_000;
+/// One-way delay between two regions, drawn for each pair from this range.
+const BETWEEN_REGIONS_DELAY: std::ops::Range<Micros> = 20_000..90_000;
+
+/// The zones and regions of a fleet.
+#[derive(Clone, Debug)]
+pub struct Topology {
+    members: usize,
+    zones: usize,
+    regions: usize,
+    /// The delay by pair of regions.
+    delays: Vec<Micros>,
+}
+
+impl Topology {
+    /// A topology of so many members, dealt to zones in turn, and zones to regions in turn.
+    pub fn new(members: usize, zones: usize, regions: usize, seed: u64) -> Topology {
+        let (zones, regions) = (zones.max(1), regions.max(1).min(zones.max(1)));
+        let mut rng = fastrand::Rng::with_seed(seed ^ 0x7090_1093);
+        let mut delays = vec![SAME_REGION_DELAY; regions * regions];
+        for from in 0..regions {
+            for to in 0..from {
+                let delay = rng.u64(BETWEEN_REGIONS_DELAY);
+                delays[from * regions + to] = delay;
+                delays[to * regions + from] = delay;
+            }
+        }
+        Topology { members, zones, regions, delays }
+    }
+
+    /// How many members there are.
+    pub fn members(&self) -> usize {
+        self.members
+    }
+
+    /// How many regions there are.
+    pub fn regions(&self) -> usize {
+        self.regions
+    }
+
+    /// How many zones there are.
+    pub fn zones(&self) -> usize {
+        self.zones
+    }
+
+    /// The zone of a member.
+    pub fn zone(&self, member: usize) -> usize {
+        member % self.zones
+    }
+
+    /// The region of a member.
+    pub fn region(&self, member: usize) -> usize {
+        self.zone(member) % self.regions
+    }
+
+    /// The one-way delay between two members, without jitter.
+    pub fn delay(&self, from: usize, to: usize) -> Micros {
+        if self.zone(from) == self.zone(to) {
+            return SAME_ZONE_DELAY;
+        }
+        self.delays[self.region(from) * self.regions + self.region(to)]
+    }
+}
--- /dev/null
+++ b/lab/src/fit.rs
@@ -0,0 +1,165 @@
+//! Fits a cost to the size of a fleet by least squares: which simple law describes it, and what that law says of a size that was
+//! left out. Pure.
+
+/// How a cost grows with the number of members `n`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Law {
+    /// `a`: it does not.
+    Constant,
+    /// `a + b log2 n`.
+    Logarithmic,
+    /// `a + b n`.
+    Linear,
+    /// `a + b n log2 n`.
+    Linearithmic,
+    /// `a + b n²`.
+    Quadratic,
+}
+
+impl Law {
+    /// All laws, the slowest growth first.
+    pub const ALL: [Law; 5] =
+        [Law::Constant, Law::Logarithmic, Law::Linear, Law::Linearithmic, Law::Quadratic];
+
+    /// The law in words.
+    pub fn name(self) -> &'static str {
+        match self {
+            Law::Constant => "a",
+            Law::Logarithmic => "a + b log2 n",
+            Law::Linear => "a + b n",
+            Law::Linearithmic => "a + b n log2 n",
+            Law::Quadratic => "a + b n^2",
+        }
+    }
+
+    /// What `b` is multiplied by at this size.
+    fn term(self, size: f64) -> f64 {
+        match self {
+            Law::Constant => 0.0,
+            Law::Logarithmic => size.log2(),
+            Law::Linear => size,
+            Law::Linearithmic => size * size.log2(),
+            Law::Quadratic => size * size,
+        }
+    }
+}
+
+/// A law with its coefficients.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fit {
+    /// The law.
+    pub law: Law,
+    /// The part that does not grow.
+    pub a: f64,
+    /// The factor of the part that grows.
+    pub b: f64,
+    /// The root of the mean squared difference to the points.
+    pub residual: f64,
+}
+
+impl Fit {
+    /// The cost at a size.
+    pub fn at(&self, size: f64) -> f64 {
+        self.a + self.b * self.law.term(size)
+    }
+}
+
+/// What the smaller sizes say of the largest one.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Prediction {
+    /// The best law of the smaller sizes.
+    pub fit: Fit,
+    /// The largest size.
+    pub size: f64,
+    /// Its cost by the law.
+    pub predicted: f64,
+    /// Its cost as measured.
+    pub measured: f64,
+}
+
+impl Prediction {
+    /// The difference as a part of what was measured.
+    pub fn error(&self) -> f64 {
+        (self.predicted - self.measured) / self.measured.abs().max(f64::MIN_POSITIVE)
+    }
+}
+
+/// Why no law can be fitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FitError {
+    /// Fewer than three different sizes: any law of two coefficients passes through two.
+    TooFewSizes,
+    /// A size below 1, or a value that is no finite number.
+    NotANumber,
+}
+
+impl std::fmt::Display for FitError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            FitError::TooFewSizes => "a fit needs at least three different sizes",
+            FitError::NotANumber => "sizes are at least 1 and costs are finite numbers",
+        })
+    }
+}
+
+impl std::error::Error for FitError {}
+
+/// How much smaller the residual of a law has to be than that of the constant, so that growth is believed at all.
+const GROWTH_RESIDUAL: f64 = 0.5;
+/// The part of the largest cost below which a residual is rounding.
+const ROUNDING: f64 = 1e-9;
+
+/// Fits one law to (size, cost) points.
+pub fn fit_law(law: Law, points: &[(f64, f64)]) -> Fit {
+    let count = points.len().max(1) as f64;
+    let mean_x = points.iter().map(|(size, _)| law.term(*size)).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, cost)| cost).sum::<f64>() / count;
+    let covariance: f64 =
+        points.iter().map(|(size, cost)| (law.term(*size) - mean_x) * (cost - mean_y)).sum();
+    let variance: f64 = points.iter().map(|(size, _)| (law.term(*size) - mean_x).powi(2)).sum();
+    let b = if variance > 0.0 { covariance / variance } else { 0.0 };
+    let mut fit = Fit { law, a: mean_y - b * mean_x, b, residual: 0.0 };
+    let squares: f64 = points.iter().map(|(size, cost)| (fit.at(*size) - cost).powi(2)).sum();
+    fit.residual = (squares / count).sqrt();
+    fit
+}
+
+/// Fits all laws; the best first. The constant is the best one unless a law that grows halves its residual.
+///
+/// # Errors
+/// Where there are too few sizes, or numbers that are none.
+pub fn fit(points: &[(f64, f64)]) -> Result<Vec<Fit>, FitError> {
+    if points.iter().any(|(size, cost)| !size.is_finite() || *size < 1.0 || !cost.is_finite()) {
+        return Err(FitError::NotANumber);
+    }
+    let mut sizes: Vec<f64> = points.iter().map(|(size, _)| *size).collect();
+    sizes.sort_by(f64::total_cmp);
+    sizes.dedup();
+    if sizes.len() < 3 {
+        return Err(FitError::TooFewSizes);
+    }
+    // Residuals that differ by rounding alone are the same; the law that grows more slowly then comes first.
+    let scale = points.iter().map(|(_, cost)| cost.abs()).fold(0.0, f64::max) * ROUNDING;
+    let rank = |fit: &Fit| match fit.law {
+        Law::Constant => (fit.residual * GROWTH_RESIDUAL).max(scale),
+        _ => fit.residual.max(scale),
+    };
+    let mut fits: Vec<Fit> = Law::ALL.iter().map(|law| fit_law(*law, points)).collect();
+    fits.sort_by(|one, other| rank(one).total_cmp(&rank(other)));
+    Ok(fits)
+}
+
+/// Fits the smaller sizes and holds what the best law says of the largest one against its cost.
+///
+/// # Errors
+/// Where the smaller sizes alone are too few.
+pub fn predict_largest(points: &[(f64, f64)]) -> Result<Prediction, FitError> {
+    let size = points.iter().map(|(size, _)| *size).fold(f64::NEG_INFINITY, f64::max);
+    let (largest, smaller): (Vec<_>, Vec<_>) = points.iter().copied().partition(|(one, _)| *one == size);
+    let best = fit(&smaller)?[0];
+    let measured = largest.iter().map(|(_, cost)| cost).sum::<f64>() / largest.len().max(1) as f64;
+    Ok(Prediction { fit: best, size, predicted: best.at(size), measured })
+}
+
+#[cfg(test)]
+mod tests;
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,9 +3,13 @@
 pub mod charts;
 pub mod commands;
 pub mod compare;
+pub mod fit;
 pub mod overview;
 pub mod replay;
 pub mod report;
+pub mod scale;
+mod scale_table;
+pub mod sizes;
 pub mod tables;
 
 use std::path::PathBuf;
@@ -63,6 +67,20 @@
         /// The run's folder
         folder: PathBuf,
     },
+    /// Runs the control code of many members in one process, over sockets or in simulated time: 0 it counts, 1 a check
+    /// failed, 2 not allowed (nothing was started), 3 the test bed was late and the run does not count
+    Scale(scale::Scale),
+    /// Fits a column of a table to another: which law describes the cost, and what the smaller sizes say of the largest
+    Fit {
+        /// The table, as CSV
+        table: PathBuf,
+        /// The column of the sizes
+        #[arg(long, default_value = "members")]
+        x: String,
+        /// The column of the cost
+        #[arg(long)]
+        y: String,
+    },
     /// Ends the processes named on standard input once it closes; the laboratory starts this itself
     #[command(hide = true)]
     Keep,
@@ -103,6 +121,8 @@
         Command::Overview { folder, chart } => overview::overview(&folder, chart.as_deref()),
         Command::Replay { folder } => replay::replay(&folder),
         Command::Report { folder } => report::again(&folder),
+        Command::Scale(args) => scale::scale(&args),
+        Command::Fit { table, x, y } => sizes::fit_table(&table, &x, &y),
         Command::Keep => commands::keep_processes(),
         Command::Demo { out } => commands::demo(&out),
     };
--- /dev/null
+++ b/lab/src/scale_table.rs
@@ -0,0 +1,73 @@
+//! The table that a scale test prints.
+
+use juniperladder_fleet::scale::results::{ChangeSummary, PhaseSummary, Summary};
+
+/// Prints a run's summary.
+pub fn print(summary: &Summary) {
+    println!(
+        "{} of {} members, {} zones, {} regions, seed {}, event {}{}{}",
+        summary.mechanism,
+        summary.members,
+        summary.zones,
+        summary.regions,
+        summary.seed,
+        summary.event,
+        if summary.virtual_time { ", simulated time" } else { "" },
+        summary.flaw.as_ref().map_or(String::new(), |flaw| format!(", broken on purpose: {flaw}")),
+    );
+    phase("ordinary state", &summary.ordinary);
+    if summary.after_event.seconds > 0.0 {
+        phase("from the event on", &summary.after_event);
+    }
+    println!(
+        "  memory a member {:.0} KB; members known: least {}, median {}, most {}; timers late by {:.1} ms (p99)",
+        summary.memory_per_member / 1e3,
+        summary.known.least,
+        summary.known.median,
+        summary.known.most,
+        summary.lag_p99_ms
+    );
+    if summary.unroutable + summary.not_sent > 0 {
+        println!("  packets to nobody {}, not taken by a socket {}", summary.unroutable, summary.not_sent);
+    }
+    summary.changes.iter().for_each(change);
+}
+
+fn phase(name: &str, phase: &PhaseSummary) {
+    println!(
+        "  {name}, {:.0} s: a member sends {:.1} packets, {:.0} bytes a second ({:.0} with headers, busiest {:.0}), \
+         receives {:.0}",
+        phase.seconds,
+        phase.sent.packets_per_s,
+        phase.sent.bytes_per_s,
+        phase.wire_bytes_per_s,
+        phase.bytes_per_s_max,
+        phase.received_bytes_per_s
+    );
+    for (kind, rate) in &phase.kinds {
+        println!("    {kind:12} {:9.2} packets {:9.0} bytes", rate.packets_per_s, rate.bytes_per_s);
+    }
+    println!(
+        "    control code {:.3}% of a core (busiest {:.3}%), {:.1} us a packet, {:.1} us a tick; test bed {:.3}%",
+        phase.cpu_percent,
+        phase.cpu_percent_max,
+        phase.us_per_datagram,
+        phase.us_per_tick,
+        phase.test_bed_cpu_percent
+    );
+}
+
+fn change(change: &ChangeSummary) {
+    let time = |ms: Option<f64>| ms.map_or("-".to_owned(), |ms| format!("{ms:.0}"));
+    println!(
+        "  {:16} {} observers, {} unaware, {} never (in {:.1} s): p50 {} ms, p99 {} ms, all {} ms",
+        change.name,
+        change.observers,
+        change.unaware,
+        change.never,
+        change.asked_s,
+        time(change.p50_ms),
+        time(change.p99_ms),
+        time(change.all_ms)
+    );
+}
