Run fleet-wide purges in the scale tests, and check what was called done

The purge mechanism has to hold at 2,000 members; nothing ran it with a network between regions or checked its promise from outside.

From the members' events the tool takes the time until all connected members act, the time until the publisher hears done, and each case in which a member served without a purge that was called done; any such case ends with exit code 1. Flaw drops-changes loses one purge in a thousand at a member and is found.

--- a/fleet/src/scale/config.rs
+++ b/fleet/src/scale/config.rs
@@ -11,6 +11,8 @@
     Membership,
     /// All of today's coordination: membership, limits, retries, reports on hosts.
     Cluster,
+    /// Fleet-wide purges, with control machines beside the members.
+    Purge,
     /// Nothing: the test bed's own share.
     Calibration,
 }
@@ -83,7 +85,7 @@
     };
 }
 
-named!(Mechanism, Membership => "membership", Cluster => "cluster", Calibration => "calibration");
+named!(Mechanism, Membership => "membership", Cluster => "cluster", Purge => "purge", Calibration => "calibration");
 named!(
     Event,
     None => "none",
@@ -121,6 +123,10 @@
     pub workers: usize,
     /// Client requests a second at a member.
     pub requests_per_s: f64,
+    /// Control machines, beside the members; only purges have any.
+    pub replicas: usize,
+    /// Purges published a second, by all control machines together.
+    pub publishes_per_s: f64,
     /// Cache hosts that the drawn traffic goes to.
     pub cache_hosts: usize,
     /// The traffic of a calibration run.
@@ -143,9 +149,29 @@
             virtual_time: false,
             workers: 4,
             requests_per_s: 20.0,
+            replicas: 11,
+            publishes_per_s: 11.0,
             cache_hosts: 230,
             calibration: CalibrationTraffic::default(),
             flaw: None,
         }
     }
 }
+
+impl ScaleConfig {
+    /// The same without what the mechanism does not have.
+    pub fn normalised(self) -> ScaleConfig {
+        let replicas = if self.mechanism == Mechanism::Purge { self.replicas } else { 0 };
+        ScaleConfig { replicas, ..self }
+    }
+
+    /// Members and control machines.
+    pub fn endpoints(&self) -> usize {
+        self.members + self.replicas
+    }
+
+    /// Members that are cache hosts in a run of purges: as many in proportion as 230 beside 1,770 balancers.
+    pub fn purged_cache_hosts(&self) -> usize {
+        self.members * 23 / 200
+    }
+}
--- a/fleet/src/scale/endpoint.rs
+++ b/fleet/src/scale/endpoint.rs
@@ -77,8 +77,14 @@
     Purged(u32),
     /// It dropped all values that it held.
     Voided,
-    /// It began to serve, or stopped serving.
-    Serving(bool),
+    /// It began to serve.
+    ServesNow,
+    /// It does not serve any more; it was last seen to at this time.
+    ServedUntil(Micros),
+    /// It was started, without memory.
+    Started,
+    /// It was killed.
+    Stopped,
     /// As a publisher: the purge was accepted.
     Accepted(u32),
     /// As a publisher: the purge was rejected.
--- a/fleet/src/scale/mod.rs
+++ b/fleet/src/scale/mod.rs
@@ -10,6 +10,8 @@
 pub mod endpoint;
 mod meter;
 mod network;
+mod purge_check;
+mod purge_endpoint;
 pub mod resources;
 pub mod results;
 mod run;
@@ -27,6 +29,7 @@
 
 pub use calibration::CalibrationTraffic;
 pub use config::{Event, Flaw, Mechanism, ScaleConfig};
+pub use purge_check::{PurgePhase, PurgeSummary, Times};
 pub use results::{Outcome, Summary};
 
 use crate::Problem;
@@ -46,19 +49,20 @@
 /// # Errors
 /// One line that says what does not allow the run, or what broke it.
 pub fn play(config: ScaleConfig) -> Result<Outcome, Problem> {
+    let config = config.normalised();
     check(&config)?;
     if config.virtual_time {
         return Ok(play_virtual(config));
     }
     let broken = |error: std::io::Error| Problem::Broken(format!("the sockets of a scale test: {error}"));
-    let (sockets, addresses) = sockets::bind(config.members).map_err(broken)?;
+    let (sockets, addresses) = sockets::bind(config.endpoints()).map_err(broken)?;
     let run = Arc::new(Run::new(config, addresses));
     let played = sockets::play(&run, sockets).map_err(broken)?;
     Ok(Outcome::of_sockets(&run, played))
 }
 
 fn play_virtual(config: ScaleConfig) -> Outcome {
-    let addresses = (0..config.members).map(virtual_time::address).collect();
+    let addresses = (0..config.endpoints()).map(virtual_time::address).collect();
     let run = Arc::new(Run::new(config, addresses));
     let before = resources::resident_bytes();
     let (observed, memory) = virtual_time::play(&run);
--- /dev/null
+++ b/fleet/src/scale/purge_endpoint.rs
@@ -0,0 +1,168 @@
+//! Fleet-wide purges as endpoints: the control machines, which also publish, and the members, balancers and cache hosts.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use juniperladder_control::{
+    CatchUp, Member, MemberConfig, MemberId, MemberTiming, PurgeEvent, PurgeId, PurgeStatus, Replica,
+    ReplicaConfig, ReplicaId, ReplicaSettings,
+};
+
+use super::endpoint::{Datagram, Endpoint, EndpointEvent};
+use super::Micros;
+
+/// The first bytes of the mechanism's packets.
+pub const PURGE_HEAD: &[u8] = b"JPC";
+/// What the keys of published purges begin with; with the number they are of a usual length.
+const KEY_PREFIX: &str = "scale:object:";
+/// [`super::Flaw::DropsChanges`] loses each change whose number leaves this remainder by this divisor.
+const DROPPED_OF: u32 = 1_000;
+const DROPPED_REMAINDER: u32 = 500;
+
+/// A control machine that publishes what it is told to.
+pub struct ReplicaEndpoint {
+    replica: Replica,
+    /// Purges that are not done, in the order in which they were published.
+    pending: VecDeque<(u32, PurgeId)>,
+    events: Vec<EndpointEvent>,
+}
+
+impl ReplicaEndpoint {
+    /// A control machine that starts now; `bootstrap` at the first start of all.
+    pub fn new(
+        replica: u8,
+        replicas: Vec<SocketAddr>,
+        bootstrap: bool,
+        seed: u64,
+        now: Micros,
+    ) -> ReplicaEndpoint {
+        let config = ReplicaConfig {
+            replica: ReplicaId(replica),
+            incarnation: now,
+            replicas,
+            bootstrap,
+            seed,
+            settings: ReplicaSettings::default(),
+        };
+        ReplicaEndpoint { replica: Replica::new(config, now), pending: VecDeque::new(), events: Vec::new() }
+    }
+}
+
+impl Endpoint for ReplicaEndpoint {
+    fn on_datagram(&mut self, now: Micros, from: SocketAddr, bytes: &[u8]) {
+        self.replica.on_datagram(now, from, bytes);
+    }
+
+    fn on_tick(&mut self, now: Micros) {
+        self.replica.on_tick(now);
+    }
+
+    fn drain(&mut self) -> Vec<Datagram> {
+        self.replica.drain()
+    }
+
+    fn publish(&mut self, now: Micros, number: u32) {
+        let key = format!("{KEY_PREFIX}{number}");
+        let event = match self.replica.publish(now, key.as_bytes()) {
+            Ok(id) => {
+                self.pending.push_back((number, id));
+                EndpointEvent::Accepted(number)
+            }
+            Err(_) => EndpointEvent::Rejected(number),
+        };
+        self.events.push(event);
+    }
+
+    fn drain_events(&mut self, now: Micros) -> Vec<EndpointEvent> {
+        let replica = &self.replica;
+        while let Some((number, id)) = self.pending.front() {
+            if replica.status(now, *id) != PurgeStatus::Done {
+                break;
+            }
+            self.events.push(EndpointEvent::Done(*number));
+            self.pending.pop_front();
+        }
+        std::mem::take(&mut self.events)
+    }
+}
+
+/// What distinguishes one member from another.
+#[derive(Clone, Debug)]
+pub struct MemberIdentity {
+    /// Its number among all members.
+    pub member: u32,
+    /// The addresses of the control machines.
+    pub replicas: Vec<SocketAddr>,
+    /// The control machines, the nearest first.
+    pub preferred: Vec<u8>,
+    /// Whether it is a cache host, which replays; a balancer voids.
+    pub is_cache_host: bool,
+    /// Whether it loses one change in a thousand, on purpose.
+    pub drops_changes: bool,
+    /// The seed of its random numbers.
+    pub seed: u64,
+}
+
+/// A balancer or a cache host.
+pub struct MemberEndpoint {
+    member: Member,
+    drops_changes: bool,
+    /// The last time at which it was seen to serve.
+    served: Option<Micros>,
+}
+
+impl MemberEndpoint {
+    /// A member that starts now and holds nothing.
+    pub fn new(identity: MemberIdentity, now: Micros) -> MemberEndpoint {
+        let config = MemberConfig {
+            member: MemberId(identity.member),
+            life: now,
+            replicas: identity.replicas,
+            preferred: identity.preferred.into_iter().map(ReplicaId).collect(),
+            catch_up: if identity.is_cache_host { CatchUp::Replay } else { CatchUp::Void },
+            seed: identity.seed,
+            timing: MemberTiming::default(),
+        };
+        let member = Member::new(config, now);
+        MemberEndpoint { member, drops_changes: identity.drops_changes, served: None }
+    }
+
+    /// The number of a purge by its key, unless the member loses it on purpose.
+    fn number_of(&self, key: &[u8]) -> Option<u32> {
+        let number = std::str::from_utf8(key).ok()?.strip_prefix(KEY_PREFIX)?.parse().ok()?;
+        let dropped = self.drops_changes && number % DROPPED_OF == DROPPED_REMAINDER;
+        (!dropped).then_some(number)
+    }
+}
+
+impl Endpoint for MemberEndpoint {
+    fn on_datagram(&mut self, now: Micros, from: SocketAddr, bytes: &[u8]) {
+        self.member.on_datagram(now, from, bytes);
+    }
+
+    fn on_tick(&mut self, now: Micros) {
+        self.member.on_tick(now);
+    }
+
+    fn drain(&mut self) -> Vec<Datagram> {
+        self.member.drain()
+    }
+
+    fn drain_events(&mut self, now: Micros) -> Vec<EndpointEvent> {
+        let mut events = Vec::new();
+        for event in self.member.drain_purges() {
+            match event {
+                PurgeEvent::Key(key) => events.extend(self.number_of(&key).map(EndpointEvent::Purged)),
+                PurgeEvent::VoidAll => events.push(EndpointEvent::Voided),
+            }
+        }
+        let serves = self.member.may_serve(now);
+        match (self.served, serves) {
+            (None, true) => events.push(EndpointEvent::ServesNow),
+            (Some(last), false) => events.push(EndpointEvent::ServedUntil(last)),
+            _ => {}
+        }
+        self.served = serves.then_some(now);
+        events
+    }
+}
--- a/fleet/src/scale/resources.rs
+++ b/fleet/src/scale/resources.rs
@@ -21,12 +21,12 @@
 
 /// Memory that a run may take at the most, in bytes.
 pub fn memory_needed(config: &ScaleConfig) -> u64 {
-    MEMORY_BASE + config.members as u64 * MEMORY_PER_MEMBER
+    MEMORY_BASE + config.endpoints() as u64 * MEMORY_PER_MEMBER
 }
 
 /// Descriptors that a run takes.
 pub fn descriptors_needed(config: &ScaleConfig) -> u64 {
-    let sockets = if config.virtual_time { 0 } else { config.members as u64 };
+    let sockets = if config.virtual_time { 0 } else { config.endpoints() as u64 };
     DESCRIPTORS_BASE + DESCRIPTORS_PER_WORKER * config.workers as u64 + sockets
 }
 
--- a/fleet/src/scale/results.rs
+++ b/fleet/src/scale/results.rs
@@ -4,8 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::config::Mechanism;
 use super::endpoint::{PacketKind, StateQuery};
 use super::meter::{Lateness, MemberCounts, MemberPhases};
+use super::purge_check::{check, PurgeSummary};
 use super::run::Run;
 use super::schedule::{Expectation, Phase};
 use super::shard::{Observations, Reached};
@@ -114,6 +116,14 @@
     pub ordinary: PhaseSummary,
     /// From the event on.
     pub after_event: PhaseSummary,
+    /// What control machines sent and cost in the ordinary state, and how many there were.
+    pub control_ordinary: PhaseSummary,
+    /// The same from the event on.
+    pub control_after_event: PhaseSummary,
+    /// How many control machines there were.
+    pub replicas: usize,
+    /// What became of the purges, where the mechanism has any.
+    pub purge: Option<PurgeSummary>,
     /// How each change spread.
     pub changes: Vec<ChangeSummary>,
     /// What members know of each other at the end.
@@ -129,6 +139,11 @@
     pub fn counts(&self) -> bool {
         self.lag_p99_ms <= LATE_MS
     }
+
+    /// Whether every stated guarantee held.
+    pub fn is_sound(&self) -> bool {
+        self.purge.is_none_or(|purge| purge.done_missing == 0)
+    }
 }
 
 /// A row of `members.csv`.
@@ -192,7 +207,10 @@
         observed.counts.sort_by_key(|(member, _)| *member);
         observed.known.sort_unstable();
         let config = &run.config;
-        let known = &observed.known;
+        let known = std::mem::take(&mut observed.known);
+        let (control, members) = observed.counts.split_at(config.replicas);
+        let events = std::mem::take(&mut observed.events);
+        let purge = (config.mechanism == Mechanism::Purge).then(|| check(run, events));
         let summary = Summary {
             mechanism: config.mechanism.name().to_owned(),
             event: config.event.name().to_owned(),
@@ -204,8 +222,12 @@
             virtual_time: config.virtual_time,
             lag_p99_ms: lateness.quantile_ms(0.99),
             memory_per_member: memory as f64 / config.members.max(1) as f64,
-            ordinary: phase_summary(run, &observed.counts, Phase::Ordinary),
-            after_event: phase_summary(run, &observed.counts, Phase::Event),
+            ordinary: phase_summary(run, members, Phase::Ordinary),
+            after_event: phase_summary(run, members, Phase::Event),
+            control_ordinary: phase_summary(run, control, Phase::Ordinary),
+            control_after_event: phase_summary(run, control, Phase::Event),
+            replicas: config.replicas,
+            purge,
             changes: changes(run, &observed.reached),
             known: KnownMembers {
                 least: known.first().copied().unwrap_or(0),
@@ -227,7 +249,7 @@
 
 fn phase_summary(run: &Run, counts: &[(usize, MemberPhases)], phase: Phase) -> PhaseSummary {
     let seconds = run.schedule.phase_seconds(phase);
-    if seconds <= 0.0 {
+    if seconds <= 0.0 || counts.is_empty() {
         return PhaseSummary::default();
     }
     let of_phase: Vec<&MemberCounts> = counts.iter().map(|(_, phases)| &phases[phase as usize]).collect();
--- a/fleet/src/scale/run.rs
+++ b/fleet/src/scale/run.rs
@@ -6,18 +6,17 @@
 
 use super::calibration::CalibrationEndpoint;
 use super::cluster_endpoint::{ClusterEndpoint, Identity, MembershipEndpoint};
-use super::config::{Mechanism, ScaleConfig};
+use super::config::{Flaw, Mechanism, ScaleConfig};
 use super::endpoint::Endpoint;
 use super::network::Network;
-use super::schedule::Schedule;
+use super::purge_endpoint::{MemberEndpoint, MemberIdentity, ReplicaEndpoint};
+use super::schedule::{Schedule, SEEDS, START};
 use super::topology::Topology;
 use super::workload::WorkloadConfig;
 use super::Micros;
 
 /// How often a member does what is due.
 pub const TICK: Micros = 50_000;
-/// Members that each other member calls first.
-const SEEDS: usize = 3;
 
 /// A run, fixed before it starts.
 #[derive(Debug)]
@@ -66,6 +65,12 @@
                 let workload = self.workload();
                 Box::new(ClusterEndpoint::new(identity, config.members, config.zones, workload, now))
             }
+            Mechanism::Purge if member < config.replicas => {
+                let replicas = self.addresses[..config.replicas].to_vec();
+                let bootstrap = now < START + TICK;
+                Box::new(ReplicaEndpoint::new(member as u8, replicas, bootstrap, seed, now))
+            }
+            Mechanism::Purge => Box::new(MemberEndpoint::new(self.purge_member(member, seed), now)),
             Mechanism::Calibration => {
                 let peers: Rc<[SocketAddr]> = self.addresses.as_slice().into();
                 Box::new(CalibrationEndpoint::new(config.calibration, peers, seed, now))
@@ -73,6 +78,21 @@
         }
     }
 
+    fn purge_member(&self, member: usize, seed: u64) -> MemberIdentity {
+        let config = &self.config;
+        let mut preferred: Vec<u8> = (0..config.replicas as u8).collect();
+        preferred.sort_by_key(|replica| self.network.topology().delay(member, usize::from(*replica)));
+        let drops_changes = config.flaw == Some(Flaw::DropsChanges) && member == config.replicas;
+        MemberIdentity {
+            member: member as u32,
+            replicas: self.addresses[..config.replicas].to_vec(),
+            preferred,
+            is_cache_host: member >= config.endpoints() - config.purged_cache_hosts(),
+            drops_changes,
+            seed,
+        }
+    }
+
     fn workload(&self) -> WorkloadConfig {
         WorkloadConfig {
             requests_per_s: self.config.requests_per_s,
--- a/fleet/src/scale/schedule.rs
+++ b/fleet/src/scale/schedule.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::ops::Range;
 
-use super::config::{Event, ScaleConfig};
+use super::config::{Event, Mechanism, ScaleConfig};
 use super::endpoint::StateQuery;
 use super::network::{Cut, CutKind, Loss, Network};
 use super::topology::Topology;
@@ -23,6 +23,12 @@
 const WAVE_SHARE: f64 = 0.4;
 const WAVE_SPREAD: Micros = 5_000_000;
 const WAVE_AWAY: Micros = 1_000_000;
+/// Members that all others call first.
+pub const SEEDS: usize = 3;
+/// Control machines killed in [`Event::ControlLoss`].
+const REPLICAS_LOST: usize = 2;
+/// How long after the start the first purge is published.
+const PUBLISHED_AFTER: Micros = 3_000_000;
 /// Members about which all others are asked after an event that concerns many.
 const SAMPLED: usize = 3;
 
@@ -33,6 +39,8 @@
     Stop,
     /// It starts anew, without memory.
     Start,
+    /// It publishes the purge of this number.
+    Publish(u32),
 }
 
 /// Something that is done to a member at a time.
@@ -114,8 +122,14 @@
             silent_hosts: Vec::new(),
         };
         let rng = fastrand::Rng::with_seed(config.seed ^ 0x5c4e_d01e);
-        let mut builder = Builder { schedule, network, addresses, rng };
+        let first = if config.replicas > 0 { config.replicas } else { SEEDS.min(addresses.len() - 1) };
+        let mut builder = Builder { schedule, network, addresses, rng, replicas: config.replicas, first };
         builder.add(config.event);
+        builder.add_purges(config);
+        if config.mechanism == Mechanism::Purge {
+            // Members of this mechanism do not know each other.
+            builder.schedule.expectations.clear();
+        }
         builder.schedule.actions.sort_by_key(|action| action.at);
         builder.schedule
     }
@@ -148,6 +162,10 @@
     network: &'a mut Network,
     addresses: &'a [SocketAddr],
     rng: fastrand::Rng,
+    /// Control machines; they have the first numbers.
+    replicas: usize,
+    /// The first member that is an ordinary one.
+    first: usize,
 }
 
 impl Builder<'_> {
@@ -173,15 +191,13 @@
             Event::ZoneLost => self.add_zone_lost(),
             Event::RegionCut => self.add_region_cut(),
             Event::RestartWave => self.add_restart_wave(),
-            // Only a mechanism with control machines has something to lose here.
-            Event::ControlLoss => {}
+            Event::ControlLoss => self.add_control_loss(),
         }
     }
 
     fn add_member_lost(&mut self) {
-        // The first members are the seeds of all others: an ordinary member is one of the rest.
         let count = self.topology().members();
-        let member = self.rng.usize(count.min(3) % count..count);
+        let member = self.rng.usize(self.first..count);
         let (stop, start, silence) = (self.part(0.0), self.part(RETURN_PART), self.part(SILENCE_PART));
         self.act(stop, member, ActionKind::Stop);
         self.act(start, member, ActionKind::Start);
@@ -225,7 +241,7 @@
     }
 
     fn add_restart_wave(&mut self) {
-        let mut members: Vec<usize> = (0..self.topology().members()).collect();
+        let mut members: Vec<usize> = (self.replicas..self.topology().members()).collect();
         self.rng.shuffle(&mut members);
         members.truncate((members.len() as f64 * WAVE_SHARE) as usize);
         for member in &members {
@@ -244,6 +260,28 @@
         }
     }
 
+    /// Two control machines die at once and start again; without control machines nothing happens.
+    fn add_control_loss(&mut self) {
+        let mut replicas: Vec<usize> = (0..self.replicas).collect();
+        self.rng.shuffle(&mut replicas);
+        for replica in replicas.into_iter().take(REPLICAS_LOST) {
+            self.act(self.part(0.0), replica, ActionKind::Stop);
+            self.act(self.part(RETURN_PART), replica, ActionKind::Start);
+        }
+    }
+
+    /// Purges at an even rate, by each control machine in turn.
+    fn add_purges(&mut self, config: &ScaleConfig) {
+        if self.replicas == 0 || config.publishes_per_s <= 0.0 {
+            return;
+        }
+        let between = (1e6 / config.publishes_per_s) as Micros;
+        let times = (START + PUBLISHED_AFTER..self.schedule.end).step_by(between.max(1) as usize);
+        for (number, at) in times.enumerate() {
+            self.act(at, number % self.replicas, ActionKind::Publish(number as u32));
+        }
+    }
+
     fn act(&mut self, at: Micros, member: usize, kind: ActionKind) {
         if at < self.schedule.end {
             self.schedule.actions.push(Action { at, member, kind });
--- a/fleet/src/scale/shard.rs
+++ b/fleet/src/scale/shard.rs
@@ -112,10 +112,21 @@
     pub fn on_action(&mut self, now: Micros, action: &Action, out: &mut Vec<Travelling>) {
         let place = action.member / self.shards;
         match action.kind {
-            ActionKind::Stop => self.slots[place].endpoint = None,
+            ActionKind::Stop => {
+                self.slots[place].endpoint = None;
+                self.note(now, action.member, EndpointEvent::Stopped);
+            }
+            ActionKind::Publish(number) => match &mut self.slots[place].endpoint {
+                Some(endpoint) => {
+                    endpoint.publish(now, number);
+                    self.after(now, place, out);
+                }
+                None => self.note(now, action.member, EndpointEvent::Rejected(number)),
+            },
             ActionKind::Start => {
                 let endpoint = self.run.start(action.member, now);
                 self.slots[place].endpoint = Some(endpoint);
+                self.note(now, action.member, EndpointEvent::Started);
                 self.after(now, place, out);
             }
         }
@@ -199,6 +210,10 @@
         }
     }
 
+    fn note(&mut self, at: Micros, member: usize, event: EndpointEvent) {
+        self.observations.events.push(MemberEvent { at, member, event });
+    }
+
     fn note_events(&mut self, now: Micros, place: usize) {
         let slot = &mut self.slots[place];
         let Some(endpoint) = &mut slot.endpoint else { return };
--- a/fleet/tests/scale.rs
+++ b/fleet/tests/scale.rs
@@ -77,3 +77,40 @@
     assert_eq!(run(1), run(1));
     assert_ne!(run(1), run(2));
 }
+
+/// Two hundred members and eleven control machines, so many purges that a loss of one in a thousand shows.
+fn purges(event: Event) -> ScaleConfig {
+    ScaleConfig { publishes_per_s: 70.0, seconds: 24.0, event, ..config(Mechanism::Purge) }
+}
+
+/// What is wrong with a run of purges, a line each.
+fn purge_breaches(summary: &Summary) -> Vec<String> {
+    let purge = summary.purge.expect("it was a run of purges");
+    let mut breaches = Vec::new();
+    let mut check = |kept: bool, line: String| breaches.extend((!kept).then_some(line));
+    check(purge.done_missing == 0, format!("{} done but missing", purge.done_missing));
+    for phase in [&purge.ordinary, &purge.after_event] {
+        check(phase.never == 0, format!("{} never acted on", phase.never));
+        check(phase.not_done == 0, format!("{} not done", phase.not_done));
+        check(phase.acted.count == 0 || phase.accepted > 50, format!("{} accepted", phase.accepted));
+    }
+    check(purge.serving == MEMBERS, format!("{} of {MEMBERS} serve", purge.serving));
+    breaches
+}
+
+#[test]
+fn purges_reach_all_members_in_the_ordinary_state_and_under_faults() {
+    for event in [Event::None, Event::Loss, Event::ControlLoss, Event::RestartWave] {
+        let summary = summary(purges(event));
+        assert_eq!(purge_breaches(&summary), Vec::<String>::new(), "{event:?}");
+        assert!(summary.purge.unwrap().ordinary.acted.count > 50 * MEMBERS);
+    }
+}
+
+#[test]
+fn a_member_that_loses_one_purge_in_a_thousand_is_found() {
+    let flawed = ScaleConfig { flaw: Some(Flaw::DropsChanges), ..purges(Event::None) };
+    let breaches = purge_breaches(&summary(flawed));
+    assert!(breaches.iter().any(|breach| breach.contains("done but missing")), "{breaches:?}");
+    assert!(breaches.iter().any(|breach| breach.contains("never acted on")), "{breaches:?}");
+}
--- a/lab/src/scale.rs
+++ b/lab/src/scale.rs
@@ -20,7 +20,7 @@
 /// How a scale test is run.
 #[derive(Clone, Debug, clap::Args)]
 pub struct Scale {
-    /// What the members run: membership, cluster, calibration
+    /// What the members run: membership, cluster, purge, calibration
     #[arg(long, default_value = "cluster")]
     pub mechanism: Mechanism,
     /// How many members
@@ -59,6 +59,12 @@
     /// Client requests a second at a member
     #[arg(long, default_value_t = 20.0)]
     pub requests: f64,
+    /// Control machines of a run of purges, beside the members
+    #[arg(long, default_value_t = 11)]
+    pub replicas: usize,
+    /// Purges published a second, by all control machines together
+    #[arg(long, default_value_t = 11.0)]
+    pub publishes: f64,
     /// Cache hosts
     #[arg(long, default_value_t = 230)]
     pub cache_hosts: usize,
@@ -93,6 +99,8 @@
             virtual_time: self.virtual_time,
             workers: self.workers,
             requests_per_s: self.requests,
+            replicas: self.replicas,
+            publishes_per_s: self.publishes,
             cache_hosts: self.cache_hosts,
             calibration: CalibrationTraffic {
                 packets_per_s: self.calibration_packets,
@@ -116,6 +124,8 @@
             ("--event", self.event.name().to_owned()),
             ("--workers", self.workers.to_string()),
             ("--requests", self.requests.to_string()),
+            ("--replicas", self.replicas.to_string()),
+            ("--publishes", self.publishes.to_string()),
             ("--cache-hosts", self.cache_hosts.to_string()),
             ("--calibration-packets", self.calibration_packets.to_string()),
             ("--calibration-length", self.calibration_length.to_string()),
@@ -156,6 +166,10 @@
 
 /// Says whether a run counts, the exit code with it.
 pub fn verdict(summary: &Summary) -> u8 {
+    if let Some(purge) = summary.purge.filter(|purge| purge.done_missing > 0) {
+        println!("BROKEN: {} times a member served without a purge that was called done", purge.done_missing);
+        return BROKEN;
+    }
     if summary.counts() {
         return KEPT;
     }
--- a/lab/src/scale_table.rs
+++ b/lab/src/scale_table.rs
@@ -1,6 +1,7 @@
 //! The table that a scale test prints.
 
 use juniperladder_fleet::scale::results::{ChangeSummary, PhaseSummary, Summary};
+use juniperladder_fleet::scale::{PurgeSummary, Times};
 
 /// Prints a run's summary.
 pub fn print(summary: &Summary) {
@@ -30,6 +31,14 @@
     if summary.unroutable + summary.not_sent > 0 {
         println!("  packets to nobody {}, not taken by a socket {}", summary.unroutable, summary.not_sent);
     }
+    if summary.control_ordinary.seconds > 0.0 {
+        println!("  {} control machines:", summary.replicas);
+        phase("ordinary state", &summary.control_ordinary);
+        if summary.control_after_event.seconds > 0.0 {
+            phase("from the event on", &summary.control_after_event);
+        }
+    }
+    summary.purge.iter().for_each(purge);
     summary.changes.iter().for_each(change);
 }
 
@@ -57,6 +66,30 @@
     );
 }
 
+fn purge(purge: &PurgeSummary) {
+    for (name, phase) in [("ordinary state", &purge.ordinary), ("from the event on", &purge.after_event)] {
+        if phase.accepted + phase.rejected == 0 {
+            continue;
+        }
+        println!(
+            "  purges, {name}: {} accepted, {} rejected; {} never acted on, {} not done, {} orphaned",
+            phase.accepted, phase.rejected, phase.never, phase.not_done, phase.orphaned
+        );
+        for (what, times) in [
+            ("a connected member acts", phase.acted),
+            ("all connected members act", phase.all_acted),
+            ("the publisher hears done", phase.done),
+        ] {
+            let Times { p50_ms, p99_ms, max_ms, .. } = times;
+            println!("    until {what}: p50 {p50_ms:.0} ms, p99 {p99_ms:.0} ms, max {max_ms:.0} ms");
+        }
+    }
+    println!(
+        "  members voided {} times, {} leases ran out, {} serve at the end; done but missing at a member that serves: {}",
+        purge.voided, purge.lapses, purge.serving, purge.done_missing
+    );
+}
+
 fn change(change: &ChangeSummary) {
     let time = |ms: Option<f64>| ms.map_or("-".to_owned(), |ms| format!("{ms:.0}"));
     println!(
