Call a client's connection a downstream connection, in place of service client

Need: "service client" is a term of the earlier house style; the field says downstream connection. Nothing else changes.

--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -1,8 +1,8 @@
-//! The client side: service clients' connections, the commands on them, and the answers in their order.
+//! The downstream side: clients' connections, the commands on them, and the answers in their order.
 
 mod backlog;
-mod client;
 mod connection;
+mod downstream;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -18,8 +18,8 @@
 use crate::exchange::Exchange;
 use crate::shutdown::Shutdown;
 use backlog::{Accepted, Backlog};
-use client::{linger, until, ServiceClient};
 pub use connection::{Connection, Reader};
+use downstream::{linger, until, DownstreamConnection};
 use juniperladder_exchange::telling::Telling;
 
 /// How long a connection that is about to close is read once more.
@@ -47,7 +47,7 @@
     pub tenants: Vec<String>,
 }
 
-/// What all service clients share.
+/// What all downstream connections share.
 pub struct Service {
     exchange: Rc<Exchange>,
     labels: Labels,
@@ -105,7 +105,7 @@
 
 impl Seated {
     async fn serve(self, stream: impl Connection) -> std::io::Result<()> {
-        let reader = ServiceClient::new(&self.service, &self.seat).serve(stream).await?;
+        let reader = DownstreamConnection::new(&self.service, &self.seat).serve(stream).await?;
         // The seat is free at once; the descriptor is still counted.
         let service = Rc::clone(&self.service);
         let room = service.lingering.get() <= service.bounds.clients / SPARE_PART;
@@ -169,7 +169,7 @@
         })
     }
 
-    /// Accepts service clients for as long as it is polled.
+    /// Accepts downstream connections for as long as it is polled.
     pub async fn accept(self: Rc<Service>, listener: TcpListener) {
         let mut backlog = Backlog::new(listener);
         loop {
--- a/node/src/service/client.rs
+++ b/node/src/service/downstream.rs
@@ -1,4 +1,4 @@
-//! One client's connection: its commands, taken as they come, and their answers in the same order.
+//! One downstream connection: its commands, taken as they come, and their answers in the same order.
 
 use std::collections::VecDeque;
 use std::io;
@@ -52,8 +52,8 @@
     Command(CommandId, Bytes, oneshot::Receiver<Answer>, usize),
 }
 
-/// One client's connection.
-pub(super) struct ServiceClient<'a> {
+/// One downstream connection.
+pub(super) struct DownstreamConnection<'a> {
     service: &'a Service,
     seat: &'a Seat,
     commands: Commands,
@@ -84,9 +84,9 @@
     last: bool,
 }
 
-impl<'a> ServiceClient<'a> {
-    pub(super) fn new(service: &'a Service, seat: &'a Seat) -> ServiceClient<'a> {
-        ServiceClient {
+impl<'a> DownstreamConnection<'a> {
+    pub(super) fn new(service: &'a Service, seat: &'a Seat) -> DownstreamConnection<'a> {
+        DownstreamConnection {
             service,
             seat,
             commands: Commands::default(),
@@ -416,7 +416,7 @@
     }
 }
 
-impl Drop for ServiceClient<'_> {
+impl Drop for DownstreamConnection<'_> {
     /// The connection has ended: whoever is still owed an answer is gone.
     fn drop(&mut self) {
         self.service.held.set(self.service.held.get() - self.held);
--- a/node/src/service/tests.rs
+++ b/node/src/service/tests.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use super::client::{ServiceClient, MAX_MALFORMED, MAX_OWED, READ, SMALL};
+use super::downstream::{DownstreamConnection, MAX_MALFORMED, MAX_OWED, READ, SMALL};
 use super::*;
 use crate::exchange::{Answer, End, Reply};
 use crate::testing::{self, settle, Recorder};
@@ -249,7 +249,7 @@
             let seated = service.seat(Duration::ZERO);
             seated.seat.spoke.set(spoke);
             spawn_local(async move {
-                let _ = ServiceClient::new(&seated.service, &seated.seat).serve(near).await;
+                let _ = DownstreamConnection::new(&seated.service, &seated.seat).serve(near).await;
             });
             far.write_all(b"").await.unwrap();
             clients.push(far);
@@ -358,7 +358,7 @@
         let (near, mut far) = duplex(1 << 16);
         far.write_all(b"mg a v O1 Pc=read,d=480\r\nmg b v O2 Pc=read,d=480\r\n").await.unwrap();
         let seated = service.seat(Duration::ZERO);
-        let mut client = ServiceClient::new(&seated.service, &seated.seat);
+        let mut client = DownstreamConnection::new(&seated.service, &seated.seat);
         tokio::select! {
             biased;
             _ = client.serve(near) => panic!("it still owes answers"),
--- a/node/src/storm/clients.rs
+++ b/node/src/storm/clients.rs
@@ -1,4 +1,4 @@
-//! Service clients: most ask and wait, some leave, half-close, pipeline or send noise.
+//! Clients: most ask and wait, some leave, half-close, pipeline or send noise.
 
 use std::collections::VecDeque;
 use std::rc::Rc;
