Call a connection to a server an upstream connection, in place of lane

Need: "lane" is a term of the earlier house style for one connection of a pool. Change: `Lane` is `UpstreamConnection` (upstream/connection.rs), in the fleet's hosts `ServerConnection`. Nothing else changes.

--- a/fleet/src/hosts.rs
+++ b/fleet/src/hosts.rs
@@ -33,7 +33,7 @@
         open.set(open.get() + 1);
         let rig = Rc::clone(&rig);
         spawn_local(async move {
-            Lane::new(Rc::clone(&rig), host, side).serve(stream).await;
+            ServerConnection::new(Rc::clone(&rig), host, side).serve(stream).await;
             rig.connections[host].set(rig.connections[host].get() - 1);
         });
     }
@@ -56,7 +56,7 @@
 }
 
 /// One connection.
-struct Lane {
+struct ServerConnection {
     rig: Rc<Rig>,
     host: usize,
     balancer: End,
@@ -77,12 +77,12 @@
     Reset,
 }
 
-impl Lane {
-    fn new(rig: Rc<Rig>, host: usize, side: usize) -> Lane {
+impl ServerConnection {
+    fn new(rig: Rc<Rig>, host: usize, side: usize) -> ServerConnection {
         let balancer = End::Balancer(rig.sides[side]);
         let life = rig.lives[host].get();
         let (coming, going) = (VecDeque::new(), VecDeque::new());
-        Lane { rig, host, balancer, life, coming, going, spoilt: false, first_byte: None }
+        ServerConnection { rig, host, balancer, life, coming, going, spoilt: false, first_byte: None }
     }
 
     async fn serve(mut self, mut stream: TcpStream) {
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -1,6 +1,6 @@
 //! The server side: pools of connections to the cache hosts and the origin, and the attempts on them.
 
-mod lane;
+mod connection;
 mod uploads;
 
 use std::cell::{Cell, RefCell};
@@ -19,8 +19,8 @@
 use crate::connect::Connect;
 use crate::counters::{count, Counters};
 use crate::exchange::{Attempt, AttemptId, Carrier, End, Exchange, Host, Upload};
+use connection::UpstreamConnection;
 use juniperladder_exchange::telling::Telling;
-use lane::Lane;
 
 /// The part of the idle time that the settings tell after which a connection is closed here: a write must never
 /// cross the host's close, which comes by its clock and after the way there. What lies between is kept open: one
@@ -79,8 +79,8 @@
 
 impl Pool {
     /// Whether its host may be sent to, and stands where this connection leads.
-    fn is_at(&self, lane: &Lane) -> bool {
-        self.open && self.address == Some(lane.address)
+    fn is_at(&self, connection: &UpstreamConnection) -> bool {
+        self.open && self.address == Some(connection.address)
     }
 }
 
@@ -174,9 +174,9 @@
             pool.connecting += 1;
             let this = Rc::clone(&this);
             let counted = Counted::one(&this);
-            let lane = Lane { server, origin: pool.origin, address };
+            let connection = UpstreamConnection { server, origin: pool.origin, address };
             spawn_local(async move {
-                lane.open(&counted.0).await;
+                connection.open(&counted.0).await;
                 drop(counted);
                 this.make_use_of_room();
             });
@@ -206,9 +206,10 @@
     }
 
     /// The next attempt for a connection that has nothing to do.
-    fn next(&self, lane: &Lane) -> Option<Attempt> {
+    fn next(&self, connection: &UpstreamConnection) -> Option<Attempt> {
         let mut pools = self.pools.borrow_mut();
-        let pool = pools.get_mut(&lane.server).filter(|pool| pool.address == Some(lane.address))?;
+        let pool =
+            pools.get_mut(&connection.server).filter(|pool| pool.address == Some(connection.address))?;
         self.call_off(&mut pool.waiting, |attempt| self.over(attempt));
         let attempt = pool.waiting.pop_front()?;
         pool.running.insert(attempt.id, Carried::default());
@@ -228,8 +229,8 @@
     }
 
     /// Whether this host may be sent to, and stands where this connection leads.
-    fn is_at(&self, lane: &Lane) -> bool {
-        self.pools.borrow().get(&lane.server).is_some_and(|pool| pool.is_at(lane))
+    fn is_at(&self, connection: &UpstreamConnection) -> bool {
+        self.pools.borrow().get(&connection.server).is_some_and(|pool| pool.is_at(connection))
     }
 
     /// A connection did not come up: one attempt fails if fewer connections than attempts are left.
@@ -288,10 +289,10 @@
     }
 
     /// Waits for the next attempt on an idle connection.
-    fn rest(&self, lane: &Lane) -> Option<(u64, oneshot::Receiver<Attempt>)> {
+    fn rest(&self, connection: &UpstreamConnection) -> Option<(u64, oneshot::Receiver<Attempt>)> {
         let mut pools = self.pools.borrow_mut();
         // A host that has moved has nothing to do with whoever listens at its old address now.
-        let pool = pools.get_mut(&lane.server).filter(|pool| pool.is_at(lane))?;
+        let pool = pools.get_mut(&connection.server).filter(|pool| pool.is_at(connection))?;
         let (next, receiver) = oneshot::channel();
         let id = self.last.get() + 1;
         self.last.set(id);
--- a/node/src/upstream/lane.rs
+++ b/node/src/upstream/connection.rs
@@ -28,7 +28,7 @@
 const READ: usize = 4096;
 
 /// One connection to a host.
-pub(super) struct Lane {
+pub(super) struct UpstreamConnection {
     pub(super) server: ServerId,
     pub(super) origin: bool,
     pub(super) address: SocketAddr,
@@ -54,7 +54,7 @@
     Broke,
 }
 
-impl Lane {
+impl UpstreamConnection {
     pub(super) async fn open(self, upstream: &Upstream) {
         let Some(stream) = self.connect(upstream).await else { return upstream.not_up(self.server) };
         if let Some(pool) = upstream.pools.borrow_mut().get_mut(&self.server) {
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -1,6 +1,6 @@
 //! Pools and connections, against hosts played in memory and on loopback.
 
-use super::lane::{After, Lane};
+use super::connection::{After, UpstreamConnection};
 use super::*;
 use crate::exchange::Answer;
 use crate::memcache;
@@ -55,7 +55,7 @@
             let (_, answer) = exchange.take(testing::command("7", Some(vec![b'x'; size]))).unwrap();
             let attempt = recorder.begun.borrow_mut().pop().unwrap();
             let (mut near, mut far) = duplex(room);
-            let lane = Lane { server: HOST, origin: false, address: ([127, 0, 0, 1], 1).into() };
+            let connection = UpstreamConnection { server: HOST, origin: false, address: ([127, 0, 0, 1], 1).into() };
             let mut wire = BytesMut::new();
             memcache::write_command(&mut wire, &attempt.command, juniperladder::Micros(470_000));
             let length = wire.len();
@@ -87,7 +87,7 @@
             };
             let mut input = BytesMut::new();
             let carry = async {
-                let after = lane.execute(&upstream, &mut near, &mut input, attempt).await;
+                let after = connection.execute(&upstream, &mut near, &mut input, attempt).await;
                 drop(near);
                 after
             };
@@ -151,7 +151,8 @@
         let (id, _answer) = exchange.take(testing::command("7", Some(vec![b'x'; 300]))).unwrap();
         let attempt = recorder.begun.borrow_mut().pop().unwrap();
         let (mut near, mut far) = duplex(100);
-        let lane = Lane { server: HOST, origin: false, address: ([127, 0, 0, 1], 1).into() };
+        let connection =
+            UpstreamConnection { server: HOST, origin: false, address: ([127, 0, 0, 1], 1).into() };
         let host = async {
             settle().await;
             exchange.gone(id);
@@ -160,7 +161,7 @@
             got.len()
         };
         let carry = async {
-            let after = lane.execute(&upstream, &mut near, &mut BytesMut::new(), attempt).await;
+            let after = connection.execute(&upstream, &mut near, &mut BytesMut::new(), attempt).await;
             drop(near);
             after
         };
@@ -224,10 +225,11 @@
             let (_, answer) = exchange.take(testing::command("7", None)).unwrap();
             let attempt = recorder.begun.borrow_mut().pop().unwrap();
             let (mut near, mut far) = duplex(1 << 12);
-            let lane = Lane { server: HOST, origin: true, address: ([127, 0, 0, 1], 1).into() };
+            let connection =
+                UpstreamConnection { server: HOST, origin: true, address: ([127, 0, 0, 1], 1).into() };
             far.write_all(text.as_bytes()).await.unwrap();
             let mut input = BytesMut::new();
-            lane.execute(&upstream, &mut near, &mut input, attempt).await;
+            connection.execute(&upstream, &mut near, &mut input, attempt).await;
             assert_eq!(upstream.counters.bad_answers.get(), spoilt, "{text:?}");
             let chunked = text.contains("chunked");
             let value = Answer::Value(bytes::Bytes::from_static(b"ab"));
@@ -247,14 +249,15 @@
         let _answer = exchange.take(testing::command("7", None)).unwrap();
         let attempt = recorder.begun.borrow_mut().pop().unwrap();
         let (mut near, mut far) = duplex(1 << 12);
-        let lane = Lane { server: HOST, origin: true, address: ([127, 0, 0, 1], 1).into() };
+        let connection =
+            UpstreamConnection { server: HOST, origin: true, address: ([127, 0, 0, 1], 1).into() };
         spawn_local(async move {
             let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb2d05e00\r\n";
             far.write_all(head).await.unwrap();
             while far.write_all(&[b'x'; 4096]).await.is_ok() {}
         });
         let mut input = BytesMut::new();
-        assert_eq!(lane.execute(&upstream, &mut near, &mut input, attempt).await, After::Close);
+        assert_eq!(connection.execute(&upstream, &mut near, &mut input, attempt).await, After::Close);
         assert_eq!(upstream.counters.bad_answers.get(), 1);
     });
 }
@@ -309,9 +312,10 @@
         let upstream = testing::upstream(4);
         let moved = host(HOST, State::Serving);
         upstream.listed(ListKind::Replace, std::slice::from_ref(&moved));
-        let lane = |port| Lane { server: HOST, origin: false, address: ([127, 0, 0, 1], port).into() };
-        assert!(upstream.rest(&lane(1)).is_some());
-        assert!(upstream.rest(&lane(2)).is_none() && upstream.next(&lane(2)).is_none());
+        let connection =
+            |port| UpstreamConnection { server: HOST, origin: false, address: ([127, 0, 0, 1], port).into() };
+        assert!(upstream.rest(&connection(1)).is_some());
+        assert!(upstream.rest(&connection(2)).is_none() && upstream.next(&connection(2)).is_none());
     });
 }
 
--- a/node/src/upstream/uploads.rs
+++ b/node/src/upstream/uploads.rs
@@ -10,7 +10,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::time::timeout;
 
-use super::lane::{After, Lane};
+use super::connection::{After, UpstreamConnection};
 use super::{Counted, Upstream};
 use crate::connect::Stream;
 use crate::exchange::{End, Upload};
@@ -47,18 +47,18 @@
         let pools = self.pools.borrow();
         let pool = pools.get(&upload.server).filter(|pool| pool.open && pool.origin);
         let Some(address) = pool.and_then(|pool| pool.address) else { return };
-        let lane = Lane { server: upload.server, origin: true, address };
+        let connection = UpstreamConnection { server: upload.server, origin: true, address };
         // Both are counted from here on: more may begin before the task does.
         let (counted, on_its_way) = (Counted::one(&this), OnItsWay::one(&this));
         tokio::task::spawn_local(async move {
-            lane.upload(&counted.0, upload, on_its_way).await;
+            connection.upload(&counted.0, upload, on_its_way).await;
             drop(counted);
             this.make_use_of_room();
         });
     }
 }
 
-impl Lane {
+impl UpstreamConnection {
     async fn upload(&self, upstream: &Upstream, mut upload: Upload, on_its_way: OnItsWay) {
         let stream = self.send_ahead(upstream, &upload).await;
         // From here on the client's side is told that no more is taken, if more there is.
