--- a/cli/benches/data_path/balancer.rs
+++ b/cli/benches/data_path/balancer.rs
@@ -12,6 +12,10 @@
 
 use crate::stand_ins::StandIns;
 
+/// How often, and how many times, a process that starts is asked whether it is ready.
+const READY_INTERVAL: Duration = Duration::from_millis(20);
+const READY_ATTEMPTS: usize = 500;
+
 /// The process, killed at the end.
 pub struct Balancer {
     child: Child,
@@ -54,8 +58,11 @@
             .spawn()
             .expect("the program starts");
         let balancer = Balancer { child, address, _folder: folder };
+        let mut attempts = 0;
         while !ready(address).await {
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            attempts += 1;
+            assert!(attempts < READY_ATTEMPTS, "the program is not ready after {attempts} attempts");
+            tokio::time::sleep(READY_INTERVAL).await;
         }
         tokio::time::sleep(Duration::from_millis(300)).await;
         balancer
--- a/fleet/tests/scale.rs
+++ b/fleet/tests/scale.rs
@@ -59,6 +59,15 @@
     assert_eq!(names, ["member-gone", "member-back", "host-silent"]);
 }
 
+/// Later even the member that has started again knows all others.
+#[test]
+fn a_minute_after_a_loss_each_member_knows_all() {
+    let summary = summary(ScaleConfig { seconds: 60.0, ..config(Mechanism::Cluster) });
+    assert_eq!(summary.known.least, MEMBERS, "{:?}", summary.known);
+    let never: usize = summary.changes.iter().map(|change| change.never).sum();
+    assert_eq!(never, 0, "{:?}", summary.changes);
+}
+
 #[test]
 fn a_mechanism_that_talks_to_all_members_is_found() {
     let flawed = ScaleConfig { flaw: Some(Flaw::TalksToAll), seconds: 4.0, ..config(Mechanism::Membership) };
