Ask a replica for a purge's status without the time, which it never used

Need: `Replica::status` took a time that no line of it read, and four callers worked one out for it. Change: the parameter is gone. Behaviour and assertions are as they were.

--- a/control/src/replica.rs
+++ b/control/src/replica.rs
@@ -251,7 +251,7 @@
     }
 
     /// How far a purge has come. Only the replica and the incarnation that published it know.
-    pub fn status(&self, _now: Micros, id: PurgeId) -> PurgeStatus {
+    pub fn status(&self, id: PurgeId) -> PurgeStatus {
         let me = self.config.replica;
         let is_mine = id.stream == StreamId { replica: me, incarnation: self.config.incarnation };
         if !is_mine || id.sequence < 2 || id.position() > self.log.head(me) {
--- a/control/tests/support/scripted.rs
+++ b/control/tests/support/scripted.rs
@@ -224,7 +224,7 @@
 
     pub fn status(&self, replica: usize, id: PurgeId) -> PurgeStatus {
         let Some(Machine::Replica(machine)) = &self.machines[replica] else { panic!("no replica") };
-        machine.status(self.now, id)
+        machine.status(id)
     }
 
     pub fn has_recovered(&self, replica: usize) -> bool {
--- a/control/tests/support/simulation.rs
+++ b/control/tests/support/simulation.rs
@@ -331,7 +331,6 @@
 
     /// What a driver does after each call: applies what came, notes what is done, and sends.
     fn after(&mut self, node: usize) {
-        let now = self.local_now(node);
         let process = &mut self.nodes[node];
         let datagrams = match &mut process.machine {
             Some(Machine::Replica(replica)) => {
@@ -339,7 +338,7 @@
                 assert!(replica.figures().registrations <= MAX_MEMBERS);
                 while let Some(purge) = process.pending.front().copied() {
                     let id = self.checker.published[purge].id;
-                    if replica.status(now, id) != PurgeStatus::Done {
+                    if replica.status(id) != PurgeStatus::Done {
                         break;
                     }
                     process.pending.pop_front();
@@ -493,7 +492,7 @@
                     }
                     if let Some(purge) = node.pending.front() {
                         let id = self.checker.published[*purge].id;
-                        return Some(format!("{id:?}: {:?}", replica.status(self.local_now(number), id)));
+                        return Some(format!("{id:?}: {:?}", replica.status(id)));
                     }
                 }
                 Some(Machine::Member(member, _)) => {
--- a/fleet/src/scale/purge_endpoint.rs
+++ b/fleet/src/scale/purge_endpoint.rs
@@ -73,10 +73,10 @@
         self.events.push(event);
     }
 
-    fn drain_events(&mut self, now: Micros) -> Vec<EndpointEvent> {
+    fn drain_events(&mut self, _now: Micros) -> Vec<EndpointEvent> {
         let replica = &self.replica;
         while let Some((number, id)) = self.pending.front() {
-            if replica.status(now, *id) != PurgeStatus::Done {
+            if replica.status(*id) != PurgeStatus::Done {
                 break;
             }
             self.events.push(EndpointEvent::Done(*number));
