Log each step of a request and of a discovery call with its id and reason at debug level

The log had starts, ends, lists and counters only.

Change: at the level `debug` (NODE_LOG_LEVEL, or log_level in the configuration; `info` as before by default) there is a line for each request taken, attempt begun (state of the server and age of the list), written and ended, refusal with its reason, answer, list entry, discovery call (reason, version asked since, problem, duration) and close. At `info` one line at the start tells what of the settings bears on discovery.

--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -16,12 +16,12 @@
 
 use juniperladder::{Balancer, Class, Effect, Event, Fleet, Micros, Request, Settings};
 use rustc_hash::FxHashMap;
-use slog::Logger;
+use slog::{debug, Logger};
 use tokio::sync::{oneshot, Notify};
 
 use crate::bans::Bans;
 pub use crate::carrier::{Carrier, End, Upload};
-use crate::clock::Clock;
+use crate::clock::{to_ms, Clock};
 use crate::command::{ticket, Over, Ticket};
 pub use crate::command::{Attempt, Command, CommandId};
 use crate::counters::{count, Counters};
@@ -52,6 +52,8 @@
     next_timer: Cell<Micros>,
     /// When the last command has to be answered.
     last: Cell<Micros>,
+    /// When discovery last told a list or its changes.
+    list_received: Cell<Micros>,
     telling: Telling,
     log: Logger,
 }
@@ -97,6 +99,7 @@
             idle: Notify::new(),
             next_timer: Cell::new(NEVER),
             last: Cell::new(NEVER),
+            list_received: Cell::new(Micros(0)),
             telling: Telling::default(),
             log,
         })
@@ -160,6 +163,8 @@
             tenant: command.tenant,
             retry: command.retry,
         };
+        debug!(self.log, "request taken"; "request" => id.0, "id" => %shown(&command.id),
+            "class" => command.class, "left-ms" => to_ms(deadline.minus(now)));
         let (command, over) = (Rc::new(command), Over::default());
         inner.commands.insert(
             id,
@@ -202,6 +207,8 @@
         let mut inner = self.inner.borrow_mut();
         if let Some(open) = inner.close(id) {
             count(&self.counters.left);
+            debug!(self.log, "request abandoned: the client is gone"; "request" => id.0,
+                "id" => %shown(&open.command.id));
             if !open.left {
                 self.handle(&mut inner, self.clock.now(), Event::Gone(id.request()));
             }
@@ -218,6 +225,8 @@
             return;
         }
         open.left = true;
+        debug!(self.log, "request half-closed: the client sends no more"; "request" => id.0,
+            "id" => %shown(&open.command.id));
         // What no byte has gone out of does not begin any more.
         open.over.set(true);
         let out = open.out;
@@ -243,6 +252,8 @@
     pub(super) fn finish(&self, inner: &mut Inner, id: CommandId, answer: Answer) {
         if let Some(open) = inner.close(id) {
             let class = open.command.class;
+            debug!(self.log, "request answered"; "request" => id.0, "id" => %shown(&open.command.id),
+                "answer" => answer.label(), "attempts" => open.attempts, "out" => open.out);
             let (counter, how) = match answer {
                 Answer::Value(_) | Answer::Receipt(_) => (&self.counters.served, Some(Ended::Passed)),
                 // It has passed, or failed, once its client has it or it broke off.
@@ -283,3 +294,8 @@
         }
     }
 }
+
+/// A client's text as the log shows it.
+fn shown(text: &[u8]) -> String {
+    String::from_utf8_lossy(text).into_owned()
+}
--- a/exchange/src/exchange/attempts.rs
+++ b/exchange/src/exchange/attempts.rs
@@ -4,14 +4,15 @@
 use std::rc::Rc;
 
 use juniperladder::{Action, Event, Micros, Outcome, Status};
-use slog::info;
+use slog::{debug, info};
 
 use super::state::{Due, Inner, Running, NEVER};
 use super::Exchange;
 use crate::carrier::End;
+use crate::clock::to_ms;
 use crate::command::{Attempt, CommandId};
 use crate::counters::count;
-use crate::numbers::AttemptId;
+use crate::numbers::{server_label, AttemptId};
 use crate::values::{Answer, Reply};
 
 impl Exchange {
@@ -80,6 +81,9 @@
             Status::Error => &self.counters.errors,
         });
         let now = self.clock.now();
+        debug!(self.log, "attempt ended"; "request" => running.command.0, "attempt" => running.attempt,
+            "server" => %server_label(running.server), "status" => ?status,
+            "after-ms" => to_ms(now.minus(running.sent)));
         let mut closed = true;
         if let Some(open) = inner.commands.get_mut(&running.command) {
             open.out -= 1;
@@ -123,17 +127,29 @@
                 inner.last += 1;
                 let id = AttemptId(inner.last);
                 count(&self.counters.attempts);
+                let state = inner.serving.get(&server).map(|(state, _)| *state);
+                debug!(self.log, "attempt begins"; "request" => command_id.0, "attempt" => running.attempt,
+                    "number" => id.0, "server" => %server_label(server), "state" => ?state,
+                    "list-age-ms" => to_ms(now.minus(self.list_received.get())),
+                    "until-ms" => to_ms(until.minus(now)));
                 inner.attempts.insert(id, running);
                 inner.timers.push(Reverse((until, Due::Attempt(id))));
                 inner.carrier.begin(Attempt { id, command, server, until, by, over });
             }
             Action::Refuse { id, retry_after, why } => {
                 count(self.counters.refusals(why));
+                debug!(self.log, "request refused"; "request" => CommandId::of(&id).0, "reason" => ?why,
+                    "retry-after-ms" => to_ms(retry_after));
                 self.finish(inner, CommandId::of(&id), Answer::Rejected(retry_after));
             }
             Action::Fail { id } => self.finish(inner, CommandId::of(&id), Answer::Failed),
-            Action::Timer { at, token } => inner.timers.push(Reverse((at, Due::Module(token)))),
-            Action::Watch => self.watch.notify_one(),
+            Action::Timer { at, token } => {
+                inner.timers.push(Reverse((at, Due::Module(token))));
+            }
+            Action::Watch => {
+                debug!(self.log, "discovery is due");
+                self.watch.notify_one();
+            }
             Action::Log(line) => info!(self.log, "module"; "line" => line),
         }
     }
--- a/exchange/src/exchange/hosts.rs
+++ b/exchange/src/exchange/hosts.rs
@@ -41,6 +41,7 @@
         let hosts = match kind {
             ListKind::Unavailable => Vec::new(),
             _ => {
+                self.list_received.set(self.clock.now());
                 let known = self.within_bounds(&inner, kind, hosts);
                 inner.bans.over(kind.whole(), &known)
             }
--- a/exchange/src/numbers.rs
+++ b/exchange/src/numbers.rs
@@ -30,6 +30,14 @@
     ServerId(digits.unwrap_or_else(|| hash(name.as_bytes()) | 1 << 63))
 }
 
+/// How the log names a host: by the name itself where it has the usual form, and by its number otherwise.
+pub fn server_label(server: ServerId) -> String {
+    match u32::try_from(server.0) {
+        Ok(digits) => format!("s-{digits:08x}"),
+        Err(_) => format!("#{:x}", server.0),
+    }
+}
+
 /// The value of exactly so many lower-case hexadecimal digits.
 fn hexadecimal(text: &[u8], digits: usize) -> Option<u64> {
     let plain = text.len() == digits && text.iter().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
--- a/exchange/src/values.rs
+++ b/exchange/src/values.rs
@@ -22,6 +22,19 @@
     Failed,
 }
 
+impl Answer {
+    /// What the log calls it.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Answer::Value(_) => "value",
+            Answer::Long(_) => "streamed value",
+            Answer::Receipt(_) => "receipt",
+            Answer::Rejected(_) => "busy",
+            Answer::Failed => "failed",
+        }
+    }
+}
+
 /// What a host replied to an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -8,6 +8,7 @@
 use juniperladder::{Micros, Settings};
 use juniperladder_settings::Env;
 use serde::Deserialize;
+use slog::Level;
 
 use crate::bounds::Limits;
 use crate::clock::duration;
@@ -49,6 +50,8 @@
     pub connect_timeout: Duration,
     /// How long a host keeps an idle connection.
     pub idle: Duration,
+    /// From which level on lines go to the log.
+    pub log_level: Level,
     /// Where discovery pushes its lists, how soon it is called again; none where it has to be asked.
     pub pushed: Option<Duration>,
 }
@@ -63,6 +66,8 @@
     #[serde(default)]
     seed: String,
     #[serde(default)]
+    log_level: Option<String>,
+    #[serde(default)]
     limits: FileLimits,
     #[serde(default)]
     known: Catalog,
@@ -91,6 +96,9 @@
         if let Ok(text) = std::env::var("NODE_MGMT") {
             config.mgmt = operators_address(config.listen, &text)?;
         }
+        if let Some(text) = std::env::var("NODE_LOG_LEVEL").ok().filter(|text| !text.is_empty()) {
+            config.log_level = log_level(&text)?;
+        }
         // An empty name is none, as a unit file leaves it that sets the variable to nothing.
         let named = operator.or_else(|| std::env::var_os("NODE_OPERATOR")).filter(|path| !path.is_empty());
         config.operator = named.map(|path| Operator::read(Path::new(&path))).transpose()?;
@@ -120,6 +128,7 @@
         Ok(Config {
             mgmt: file.mgmt.map_or(Ok(None), |text| operators_address(listen, &text))?,
             file: None,
+            log_level: file.log_level.map_or(Ok(Level::Info), |text| log_level(&text))?,
             operator: None,
             position: env.position,
             pushed: (!settings.subscribe).then(|| pushed_again(duration(env.drain_grace()))),
@@ -145,6 +154,16 @@
     }
 }
 
+/// The level that this word names: `debug` has a line for each step of each request, with its id.
+fn log_level(text: &str) -> Result<Level, String> {
+    match text {
+        "warning" => Ok(Level::Warning),
+        "info" => Ok(Level::Info),
+        "debug" => Ok(Level::Debug),
+        other => Err(format!("log_level: {other:?} is no level; give warning, info or debug")),
+    }
+}
+
 /// An address and port, or one line that says which is not.
 fn address(name: &str, text: &str) -> Result<SocketAddr, String> {
     text.parse::<SocketAddr>().map_err(|_| format!("{name}: {text:?} is no address and port"))
@@ -190,6 +209,15 @@
         assert!(config.settings.subscribe && config.settings.weighted);
     }
 
+    #[test]
+    fn the_log_level_is_info_unless_the_file_names_another() {
+        let with = |level: &str| SOUND.replace("\"seed\"", &format!("\"log_level\":\"{level}\",\"seed\""));
+        assert_eq!(Config::parse(SOUND.into()).unwrap().log_level, Level::Info);
+        assert_eq!(Config::parse(with("debug").into()).unwrap().log_level, Level::Debug);
+        let problem = Config::parse(with("loud").into()).unwrap_err();
+        assert_eq!(problem, "log_level: \"loud\" is no level; give warning, info or debug");
+    }
+
     #[test]
     fn a_broken_configuration_is_one_plain_line() {
         let no_port = SOUND.replace("127.0.0.1:1", "127.0.0.1");
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -9,14 +9,16 @@
 use bytes::BytesMut;
 use fastrand::Rng;
 use juniperladder::ListKind;
+use juniperladder_exchange::numbers::server_label;
 use juniperladder_exchange::telling::Telling;
 use juniperladder_protocols::objects::Objects;
-use slog::{info, warn, Logger};
+use slog::{debug, info, warn, Logger};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
+use crate::clock::to_ms;
 use crate::counters::count;
 use crate::exchange::Exchange;
 use crate::http::{write_call, Response};
@@ -52,6 +54,7 @@
     let mut at_once = calls.at_once || calls.pushed.is_some();
     // Since when the address is another one that has told no list yet.
     let mut turned = None;
+    let mut reason = "start";
     loop {
         if !std::mem::take(&mut at_once) {
             let again = match turned {
@@ -59,26 +62,32 @@
                 None => calls.pushed,
             };
             tokio::select! {
-                () = exchange.watch_wanted(), if turned.is_none() => {}
-                () = sleep(again.unwrap_or_default()), if again.is_some() => {}
+                () = exchange.watch_wanted(), if turned.is_none() => reason = "due",
+                () = sleep(again.unwrap_or_default()), if again.is_some() => reason = "again",
                 turn = address.changed() => {
                     if turn.is_err() {
                         return;
                     }
                     turned = turn_to(&mut table);
+                    reason = "new address";
                 }
             }
         }
         let current = *address.borrow_and_update();
+        let begun = Instant::now();
+        debug!(log, "discovery call begins"; "reason" => reason, "address" => %current,
+            "since" => table.generation);
         let heard = tokio::select! {
             heard = watch(&mut table, current, &exchange, &log) => heard,
             Ok(()) = address.changed() => {
                 turned = turn_to(&mut table);
+                reason = "new address";
                 at_once = true;
                 continue;
             }
         };
         let problem = heard.err().unwrap_or_else(|| "the watch has ended".to_owned());
+        debug!(log, "discovery call ended"; "problem" => &problem, "lasted-ms" => begun.elapsed().as_millis());
         let failures = &exchange.counters().discovery_failures;
         count(failures);
         if telling.due() {
@@ -111,6 +120,7 @@
 ) -> Result<(), String> {
     let connect = timeout(CONNECT, TcpStream::connect(discovery)).await;
     let stream = connect.map_err(|_| "no connection in time".to_owned())?.map_err(|e| e.to_string())?;
+    debug!(log, "discovery connected");
     hear(table, stream, &discovery.to_string(), exchange, log).await
 }
 
@@ -140,6 +150,7 @@
             return Err(format!("status {}", head.status));
         }
         let brought = response.body.len() > before;
+        debug!(log, "discovery bytes"; "bytes" => response.body.len() - before);
         while let Some(mut object) = objects.next(&mut response.body)? {
             let catalog = simd_json::from_slice::<Catalog>(&mut object);
             let catalog = catalog.map_err(|e| format!("not a list: {e}"))?;
@@ -152,6 +163,10 @@
                 return Err(format!("generation {} after {known} without a reset", catalog.generation));
             }
             let (kind, hosts) = table.take(catalog, log);
+            for host in &hosts {
+                debug!(log, "list entry"; "server" => %server_label(host.entry.server),
+                    "state" => ?host.entry.state, "started-ms" => to_ms(host.entry.started));
+            }
             count(&exchange.counters().lists);
             info!(log, "list"; "generation" => table.generation, "whole" => kind == ListKind::Replace,
                 "entries" => hosts.len());
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -33,7 +33,7 @@
 use std::time::Duration;
 
 use juniperladder::ListKind;
-use slog::{error, info, o, Drain, Logger};
+use slog::{error, info, o, Drain, Level, LevelFilter, Logger};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
@@ -45,6 +45,11 @@
 /// How often the counters go to the log: a balancer that is killed tells nothing at its end.
 const TELL: Duration = Duration::from_secs(5);
 
+/// How many lines may wait to be written; more are dropped, and that is told.
+const LINES_QUEUED: usize = 1024;
+/// The same where each request has lines of its own.
+const DEBUG_LINES_QUEUED: usize = 16 * 1024;
+
 /// Runs a balancer as the environment describes it, until it is told to stop; `operator` names the operators' file
 /// where the command line does.
 pub fn run_from_environment(operator: Option<OsString>) -> Result<(), String> {
@@ -58,10 +63,11 @@
     let drain = slog_term::FullFormat::new(slog_term::PlainDecorator::new(std::io::stderr())).build().fuse();
     // A full pipe must not hold the one thread up: lines are dropped then, and that is told.
     let drain = slog_async::Async::new(drain)
-        .chan_size(1024)
+        .chan_size(if config.log_level == Level::Debug { DEBUG_LINES_QUEUED } else { LINES_QUEUED })
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
         .build()
         .fuse();
+    let drain = LevelFilter::new(drain, config.log_level).fuse();
     let log = Logger::root(drain, o!("name" => config.name.clone()));
     LocalSet::new().block_on(&runtime, run(config, log))
 }
@@ -79,6 +85,7 @@
     let bounds = bounds::Bounds::of(config.limits);
     let longest = config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
     let longest = clock::duration(longest);
+    let ask_within = config.settings.rules.ask_within;
     let limits = upstream::Limits {
         connections: bounds.hosts,
         piece: bounds.piece,
@@ -124,6 +131,9 @@
         service::Service::new(Rc::clone(&exchange), config.labels, Rc::clone(&shutdown), bounds, log.clone());
     let address = listener.local_addr().unwrap_or(config.listen);
     info!(log, "listening"; "address" => address.to_string(), "hosts" => hosts.len());
+    info!(log, "settings"; "generation" => table.generation, "ask-within-ms" => clock::to_ms(ask_within),
+        "lists" => if config.pushed.is_some() { "pushed" } else { "asked for" },
+        "longest-deadline-ms" => longest.as_millis(), "unix-ms" => clock::to_ms(clock.now()));
 
     let timers = Rc::clone(&exchange);
     spawn_local(async move { timers.run().await });
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -7,7 +7,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use slog::{warn, Logger};
+use slog::{debug, warn, Logger};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, yield_now};
@@ -257,7 +257,12 @@
         count(&self.exchange.counters().clients);
         let seated = self.seat(waited);
         // A connection that breaks has no one to be told.
-        spawn_local(async move { drop(seated.serve(stream).await) });
+        let service = Rc::clone(self);
+        spawn_local(async move {
+            if let Err(problem) = seated.serve(stream).await {
+                debug!(service.log, "downstream connection broke"; "problem" => %problem);
+            }
+        });
     }
 
     fn seat(self: &Rc<Service>, waited: Duration) -> Seated {
@@ -278,9 +283,13 @@
     async fn closing(&self, seat: &Seat, patience: Option<Instant>) -> Look {
         tokio::select! {
             () = self.shutdown.closing() => Look::Long,
-            () = seat.leave.notified() => Look::Short,
+            () = seat.leave.notified() => {
+                debug!(self.log, "downstream connection closes: others need its place");
+                Look::Short
+            }
             () = until(patience) => {
                 count(&self.exchange.counters().quiet);
+                debug!(self.log, "downstream connection closes: idle for too long");
                 Look::Long
             }
         }
--- a/node/src/upstream/connection.rs
+++ b/node/src/upstream/connection.rs
@@ -9,6 +9,8 @@
 use bytes::BytesMut;
 use juniperladder::{Micros, ServerId};
 use juniperladder_exchange::long::{long, Feed};
+use juniperladder_exchange::numbers::server_label;
+use slog::debug;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite};
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout, Instant};
@@ -66,7 +68,18 @@
     /// A connection to the host, if one comes up in time.
     pub(super) async fn connect(&self, upstream: &Upstream) -> Option<Box<dyn Stream>> {
         let connect = timeout(upstream.limits.connect_timeout, upstream.ways.connect(self.address));
-        let stream = connect.await.ok()?.ok()?;
+        let stream = match connect.await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(problem)) => {
+                debug!(upstream.log, "no connection"; "server" => %server_label(self.server),
+                    "problem" => %problem);
+                return None;
+            }
+            Err(_) => {
+                debug!(upstream.log, "no connection in time"; "server" => %server_label(self.server));
+                return None;
+            }
+        };
         count(&upstream.counters.opened);
         Some(stream)
     }
@@ -172,6 +185,7 @@
             return After::Close;
         }
         count(&upstream.counters.tries);
+        debug!(upstream.log, "attempt written"; "number" => id.0, "address" => %self.address);
         let stop = upstream.written(self.server, id);
         let read = tokio::select! {
             biased;
@@ -194,6 +208,8 @@
             Ok(Err(None)) if input.is_empty() => (End::Broken, After::Broke),
             Ok(Err(None)) | Err(Stopped) => (End::Broken, After::Close),
         };
+        debug!(upstream.log, "attempt over on its connection"; "number" => id.0, "address" => %self.address,
+            "then" => ?after);
         upstream.stopped(self.server, id, end);
         after
     }
