--- /dev/null
+++ b/cli/tests/discovery.rs
@@ -0,0 +1,98 @@
+//! The program as a process beside a discovery that is crowded: it handles its calls in turn, so that an answer takes long.
+
+mod support;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use support::{address_in, config, logged, program, tell};
+
+/// How long a call waits for its turn: longer than discovery's own limit of 2 s, behind which it refuses calls at once.
+const TURN: Duration = Duration::from_millis(2_300);
+
+/// Reads the call on this connection up to its empty line.
+fn read_call(stream: &TcpStream) -> String {
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    let mut call = String::new();
+    while !call.ends_with("\r\n\r\n") && reader.read_line(&mut call).unwrap() > 0 {}
+    call
+}
+
+/// A list as the first chunk of an answer that stays open.
+fn list(generation: u64, drained: &str, serving: &str) -> String {
+    let instance = |id: &str, address: &str, lifecycle: &str| {
+        format!(
+            r#"{{"instanceId":"{id}","hostPort":"{address}","zone":"x","machineType":"a","lifecycle":"{lifecycle}"}}"#
+        )
+    };
+    let instances =
+        [instance("s-00000001", drained, "terminating"), instance("s-00000002", serving, "in_service")];
+    let text =
+        format!("{{\"generation\":{generation},\"reset\":true,\"instances\":[{}]}}\n", instances.join(","));
+    format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Answers every request that comes with this value.
+fn serve(host: TcpListener, value: &'static str) {
+    thread::spawn(move || loop {
+        let Ok((mut stream, _)) = host.accept() else { return };
+        thread::spawn(move || {
+            for line in BufReader::new(stream.try_clone().unwrap()).lines() {
+                let Ok(line) = line else { return };
+                let id = line.split(' ').find(|word| word.starts_with('O')).unwrap().to_owned();
+                if stream.write_all(format!("VA 1 {id} h1\r\n{value}\r\n").as_bytes()).is_err() {
+                    return;
+                }
+            }
+        });
+    });
+}
+
+/// Asks for this key, and returns the value.
+fn ask(client: &mut TcpStream, key: u64) -> String {
+    client.write_all(format!("mg {key:016x} v O{key:016x} Pc=read,d=5000\r\n").as_bytes()).unwrap();
+    let mut answer = BufReader::new(client.try_clone().unwrap());
+    let (mut head, mut value) = (String::new(), [0; 3]);
+    answer.read_line(&mut head).unwrap();
+    assert!(head.starts_with("VA 1 "), "{head}");
+    answer.read_exact(&mut value).unwrap();
+    String::from_utf8_lossy(&value[..1]).into_owned()
+}
+
+/// A call that waits for its turn is not given up: discovery answers it all the same, what it writes counts as told, and the next
+/// call would wait behind all others. The list comes on the first call, and nothing goes to the server that drains.
+#[test]
+fn a_call_that_waits_for_its_turn_is_not_given_up() {
+    let [draining, serving, discovery] = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    let [draining_at, serving_at, discovery_at] =
+        [&draining, &serving, &discovery].map(|l| l.local_addr().unwrap().to_string());
+    serve(draining, "D");
+    serve(serving, "S");
+    let text = config("127.0.0.1:0", &discovery_at, &draining_at).replace(
+        "\"instances\":[",
+        &format!(
+            "\"instances\":[{{\"instanceId\":\"s-00000002\",\"hostPort\":\"{serving_at}\",\"zone\":\"x\",\"machineType\":\"a\"}},"
+        ),
+    );
+    let mut child = program(Some(&text)).spawn().unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let listen = address_in(&logged(&mut log, "listening"));
+    let mut client = TcpStream::connect(listen).unwrap();
+    let before: Vec<String> = (0..32).map(|key| ask(&mut client, key)).collect();
+    assert!(before.contains(&"D".to_owned()), "{before:?}");
+
+    let (first, _) = discovery.accept().unwrap();
+    assert!(read_call(&first).starts_with("GET /catalog/members?follow=1"));
+    // Whether the caller stays is what the end of its side tells, which comes at once where it has given up.
+    first.set_read_timeout(Some(TURN)).unwrap();
+    let waited = (&first).read(&mut [0; 1]);
+    assert!(waited.is_err(), "the call was given up before its turn came: {waited:?}");
+    (&first).write_all(list(42, &draining_at, &serving_at).as_bytes()).unwrap();
+    logged(&mut log, "generation: 42");
+    let after: Vec<String> = (32..64).map(|key| ask(&mut client, key)).collect();
+    assert!(after.iter().all(|value| value == "S"), "{after:?}");
+    tell(&child, "-TERM");
+    assert!(child.wait().unwrap().success());
+}
--- a/exchange/src/testing.rs
+++ b/exchange/src/testing.rs
@@ -83,8 +83,13 @@
 
 /// An exchange by this carrier that knows so many hosts, the first of which is `HOST`.
 pub fn exchange(settings: Settings, carrier: Rc<dyn Carrier>, hosts: u32) -> Rc<Exchange> {
+    seeded_exchange(settings, 7, carrier, hosts)
+}
+
+/// The same with a seed of its own, as each process of a fleet has.
+pub fn seeded_exchange(settings: Settings, seed: u64, carrier: Rc<dyn Carrier>, hosts: u32) -> Rc<Exchange> {
     let counters = Rc::new(Counters::default());
-    let exchange = Exchange::new(settings, 7, carrier, Clock::start(), counters, log());
+    let exchange = Exchange::new(settings, seed, carrier, Clock::start(), counters, log());
     let hosts: Vec<Host> =
         (0..hosts).map(|n| host(ServerId(HOST.0 + u64::from(n)), State::Serving)).collect();
     exchange.listed(ListKind::Restored, &hosts);
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -75,7 +75,7 @@
         }
         let current = *address.borrow_and_update();
         let begun = Instant::now();
-        debug!(log, "discovery call begins"; "reason" => reason, "address" => %current,
+        info!(log, "discovery call begins"; "reason" => reason, "address" => %current,
             "since" => table.generation);
         let heard = tokio::select! {
             heard = watch(&mut table, current, &exchange, &log) => heard,
@@ -87,7 +87,7 @@
             }
         };
         let problem = heard.err().unwrap_or_else(|| "the watch has ended".to_owned());
-        debug!(log, "discovery call ended"; "problem" => &problem, "lasted-ms" => begun.elapsed().as_millis());
+        info!(log, "discovery call ended"; "problem" => &problem, "lasted-ms" => begun.elapsed().as_millis());
         let failures = &exchange.counters().discovery_failures;
         count(failures);
         if telling.due() {
@@ -120,7 +120,7 @@
 ) -> Result<(), String> {
     let connect = timeout(CONNECT, TcpStream::connect(discovery)).await;
     let stream = connect.map_err(|_| "no connection in time".to_owned())?.map_err(|e| e.to_string())?;
-    debug!(log, "discovery connected");
+    info!(log, "discovery connected");
     hear(table, stream, &discovery.to_string(), exchange, log).await
 }
 
--- a/node/src/discovery/tests.rs
+++ b/node/src/discovery/tests.rs
@@ -5,9 +5,10 @@
 use crate::name_table::Names;
 use crate::testing::{self, log, settle, Recorder};
 use juniperladder::{Effect, AGAIN, ASKING, SOON, START};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
+use tokio::time::sleep_until;
 
 async fn told(text: &'static [u8]) -> (u64, u64) {
     let (near, mut far) = tokio::io::duplex(1 << 16);
@@ -192,12 +193,16 @@
 }
 
 fn balancer(discovery: &Discovery, calls: Calls, subscribe: bool) -> Balancer {
+    balancer_at(discovery.address, calls, subscribe)
+}
+
+fn balancer_at(address: SocketAddr, calls: Calls, subscribe: bool) -> Balancer {
     let mut settings = testing::settings(1, Effect::Safe);
     settings.subscribe = subscribe;
-    let exchange = testing::exchange(settings, Rc::new(Recorder::default()), 1);
+    let exchange = testing::seeded_exchange(settings, calls.seed, Rc::new(Recorder::default()), 1);
     let timers = Rc::clone(&exchange);
     spawn_local(async move { timers.run().await });
-    let (address, turns) = watch::channel(discovery.address);
+    let (address, turns) = watch::channel(address);
     spawn_local(follow(NameTable::default(), turns, Rc::clone(&exchange), calls, log()));
     Balancer { exchange, address }
 }
@@ -349,3 +354,134 @@
     assert!(whole(r#"{"generation":7,"reset":false,"instances":[]}"#));
     assert!(!whole(r#"{"generation":8,"reset":false,"instances":[]}"#));
 }
+
+/// A discovery that handles its calls in turn, as the protocol page has it: one that would wait too long is refused at once.
+struct CrowdedDiscovery {
+    address: SocketAddr,
+    /// Calls refused, answered, and answered though their caller had gone.
+    refused: Rc<Cell<usize>>,
+    answered: Rc<Cell<usize>>,
+    wasted: Rc<Cell<usize>>,
+}
+
+impl CrowdedDiscovery {
+    /// The longest that a call waits for its turn.
+    const LONGEST_WAIT: Duration = Duration::from_secs(2);
+
+    async fn new(calls_per_second: u32) -> CrowdedDiscovery {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let crowded = CrowdedDiscovery {
+            address,
+            refused: Rc::default(),
+            answered: Rc::default(),
+            wasted: Rc::default(),
+        };
+        let (refused, answered, wasted) =
+            (Rc::clone(&crowded.refused), Rc::clone(&crowded.answered), Rc::clone(&crowded.wasted));
+        spawn_local(async move {
+            let mut free = Instant::now();
+            loop {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let begins = free.max(Instant::now());
+                if begins - Instant::now() > Self::LONGEST_WAIT {
+                    refused.set(refused.get() + 1);
+                    spawn_local(play(Peer::Busy, stream));
+                    continue;
+                }
+                free = begins + Duration::from_secs(1) / calls_per_second;
+                let (turn, answered, wasted) = (free, Rc::clone(&answered), Rc::clone(&wasted));
+                spawn_local(async move {
+                    let mut call = BytesMut::new();
+                    while !call.ends_with(b"\r\n\r\n") && stream.read_buf(&mut call).await.unwrap_or(0) > 0 {}
+                    let left = timeout_at(turn, stream.read_buf(&mut call)).await.is_ok();
+                    sleep_until(turn).await;
+                    let counter = if left { &wasted } else { &answered };
+                    counter.set(counter.get() + 1);
+                    play(Peer::Tells(1), stream).await;
+                });
+            }
+        });
+        crowded
+    }
+}
+
+/// A whole fleet calls a discovery that can take far fewer calls a second. Each call that it has taken on is waited for, so that
+/// it is at work for one caller after the other, and all have the list as soon as its pace allows.
+#[test]
+fn a_fleet_does_not_bury_a_discovery_that_takes_its_calls_in_turn() {
+    const FLEET: u64 = 44;
+    const CALLS_PER_SECOND: u32 = 6;
+    let pace = Duration::from_secs(FLEET) / CALLS_PER_SECOND;
+    for turned in [false, true] {
+        testing::run(async {
+            let crowded = CrowdedDiscovery::new(CALLS_PER_SECOND).await;
+            let before = Discovery::new(vec![Peer::Tells(7)]).await;
+            let first = if turned { before.address } else { crowded.address };
+            let start = Instant::now();
+            let fleet: Vec<Balancer> = (0..FLEET)
+                .map(|seed| balancer_at(first, Calls { at_once: turned, pushed: None, seed }, true))
+                .collect();
+            let mut lists = 1;
+            if turned {
+                for balancer in &fleet {
+                    balancer.lists(1).await;
+                }
+                lists = 2;
+                for balancer in &fleet {
+                    balancer.address.send_replace(crowded.address);
+                }
+            }
+            let start = if turned { Instant::now() } else { start };
+            for balancer in &fleet {
+                balancer.lists(lists).await;
+            }
+            let told = start.elapsed();
+            let (refused, wasted) = (crowded.refused.get(), crowded.wasted.get());
+            assert_eq!(wasted, 0, "turned {turned}: {told:?}, {refused} refused");
+            assert!(told <= pace + Duration::from_secs(5), "turned {turned}: {told:?}, {refused} refused");
+            // A refusal costs discovery something too.
+            assert!(refused <= 6 * FLEET as usize, "turned {turned}: {told:?}, {refused} refused");
+        });
+    }
+}
+
+/// Until the new address has told its list, what the old one tells is still taken in: the new one may be crowded or away.
+#[test]
+fn the_old_address_is_heard_until_the_new_one_has_told_its_list() {
+    testing::run(async {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let old_address = listener.local_addr().unwrap();
+        let (changes, mut told) = tokio::sync::mpsc::channel::<u64>(1);
+        spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await.unwrap();
+            while let Some(generation) = told.recv().await {
+                let text = format!("{{\"generation\":{generation},\"reset\":false,\"instances\":[]}}\n");
+                let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+                if stream.write_all(chunk.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        });
+        let new = Discovery::new(vec![Peer::Refuses, Peer::Busy, Peer::Tells(1)]).await;
+        let balancer = balancer_at(old_address, NOW, true);
+        changes.send(5).await.unwrap();
+        balancer.lists(1).await;
+        balancer.address.send_replace(new.address);
+        settle().await;
+        assert!(new.calls() >= 1);
+        changes.send(6).await.unwrap();
+        balancer.lists(2).await;
+        assert!(new.calls() < 3, "the change came from the old address");
+        balancer.lists(3).await;
+        for generation in 7.. {
+            assert!(generation < 100, "the old one is let go of");
+            settle().await;
+            if changes.send(generation).await.is_err() {
+                break;
+            }
+        }
+        assert_eq!(balancer.exchange.counters().lists.get(), 3);
+    });
+}
