Keep calls to a crowded discovery, and the watch in force until the next call is answered

Cause: a call to discovery was given up 1.9 s after its connection (ANSWER), while discovery keeps calls waiting for up to 2 s and answers them then; with a full queue each call that it took on was given up just before its turn, and what it wrote then counted as told. The same mistake beside it: the watch in force was closed before another was there, at a new address and when it fell silent; and who had waited for longest called least often, as each refusal made the next wait longer, while a watch that ended right behind a fresh list was opened anew within 0.3 s.

Change: node/src/discovery/ is three parts. `call.rs` runs one call and sends what comes; `watches.rs`, without I/O and with time passed in, keeps which calls are open; `discovery.rs` owns the rest. A call without an answer after 2.6 s counts as failed, as before, but stays open, and another is made beside it (three at most); the first that is answered ends the others. The old address's watch, or a silent one, is listened to until then. An older list that comes on another call takes nothing back. At a new address the waits between calls grow from 0.2-0.6 s to 0.6-1.0 s and go on until a list has come. In the decisions (src/rules.rs) a list sets back the time of the last call, and a start's first and second calls are spread by the size of the fleet, in full from 90 balancers on, to three tenths of it for 27 and fewer.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -1,32 +1,34 @@
 //! Discovery: when it is called, and the watch on its changes.
+//!
+//! [`follow`] owns all that is known of discovery here. Each call runs in a task of its own ([`call`]) and sends what comes;
+//! which calls are open, and what is due of them, is kept by [`watches`], and all times stand in [`budget`].
 
 pub mod budget;
+mod call;
+mod watches;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use fastrand::Rng;
 use juniperladder::ListKind;
 use juniperladder_exchange::numbers::server_label;
 use juniperladder_exchange::telling::Telling;
-use juniperladder_protocols::objects::Objects;
 use slog::{debug, info, warn, Logger};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::sync::watch;
-use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep_until, Instant};
 
 use crate::clock::to_ms;
 use crate::counters::count;
 use crate::exchange::Exchange;
-use crate::http::{write_call, Response};
-use crate::name_table::{Catalog, NameTable};
-use budget::{ANSWER, CONNECT, SILENCE, TURN, TURN_AGAIN};
+use crate::name_table::{watch_path, Catalog, NameTable};
+use budget::turn_again;
+use call::{Call, Message, News};
+use watches::{ListUse, WatchId, Watches};
 
-/// The longest list.
-const MAX_LIST: usize = 4 * 1024 * 1024;
+/// News of calls that may wait to be taken in.
+const INBOX: usize = 4;
 
 /// When discovery is called.
 #[derive(Clone, Copy, Debug, Default)]
@@ -41,147 +43,198 @@
     pub seed: u64,
 }
 
-/// Watches discovery whenever the module asks for it, and tells the module what comes. When the address
-/// changes it turns to the new one at once, whatever the old one still says.
+/// Why a call is made.
+#[derive(Clone, Copy, Debug)]
+enum Reason {
+    /// The process has started, and its list may be old.
+    Start,
+    /// The decision module asks for it.
+    Due,
+    /// A new configuration names another address.
+    NewAddress,
+    /// The last one failed, and the module does not space the calls out.
+    Again,
+}
+
+/// Watches discovery whenever the module asks for it, and tells the module what comes. When the address changes the new one is
+/// called at once, and what the old one's watch says is taken in until the new one has told its list. `known` is the version
+/// of the list in hand.
 pub async fn follow(
-    mut table: NameTable,
+    table: NameTable,
+    known: Option<u64>,
     mut address: watch::Receiver<SocketAddr>,
     exchange: Rc<Exchange>,
     calls: Calls,
     log: Logger,
 ) {
-    let (telling, mut rng) = (Telling::default(), Rng::with_seed(calls.seed));
-    let mut at_once = calls.at_once || calls.pushed.is_some();
-    // Since when the address is another one that has told no list yet.
-    let mut turned = None;
-    let mut reason = "start";
+    let (inbox, mut news) = mpsc::channel(INBOX);
+    let at = *address.borrow_and_update();
+    let mut follower = Follower::new(table, known, at, Rc::clone(&exchange), calls, inbox, log);
+    if calls.at_once || calls.pushed.is_some() {
+        follower.call(Reason::Start);
+    }
     loop {
-        if !std::mem::take(&mut at_once) {
-            let again = match turned {
-                Some(_) => Some(between(&mut rng, TURN_AGAIN)),
-                None => calls.pushed,
-            };
-            tokio::select! {
-                () = exchange.watch_wanted(), if turned.is_none() => reason = "due",
-                () = sleep(again.unwrap_or_default()), if again.is_some() => reason = "again",
-                turn = address.changed() => {
-                    if turn.is_err() {
-                        return;
-                    }
-                    turned = turn_to(&mut table);
-                    reason = "new address";
+        let due = follower.deadline();
+        tokio::select! {
+            turned = address.changed() => {
+                if turned.is_err() {
+                    return;
                 }
+                let address = *address.borrow_and_update();
+                follower.turn(address);
             }
+            Some(message) = news.recv() => follower.on_message(message),
+            () = exchange.watch_wanted() => follower.on_wanted(),
+            () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => follower.on_deadline(),
         }
-        let current = *address.borrow_and_update();
-        let begun = Instant::now();
-        info!(log, "discovery call begins"; "reason" => reason, "address" => %current,
-            "since" => table.generation);
-        let heard = tokio::select! {
-            heard = watch(&mut table, current, &exchange, &log) => heard,
-            Ok(()) = address.changed() => {
-                turned = turn_to(&mut table);
-                reason = "new address";
-                at_once = true;
-                continue;
-            }
-        };
-        let problem = heard.err().unwrap_or_else(|| "the watch has ended".to_owned());
-        info!(log, "discovery call ended"; "problem" => &problem, "lasted-ms" => begun.elapsed().as_millis());
-        let failures = &exchange.counters().discovery_failures;
-        count(failures);
-        if telling.due() {
-            warn!(log, "discovery"; "problem" => problem, "so far" => failures.get());
-        }
-        if table.generation.is_none() && turned.is_some_and(|at: Instant| at.elapsed() < TURN) {
-            continue;
-        }
-        turned = None;
-        // From here on the module spaces the calls out: it asks again after a wait of its own.
-        exchange.listed(ListKind::Unavailable, &[]);
     }
 }
 
-/// Another service may count its versions otherwise: it is asked for the whole list.
-fn turn_to(table: &mut NameTable) -> Option<Instant> {
-    table.generation = None;
-    Some(Instant::now())
+/// What [`follow`] keeps.
+struct Follower {
+    table: NameTable,
+    watches: Watches<Call>,
+    address: SocketAddr,
+    /// When the next call is made that the module does not ask for.
+    again: Option<Instant>,
+    /// Calls that failed at a new address that has told no list yet.
+    turn_failures: u32,
+    pushed: Option<Duration>,
+    rng: Rng,
+    exchange: Rc<Exchange>,
+    inbox: mpsc::Sender<Message>,
+    telling: Telling,
+    log: Logger,
 }
 
-fn between(rng: &mut Rng, (least, most): (Duration, Duration)) -> Duration {
-    least + (most - least).mul_f64(rng.f64())
-}
+impl Follower {
+    fn new(
+        table: NameTable,
+        known: Option<u64>,
+        address: SocketAddr,
+        exchange: Rc<Exchange>,
+        calls: Calls,
+        inbox: mpsc::Sender<Message>,
+        log: Logger,
+    ) -> Follower {
+        Follower {
+            table,
+            watches: Watches::new(known),
+            address,
+            again: None,
+            turn_failures: 0,
+            pushed: calls.pushed,
+            rng: Rng::with_seed(calls.seed),
+            exchange,
+            inbox,
+            telling: Telling::default(),
+            log,
+        }
+    }
 
-async fn watch(
-    table: &mut NameTable,
-    discovery: SocketAddr,
-    exchange: &Exchange,
-    log: &Logger,
-) -> Result<(), String> {
-    let connect = timeout(CONNECT, TcpStream::connect(discovery)).await;
-    let stream = connect.map_err(|_| "no connection in time".to_owned())?.map_err(|e| e.to_string())?;
-    info!(log, "discovery connected");
-    hear(table, stream, &discovery.to_string(), exchange, log).await
-}
+    fn call(&mut self, reason: Reason) {
+        self.again = None;
+        let id = self.watches.next_id();
+        let since = self.watches.generation();
+        info!(self.log, "discovery call begins"; "call" => ?id, "reason" => ?reason,
+            "address" => %self.address, "since" => since);
+        let call = Call::begin(id, self.address, watch_path(since), self.inbox.clone());
+        self.watches.begin(id, call, Instant::now());
+    }
 
-/// Asks for the changes on this connection and takes them in until it ends.
-async fn hear<S: AsyncRead + AsyncWrite + Unpin>(
-    table: &mut NameTable,
-    mut stream: S,
-    name: &str,
-    exchange: &Exchange,
-    log: &Logger,
-) -> Result<(), String> {
-    let lost = |e: std::io::Error| e.to_string();
-    let silent = |_| "silent".to_owned();
-    let mut due = Instant::now() + ANSWER;
-    let mut call = BytesMut::new();
-    write_call(&mut call, &table.path(), name);
-    timeout_at(due, stream.write_all(&call)).await.map_err(silent)?.map_err(lost)?;
-    let (mut response, mut input, mut objects) = (Response::default(), BytesMut::new(), Objects::default());
-    loop {
-        let read = timeout_at(due, stream.read_buf(&mut input)).await;
-        if read.map_err(silent)?.map_err(lost)? == 0 {
-            return Ok(());
+    fn turn(&mut self, address: SocketAddr) {
+        self.address = address;
+        self.watches.turn();
+        self.turn_failures = 0;
+        self.call(Reason::NewAddress);
+    }
+
+    /// The module wants a watch. At a new address the calls are spaced out here until it has told its list.
+    fn on_wanted(&mut self) {
+        if !self.watches.turning() && self.watches.need_call() {
+            self.call(Reason::Due);
         }
-        let before = response.body.len();
-        response.read(&mut input)?;
-        if let Some(head) = response.head.as_ref().filter(|head| head.status != 200) {
-            return Err(format!("status {}", head.status));
+    }
+
+    fn deadline(&self) -> Option<Instant> {
+        self.watches.deadline().into_iter().chain(self.again).min()
+    }
+
+    fn on_deadline(&mut self) {
+        let now = Instant::now();
+        for (overdue, lasted) in self.watches.take_overdue(now) {
+            self.failed(overdue.label(), lasted);
+        }
+        if self.again.is_some_and(|again| again <= now) {
+            self.call(Reason::Again);
         }
-        let brought = response.body.len() > before;
-        debug!(log, "discovery bytes"; "bytes" => response.body.len() - before);
-        while let Some(mut object) = objects.next(&mut response.body)? {
-            let catalog = simd_json::from_slice::<Catalog>(&mut object);
-            let catalog = catalog.map_err(|e| format!("not a list: {e}"))?;
-            if let Some(known) =
-                table.generation.filter(|known| !catalog.reset && catalog.generation < *known)
-            {
-                // Changes to an older list than this one cannot be told apart from its own: the list stands, and
-                // the whole one is asked for when the module asks again.
-                table.generation = None;
-                return Err(format!("generation {} after {known} without a reset", catalog.generation));
+    }
+
+    fn on_message(&mut self, Message { watch, news }: Message) {
+        match news {
+            News::Connected => debug!(self.log, "discovery connected"; "call" => ?watch),
+            News::List(catalog) => self.on_list(watch, catalog),
+            News::NoChange => {
+                if self.watches.on_no_change(watch, Instant::now()) {
+                    // It has answered, though with nothing: the module need not ask again.
+                    self.exchange.listed(ListKind::Update, &[]);
+                }
             }
-            let (kind, hosts) = table.take(catalog, log);
-            for host in &hosts {
-                debug!(log, "list entry"; "server" => %server_label(host.entry.server),
-                    "state" => ?host.entry.state, "started-ms" => to_ms(host.entry.started));
+            News::Ended(problem) => {
+                debug!(self.log, "discovery call ended"; "call" => ?watch, "problem" => &problem);
+                if let Some(lasted) = self.watches.on_end(watch, Instant::now()) {
+                    self.failed(&problem, lasted);
+                }
             }
-            count(&exchange.counters().lists);
-            info!(log, "list"; "generation" => table.generation, "whole" => kind == ListKind::Replace,
-                "entries" => hosts.len());
-            exchange.listed(kind, &hosts);
         }
-        if brought && response.body.is_empty() {
-            // A list, or the empty line that stands for none, has come to its end: pieces of one are no sign of life.
-            due = Instant::now() + SILENCE;
+    }
+
+    fn on_list(&mut self, watch: WatchId, catalog: Catalog) {
+        let generation = catalog.generation;
+        let kind = match self.watches.on_list(watch, generation, catalog.reset, Instant::now()) {
+            ListUse::Whole => ListKind::Replace,
+            ListUse::Changes => ListKind::Update,
+            ListUse::Outdated | ListUse::Unknown => {
+                info!(self.log, "list passed over"; "call" => ?watch, "generation" => generation);
+                return;
+            }
+            ListUse::Contradicts(known) => {
+                // The list stands, and the whole one is asked for when the module asks again.
+                let problem = format!("generation {generation} after {known} without a reset");
+                return self.failed(&problem, Duration::ZERO);
+            }
+        };
+        if !self.watches.turning() {
+            self.again = None;
         }
-        if response.body.len() > MAX_LIST {
-            return Err("a list without an end".into());
+        let hosts = self.table.read(catalog, &self.log);
+        for host in &hosts {
+            debug!(self.log, "list entry"; "server" => %server_label(host.entry.server),
+                "state" => ?host.entry.state, "started-ms" => to_ms(host.entry.started));
         }
-        if response.done {
-            return Ok(());
+        count(&self.exchange.counters().lists);
+        info!(self.log, "list"; "call" => ?watch, "generation" => generation,
+            "whole" => kind == ListKind::Replace, "entries" => hosts.len());
+        self.exchange.listed(kind, &hosts);
+    }
+
+    /// A call or a watch has failed: another call is due after a wait.
+    fn failed(&mut self, problem: &str, lasted: Duration) {
+        let failures = &self.exchange.counters().discovery_failures;
+        count(failures);
+        if self.telling.due() {
+            warn!(self.log, "discovery"; "problem" => problem, "after-ms" => lasted.as_millis(),
+                "so far" => failures.get());
         }
+        let now = Instant::now();
+        if self.watches.turning() {
+            self.again = Some(now + turn_again(self.turn_failures, &mut self.rng));
+            self.turn_failures += 1;
+            return;
+        }
+        self.again = self.pushed.map(|wait| now + wait);
+        // From here on the module spaces the calls out: it asks again after a wait of its own.
+        self.exchange.listed(ListKind::Unavailable, &[]);
     }
 }
 
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -118,8 +118,9 @@
         }
         None => None,
     };
-    let mut table = name_table::NameTable::new(config.names);
-    let (_, hosts) = table.take(config.known, &log);
+    let table = name_table::NameTable::new(config.names);
+    let known_generation = config.known.generation;
+    let hosts = table.read(config.known, &log);
     exchange.listed(ListKind::Restored, &hosts);
 
     let shutdown = Rc::new(shutdown::Shutdown::default());
@@ -131,7 +132,7 @@
         service::Service::new(Rc::clone(&exchange), config.labels, Rc::clone(&shutdown), bounds, log.clone());
     let address = listener.local_addr().unwrap_or(config.listen);
     info!(log, "listening"; "address" => address.to_string(), "hosts" => hosts.len());
-    info!(log, "settings"; "generation" => table.generation, "ask-within-ms" => clock::to_ms(ask_within),
+    info!(log, "settings"; "generation" => known_generation, "ask-within-ms" => clock::to_ms(ask_within),
         "lists" => if config.pushed.is_some() { "pushed" } else { "asked for" },
         "longest-deadline-ms" => longest.as_millis(), "unix-ms" => clock::to_ms(clock.now()));
 
@@ -157,7 +158,8 @@
     }
     let (discovery_address, turns) = watch::channel(config.discovery);
     let calls = discovery::Calls { at_once: successor, pushed: config.pushed, seed: config.seed };
-    spawn_local(discovery::follow(table, turns, Rc::clone(&exchange), calls, log.clone()));
+    let known = Some(known_generation);
+    spawn_local(discovery::follow(table, known, turns, Rc::clone(&exchange), calls, log.clone()));
     spawn_local(service.accept(listener));
     let mut regular = tokio::time::interval(TELL);
     regular.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
--- a/node/src/name_table.rs
+++ b/node/src/name_table.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use juniperladder::{Entry, ListKind, State};
+use juniperladder::{Entry, State};
 pub use juniperladder_exchange::numbers::{hash, key, server};
 use serde::Deserialize;
 use slog::{warn, Logger};
@@ -58,11 +58,18 @@
     1.0
 }
 
+/// What a watch is called on all that changes after this version; without one, the whole list comes first.
+pub(crate) fn watch_path(since: Option<u64>) -> String {
+    match since {
+        Some(generation) => format!("/catalog/members?follow=1&since={generation}"),
+        None => "/catalog/members?follow=1".into(),
+    }
+}
+
 /// Discovery's list in the module's terms.
 #[derive(Debug, Default)]
 pub struct NameTable {
     names: Names,
-    pub(crate) generation: Option<u64>,
     telling: Telling,
 }
 
@@ -72,12 +79,8 @@
         NameTable { names, ..NameTable::default() }
     }
 
-    /// Takes a list or its changes in; entries that make no sense are left out and told.
-    pub fn take(&mut self, catalog: Catalog, log: &Logger) -> (ListKind, Vec<Host>) {
-        // Asked without a version, discovery tells the whole list, whatever it calls that.
-        let kind =
-            if catalog.reset || self.generation.is_none() { ListKind::Replace } else { ListKind::Update };
-        self.generation = Some(catalog.generation);
+    /// The entries of a list or of its changes; those that make no sense are left out and told.
+    pub fn read(&self, catalog: Catalog, log: &Logger) -> Vec<Host> {
         let mut hosts = Vec::with_capacity(catalog.instances.len());
         for instance in catalog.instances {
             let state = match instance.lifecycle.as_str() {
@@ -113,15 +116,7 @@
             };
             hosts.push(Host { entry, address });
         }
-        (kind, hosts)
-    }
-
-    /// What a watch on all that changes from here on is called.
-    pub(crate) fn path(&self) -> String {
-        match self.generation {
-            Some(generation) => format!("/catalog/members?follow=1&since={generation}"),
-            None => "/catalog/members?follow=1".into(),
-        }
+        hosts
     }
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,10 +33,15 @@
 const SPREAD: Micros = Micros(250_000);
 /// What the times below are parts of: the time for asking, taken as no longer than this.
 pub const ASKING: Micros = Micros(10_000_000);
-/// The part over which those that start together call discovery.
+/// The part over which those that start together call discovery. From this fleet on it is spread so far; a
+/// smaller one is spread, and calls a second time, in proportion sooner, down to the least part of it.
 pub const START: f64 = 0.33;
+const FULL_SPREAD_FLEET: f64 = 90.0;
+const LEAST_SPREAD: f64 = 0.3;
 /// The least and the most from call to call: after a watch, a failed call, the second (a start's), more.
 pub const AGAIN: [(f64, f64); 4] = [(0.12, 0.15), (0.03, 0.06), (0.3, 0.34), (0.24, 0.28)];
+/// The place of a start's first failure among them.
+const START_FAILURES: usize = 2;
 /// The same from the end of a call or a watch to the next call, if that is later.
 pub const SOON: (f64, f64) = (0.005, 0.03);
 /// The timer tokens of discovery and of the origin's gap; requests use higher ones.
@@ -80,7 +85,11 @@
             ladder: Ladder::new(&settings, settings.balancers),
             at_origin: Ladder::new(&settings, settings.balancers.min(FEW)),
             first_waits: vec![Micros(0); settings.classes.len()],
-            members: Members { balancers: settings.balancers, failures: 2, ..Members::default() },
+            members: Members {
+                balancers: settings.balancers,
+                failures: START_FAILURES,
+                ..Members::default()
+            },
             settings,
             rng: fastrand::Rng::with_seed(seed),
             placement: Placement::default(),
@@ -132,12 +141,21 @@
         }
     }
 
+    /// By how much calls at a start are spread, as a part of what a large fleet needs:
+    /// discovery takes calls in turn.
+    fn start_spread(&self) -> f64 {
+        (f64::from(self.settings.balancers) / FULL_SPREAD_FLEET).clamp(LEAST_SPREAD, 1.0)
+    }
+
     fn listed(&mut self, now: Micros, kind: ListKind, list: &[Entry], actions: &mut Vec<Action>) {
         let spread = self.settings.rules.ask_within.min(ASKING);
+        let start = self.start_spread();
         if kind == ListKind::Unavailable {
             let mut wait = |(least, most)| spread.times(least + (most - least) * self.rng.f64());
             let soon = now.plus(wait(SOON));
-            let at = self.members.call.plus(wait(AGAIN[self.members.failures])).max(soon);
+            let part = if self.members.failures == START_FAILURES { start } else { 1.0 };
+            let again = wait(AGAIN[self.members.failures]).times(part);
+            let at = self.members.call.plus(again).max(soon);
             self.members.failures = (self.members.failures + 1).min(AGAIN.len() - 1);
             self.members.call = at;
             actions.push(Action::Timer { at, token: DISCOVERY });
@@ -146,11 +164,11 @@
         self.members.follow(kind, list, &self.settings);
         self.together.listed(self.members.hosts());
         if kind == ListKind::Restored && self.members.call.0 == 0 && self.settings.subscribe {
-            let at = now.plus(spread.times(START * self.rng.f64())).plus(self.settings.tick);
+            let at = now.plus(spread.times(START * start * self.rng.f64())).plus(self.settings.tick);
             self.members.call = at;
             actions.push(Action::Timer { at, token: DISCOVERY });
         } else if kind != ListKind::ByHand {
-            (self.members.failures, self.members.call) = (0, self.members.call.min(now));
+            (self.members.failures, self.members.call) = (0, now);
         }
     }
 
