Read and write sockets until they would block, and wait out a moment without sockets

Cause, each seen with the program as a process under `cli/tests/support/faults.c`, a library of these tests' own that makes calls fail: a read or write that is short for another reason than an empty or full socket leaves the runtime waiting for an event that does not come (requests stood for 20 s); EINTR from a read or write ended the connection without an answer; one ENFILE, ENOBUFS or EADDRINUSE from socket, bind or listen ended the start with exit code 1. Read in the code beside them: a connection that can't be accepted at the planned end left those behind it in the queue to be reset; a configuration that can't be read for a moment at a reload was given up; a connection that this machine can't open (no ports, descriptors, buffers, way) counted as its server's refusal.

Change: `node/src/socket.rs` holds all TCP connections: one counts as exhausted only once a call would have blocked, and an interrupted call is made again. The queue of the listener is read on past single failures. Attempts that this machine could not connect end as not sent, without a mark against the server. As a busy client's connection is ready to be read without a break now, the end of the process is looked at before it (node/src/service/downstream.rs; found by at_the_end_a_busy_connection_is_answered_and_ended, which failed without that).

Open: the runtime ends the process where the read of its own signal socket pair is interrupted, which Linux does not do to sockets that never block; the tests leave that socket out.

--- /dev/null
+++ b/cli/tests/faults.rs
@@ -0,0 +1,184 @@
+//! The program as a process whose system calls fail as Linux documents: each request still has its one answer, and a moment's
+//! failure is no refused start. The calls are made to fail by a library of these tests' own (`support/faults.c`).
+
+mod support;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command};
+use std::sync::OnceLock;
+use std::thread;
+use std::time::Duration;
+
+use support::{address_in, config, logged, program, tell};
+
+/// How long one answer may take here: far longer than any, and shorter than the deadline of the requests.
+const LONGEST: Duration = Duration::from_secs(20);
+/// Requests in flight at once on the connection, and rounds of them.
+const PIPELINE: u64 = 4;
+const ROUNDS: u64 = 32;
+/// Cache servers: a request goes to each at most once.
+const SERVERS: usize = 6;
+
+/// The library, built once.
+fn library() -> &'static PathBuf {
+    static BUILT: OnceLock<PathBuf> = OnceLock::new();
+    BUILT.get_or_init(|| {
+        let name = format!("juniperladder-faults-{}.so", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        let source = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/support/faults.c");
+        let built = Command::new("cc")
+            .args(["-O1", "-Wall", "-Werror", "-shared", "-fPIC", "-o"])
+            .arg(&path)
+            .args([source, "-ldl"])
+            .status();
+        assert!(built.unwrap().success());
+        path
+    })
+}
+
+/// A cache server that serves every request, each on whatever connection it comes.
+fn cache_server() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    thread::spawn(move || loop {
+        let Ok((mut stream, _)) = listener.accept() else { return };
+        thread::spawn(move || {
+            for line in BufReader::new(stream.try_clone().unwrap()).lines() {
+                let Ok(line) = line else { return };
+                let id = line.split(' ').find(|word| word.starts_with('O')).unwrap().to_owned();
+                if stream.write_all(format!("VA 300 {id} h1\r\n{}\r\n", "v".repeat(300)).as_bytes()).is_err()
+                {
+                    return;
+                }
+            }
+        });
+    });
+    address
+}
+
+/// The program with these faults, and where it listens.
+fn start(faults: &str) -> (Child, String) {
+    let instance = |number: usize| {
+        format!(
+            r#"{{"instanceId":"s-0000000{number}","hostPort":"{}","zone":"x","machineType":"a"}},"#,
+            cache_server()
+        )
+    };
+    let others: String = (2..=SERVERS).map(instance).collect();
+    let text = config("127.0.0.1:0", "127.0.0.1:9", &cache_server())
+        .replace("\"instances\":[", &format!("\"instances\":[{others}"))
+        // A request that has certainly not run may be sent again.
+        .replace("\"max-attempts\":1", "\"max-attempts\":5");
+    let mut child = program(Some(&text)).env("LD_PRELOAD", library()).env("FAULTS", faults).spawn().unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let listen = address_in(&logged(&mut log, "listening"));
+    // A log that nobody reads would fill its pipe.
+    thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+    (child, listen)
+}
+
+/// Sends requests, several at once, and returns how many were answered with their value and how many otherwise.
+fn exchange(listen: &str, pause: Duration) -> (u64, u64) {
+    let (mut served, mut other) = (0, 0);
+    for round in 0..ROUNDS {
+        let mut client = TcpStream::connect(listen).unwrap();
+        client.set_read_timeout(Some(LONGEST)).unwrap();
+        let mut answers = BufReader::new(client.try_clone().unwrap());
+        let ids: Vec<u64> = (0..PIPELINE).map(|at| 1 + round * PIPELINE + at).collect();
+        for id in &ids {
+            client.write_all(format!("mg {id:016x} v O{id:016x} Pc=read,d=50000\r\n").as_bytes()).unwrap();
+            thread::sleep(pause);
+        }
+        for id in ids {
+            let mut head = String::new();
+            answers.read_line(&mut head).unwrap_or_else(|problem| panic!("{id}: {problem}"));
+            if head == format!("VA 300 O{id:016x}\r\n") {
+                let mut value = [0; 302];
+                answers.read_exact(&mut value).unwrap();
+                assert_eq!(&value[..], format!("{}\r\n", "v".repeat(300)).as_bytes());
+                served += 1;
+            } else {
+                assert!(head.starts_with("SERVER_ERROR"), "{id}: {head:?}");
+                other += 1;
+            }
+        }
+    }
+    (served, other)
+}
+
+/// Every request is served though these calls fail.
+fn all_are_served(faults: &str) {
+    let (mut child, listen) = start(faults);
+    let (served, other) = exchange(&listen, Duration::ZERO);
+    assert_eq!((served, other), (ROUNDS * PIPELINE, 0), "{faults}");
+    tell(&child, "-TERM");
+    assert!(child.wait().unwrap().success(), "{faults}");
+}
+
+/// What the other tests take for granted: without faults all are served.
+#[test]
+fn without_faults_all_are_served() {
+    all_are_served("");
+}
+
+/// A read or write may take less than there is, without any further event of the socket.
+#[test]
+fn short_reads_and_writes_lose_nothing() {
+    for faults in ["recv=short/2", "send=short/2", "recv=short/1,send=short/1", "recv=short/4,send=short/3"] {
+        all_are_served(faults);
+    }
+}
+
+/// A call that a signal interrupts is made again.
+#[test]
+fn interrupted_calls_are_made_again() {
+    for faults in ["recv=EINTR/3", "send=EINTR/3", "epoll_wait=EINTR/2", "accept4=EINTR/2", "connect=EINTR/2"]
+    {
+        all_are_served(faults);
+    }
+}
+
+/// Connections that cannot be accepted for a moment wait in the queue, and are served then.
+#[test]
+fn connections_that_cannot_be_accepted_for_a_moment_are_served() {
+    for error in ["ECONNABORTED", "ENFILE", "EMFILE", "ENOBUFS", "EPROTO"] {
+        all_are_served(&format!("accept4={error}/2"));
+    }
+}
+
+/// A connection to a server that this machine cannot open for a moment says nothing of the server, and is tried again.
+#[test]
+fn a_connection_that_this_machine_cannot_open_for_a_moment_is_tried_again() {
+    for call in [
+        "connect=EADDRNOTAVAIL/2",
+        "connect=ENETUNREACH/2",
+        "connect=ENOBUFS/2",
+        "connect=EAGAIN/2",
+        "socket=ENFILE/3",
+    ] {
+        all_are_served(call);
+    }
+}
+
+/// A moment's failure when the program starts is no refused start.
+#[test]
+fn a_moment_without_sockets_is_no_refused_start() {
+    for faults in [
+        "socket=ENFILE/1/3",
+        "socket=ENOBUFS/1/3",
+        "bind=ENOBUFS/1/3",
+        "bind=EADDRINUSE/1/3",
+        "listen=ENOBUFS/1/3",
+    ] {
+        let (mut child, listen) = start(faults);
+        let mut client = TcpStream::connect(&listen).unwrap();
+        client.write_all(b"mn\r\n").unwrap();
+        let mut answer = [0; 4];
+        client.read_exact(&mut answer).unwrap();
+        assert_eq!(&answer, b"MN\r\n", "{faults}");
+        tell(&child, "-TERM");
+        assert!(child.wait().unwrap().success(), "{faults}");
+    }
+}
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -15,6 +15,7 @@
 use crate::discovery::budget::pushed_again;
 use crate::name_table::{Catalog, Names};
 use crate::operator::Operator;
+use crate::retry::for_a_moment_blocking;
 use crate::service::Labels;
 
 /// Everything that the file says.
@@ -107,8 +108,14 @@
 
     /// Reads this file. A problem is told in one line.
     pub fn read(path: OsString) -> Result<Config, String> {
+        let text = for_a_moment_blocking(|| std::fs::read(&path));
+        Config::of_file(path, text)
+    }
+
+    /// The configuration that this file held. A problem is told in one line.
+    pub fn of_file(path: OsString, text: std::io::Result<Vec<u8>>) -> Result<Config, String> {
         let shown = path.to_string_lossy().into_owned();
-        let text = std::fs::read(&path).map_err(|e| format!("cannot read {shown}: {e}"))?;
+        let text = text.map_err(|e| format!("cannot read {shown}: {e}"))?;
         let config = Config::parse(text).map_err(|e| format!("{shown}: {e}"))?;
         Ok(Config { file: Some(path), ..config })
     }
--- a/node/src/connect.rs
+++ b/node/src/connect.rs
@@ -8,6 +8,8 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 
+use crate::socket::Socket;
+
 /// A connection to a host.
 pub trait Stream: AsyncRead + AsyncWrite + Unpin {}
 
@@ -32,7 +34,7 @@
             let stream = TcpStream::connect(address).await?;
             // Without this the kernel would hold a short write back for the answer to the one before.
             let _ = stream.set_nodelay(true);
-            Ok(Box::new(stream) as Box<dyn Stream>)
+            Ok(Box::new(Socket(stream)) as Box<dyn Stream>)
         })
     }
 }
--- a/node/src/discovery/call.rs
+++ b/node/src/discovery/call.rs
@@ -15,6 +15,7 @@
 use super::watches::WatchId;
 use crate::http::{write_call, Response};
 use crate::name_table::Catalog;
+use crate::socket::Socket;
 
 /// The longest list.
 const MAX_LIST: usize = 4 * 1024 * 1024;
@@ -82,7 +83,7 @@
     let connect = timeout(CONNECT, TcpStream::connect(address)).await;
     let stream = connect.map_err(|_| "no connection in time".to_owned())?.map_err(|e| e.to_string())?;
     sender.send(News::Connected).await;
-    listen(stream, path, &address.to_string(), sender).await
+    listen(Socket(stream), path, &address.to_string(), sender).await
 }
 
 /// Asks for the changes on this connection and hands them on until it ends.
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -12,8 +12,10 @@
 pub mod operators;
 mod passing;
 pub mod peers;
+pub mod retry;
 pub mod service;
 pub mod shutdown;
+pub mod socket;
 pub mod state;
 pub mod together;
 pub mod upstream;
@@ -58,7 +60,8 @@
 
 /// Runs a balancer as this configuration describes it, until it is told to stop.
 pub fn serve(config: Config) -> Result<(), String> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime =
+        retry::for_a_moment_blocking(|| tokio::runtime::Builder::new_current_thread().enable_all().build());
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
     let drain = slog_term::FullFormat::new(slog_term::PlainDecorator::new(std::io::stderr())).build().fuse();
     // A full pipe must not hold the one thread up: lines are dropped then, and that is told.
@@ -75,7 +78,9 @@
 /// Runs a balancer until a signal ends it.
 pub async fn run(config: Config, log: Logger) -> Result<(), String> {
     // The default of each of these signals would end the program, so that they are caught before the rest.
-    let caught = |kind: SignalKind| signal(kind).map_err(|e| format!("no signals: {e}"));
+    let caught = |kind: SignalKind| {
+        retry::for_a_moment_blocking(|| signal(kind)).map_err(|e| format!("no signals: {e}"))
+    };
     let mut terminate = caught(SignalKind::terminate())?;
     let mut interrupt = caught(SignalKind::interrupt())?;
     let mut report = caught(SignalKind::user_defined1())?;
@@ -124,7 +129,7 @@
     exchange.listed(ListKind::Restored, &hosts);
 
     let shutdown = Rc::new(shutdown::Shutdown::default());
-    let listener = listen(config.listen).map_err(|e| {
+    let listener = retry::for_a_moment(|| listen(config.listen)).await.map_err(|e| {
         format!("cannot listen on {}: {e}; is another program than a balancer there?", config.listen)
     })?;
     let classes = config.labels.classes.clone();
@@ -140,7 +145,8 @@
     spawn_local(async move { timers.run().await });
     let mut successor = false;
     if let Some(mgmt) = config.mgmt {
-        let listener = listen(mgmt)
+        let listener = retry::for_a_moment(|| listen(mgmt))
+            .await
             .map_err(|e| format!("cannot listen for operators on {mgmt}: {e}; give mgmt a free address"))?;
         let operators;
         (operators, successor) = operators::Operators::new(
@@ -160,6 +166,12 @@
     let calls = discovery::Calls { at_once: successor, pushed: config.pushed, seed: config.seed };
     let known = Some(known_generation);
     spawn_local(discovery::follow(table, known, turns, Rc::clone(&exchange), calls, log.clone()));
+    let reloader = Rc::new(Reloader {
+        file: config.file,
+        discovery: discovery_address,
+        counters: Rc::clone(&counters),
+        log: log.clone(),
+    });
     spawn_local(service.accept(listener));
     let mut regular = tokio::time::interval(TELL);
     regular.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -172,14 +184,10 @@
                 info!(log, "counters"; "all" => counters.to_string());
                 exchange.tell_limits();
             }
-            _ = reload.recv() => match reread(&config.file, &discovery_address) {
-                Ok(()) => {
-                    counters::count(&counters.reloads);
-                    info!(log, "configuration read"; "discovery" => discovery_address.borrow().to_string());
-                }
-                // What is in force stays so: a file half-written or mistyped must not stop the service.
-                Err(problem) => error!(log, "configuration not taken"; "problem" => problem),
-            },
+            _ = reload.recv() => {
+                // The file may have to be read for a moment, which must not hold up a signal to end.
+                spawn_local(Rc::clone(&reloader).run());
+            }
         }
     }
     info!(log, "stopping");
@@ -205,12 +213,34 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Reads the configuration's file anew and turns to the discovery that it names. What else it says is taken
-/// up at the next start.
-fn reread(file: &Option<OsString>, discovery: &watch::Sender<SocketAddr>) -> Result<(), String> {
-    let config = Config::read(file.clone().ok_or("it came from no file")?)?;
-    discovery.send_if_modified(|address| std::mem::replace(address, config.discovery) != config.discovery);
-    Ok(())
+/// Reads the configuration's file anew and turns to the discovery that it names. What else it says is taken up at the next start.
+struct Reloader {
+    file: Option<OsString>,
+    discovery: watch::Sender<SocketAddr>,
+    counters: Rc<counters::Counters>,
+    log: Logger,
+}
+
+impl Reloader {
+    async fn run(self: Rc<Self>) {
+        match self.read().await {
+            Ok(()) => {
+                counters::count(&self.counters.reloads);
+                info!(self.log, "configuration read"; "discovery" => self.discovery.borrow().to_string());
+            }
+            // What is in force stays so: a file half-written or mistyped must not stop the service.
+            Err(problem) => error!(self.log, "configuration not taken"; "problem" => problem),
+        }
+    }
+
+    async fn read(&self) -> Result<(), String> {
+        let file = self.file.clone().ok_or("it came from no file")?;
+        let text = retry::for_a_moment(|| std::fs::read(&file)).await;
+        let config = Config::of_file(file, text)?;
+        self.discovery
+            .send_if_modified(|address| std::mem::replace(address, config.discovery) != config.discovery);
+        Ok(())
+    }
 }
 
 #[cfg(test)]
--- a/node/src/operators.rs
+++ b/node/src/operators.rs
@@ -20,6 +20,7 @@
 use crate::keeper::Keeper;
 use crate::peers::Peers;
 use crate::shutdown::Shutdown;
+use crate::socket::Socket;
 
 /// How long a caller may take to bring its whole line.
 const DEADLINE: Duration = Duration::from_secs(2);
@@ -87,7 +88,7 @@
                 tokio::time::sleep(Duration::from_millis(10)).await;
                 continue;
             };
-            self.take_in(stream);
+            self.take_in(Socket(stream));
         }
     }
 
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -17,6 +17,7 @@
 use crate::counters::count;
 use crate::exchange::Exchange;
 use crate::shutdown::Shutdown;
+use crate::socket::Socket;
 use backlog::{Accepted, Backlog};
 pub use connection::{Connection, Reader};
 use downstream::{linger, until, DownstreamConnection};
@@ -249,7 +250,7 @@
 
     fn take_accepted(self: &Rc<Service>, accepted: Accepted) {
         let _ = accepted.stream.set_nodelay(true);
-        self.take_in(accepted.stream, accepted.waited);
+        self.take_in(Socket(accepted.stream), accepted.waited);
     }
 
     /// Seats a client that has just connected, after at most this wait to be accepted, and serves it.
--- a/node/src/service/backlog.rs
+++ b/node/src/service/backlog.rs
@@ -11,6 +11,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Duration, Instant};
 
+/// How many failures in a row are taken for those of single connections.
+const MOST_FAILURES: usize = 64;
+
 /// A connection that was accepted.
 pub(super) struct Accepted {
     pub(super) stream: TcpStream,
@@ -45,11 +48,18 @@
         Ok(Accepted { stream, waited: self.waited() })
     }
 
-    /// Accepts a connection that waits already; none if the queue is empty or broken.
+    /// Accepts a connection that waits already; none if the queue is empty or broken. One that cannot be accepted, as its
+    /// client has gone or for a moment, keeps nobody behind it out.
     pub(super) fn accept_waiting(&mut self) -> Option<Accepted> {
         let mut cx = Context::from_waker(Waker::noop());
-        let Poll::Ready(Ok((stream, _))) = self.listener.poll_accept(&mut cx) else { return None };
-        Some(Accepted { stream, waited: self.waited() })
+        for _ in 0..MOST_FAILURES {
+            match self.listener.poll_accept(&mut cx) {
+                Poll::Ready(Ok((stream, _))) => return Some(Accepted { stream, waited: self.waited() }),
+                Poll::Ready(Err(_)) => {}
+                Poll::Pending => return None,
+            }
+        }
+        None
     }
 
     /// The longest that a connection which waits in the queue now may have waited.
--- a/node/src/service/connection.rs
+++ b/node/src/service/connection.rs
@@ -5,10 +5,10 @@
 use std::task::{Context, Poll, Waker};
 
 use tokio::io::{AsyncRead, AsyncWrite, Interest};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::TcpStream;
 use tokio::time::{sleep, Duration};
 
+use crate::socket::{Socket, SocketReader, SocketWriter};
+
 /// How often a connection that must not be read is looked at. A client that has left gets no new attempt 100 ms later.
 pub const LOOK: Duration = Duration::from_millis(25);
 
@@ -29,19 +29,19 @@
     fn has_left(&self) -> bool;
 }
 
-impl Connection for TcpStream {
-    type Reader = OwnedReadHalf;
-    type Writer = OwnedWriteHalf;
+impl Connection for Socket {
+    type Reader = SocketReader;
+    type Writer = SocketWriter;
 
-    fn halves(self) -> (OwnedReadHalf, OwnedWriteHalf) {
+    fn halves(self) -> (SocketReader, SocketWriter) {
         self.into_split()
     }
 }
 
-impl Reader for OwnedReadHalf {
+impl Reader for SocketReader {
     fn has_left(&self) -> bool {
         // Not waited for: only what the runtime has heard of it already.
-        let heard = pin!(self.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
+        let heard = pin!(self.0.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
         matches!(heard, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
 }
--- a/node/src/service/downstream.rs
+++ b/node/src/service/downstream.rs
@@ -195,6 +195,8 @@
             }
             tokio::select! {
                 biased;
+                // Before all that a client which never stops to send keeps ready.
+                () = service.shutdown.last(), if !self.ended && !self.last => self.last = true,
                 answered = next_answer(&mut self.owed), if drained && self.long.is_none() => {
                     self.write(answered)
                 }
@@ -230,7 +232,6 @@
                         }
                     }
                 }
-                () = service.shutdown.last(), if !self.ended && !self.last => self.last = true,
                 () = until(patience), if !idle => {
                     if !self.output.is_empty() {
                         return Err(io::ErrorKind::TimedOut.into());
--- a/node/src/service/tests.rs
+++ b/node/src/service/tests.rs
@@ -428,7 +428,7 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let mut far = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
         let (near, _) = listener.accept().await.unwrap();
-        let task = spawn_local(serve(Rc::clone(&service), near));
+        let task = spawn_local(serve(Rc::clone(&service), Socket(near)));
         settle().await;
         io::Write::write_all(&mut far, b"mn\r\n").unwrap();
         service.shutdown.close();
@@ -441,7 +441,7 @@
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
     let far = tokio::net::TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
     let (near, _) = listener.accept().await.unwrap();
-    spawn_local(serve(Rc::clone(service), near));
+    spawn_local(serve(Rc::clone(service), Socket(near)));
     far
 }
 
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -19,7 +19,7 @@
 use crate::connect::Connect;
 use crate::counters::{count, Counters};
 use crate::exchange::{Attempt, AttemptId, Carrier, End, Exchange, Host, Upload};
-use connection::UpstreamConnection;
+use connection::{NoConnection, UpstreamConnection};
 use juniperladder_exchange::telling::Telling;
 
 /// The part of the idle time that the settings tell after which a connection is closed here: a write must never
@@ -234,7 +234,7 @@
     }
 
     /// A connection did not come up: one attempt fails if fewer connections than attempts are left.
-    fn not_up(&self, server: ServerId) {
+    fn not_up(&self, server: ServerId, cause: NoConnection) {
         let failed = {
             let mut pools = self.pools.borrow_mut();
             let Some(pool) = pools.get_mut(&server) else { return };
@@ -246,7 +246,7 @@
             }
         };
         if let Some(attempt) = failed {
-            self.ended(attempt.id, End::NotSent);
+            self.ended(attempt.id, cause.end());
         }
     }
 
--- a/node/src/upstream/connection.rs
+++ b/node/src/upstream/connection.rs
@@ -1,6 +1,7 @@
 //! One connection to a host: it comes up, carries attempts one after the other, and rests between them.
 
 use std::future::poll_fn;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll, Waker};
@@ -36,6 +37,46 @@
     pub(super) address: SocketAddr,
 }
 
+/// Why there is no connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum NoConnection {
+    /// The server refused it, or did not answer.
+    Server,
+    /// This machine could not open one now, whatever the server would have said: it lacks ports, descriptors, buffers or a way.
+    Local,
+}
+
+impl NoConnection {
+    fn of(problem: &io::Error) -> NoConnection {
+        const ENFILE: i32 = 23;
+        const EMFILE: i32 = 24;
+        const ENOBUFS: i32 = 105;
+        let local = matches!(
+            problem.kind(),
+            ErrorKind::AddrNotAvailable
+                | ErrorKind::AddrInUse
+                | ErrorKind::NetworkUnreachable
+                | ErrorKind::NetworkDown
+                | ErrorKind::OutOfMemory
+                | ErrorKind::WouldBlock
+                | ErrorKind::Interrupted
+        ) || matches!(problem.raw_os_error(), Some(ENFILE | EMFILE | ENOBUFS));
+        if local {
+            NoConnection::Local
+        } else {
+            NoConnection::Server
+        }
+    }
+
+    /// How an attempt ends that waited for it. Neither was sent, and only the first tells of the server.
+    pub(super) fn end(self) -> End {
+        match self {
+            NoConnection::Server => End::NotSent,
+            NoConnection::Local => End::CalledOff,
+        }
+    }
+}
+
 /// An answer is not waited for any longer.
 struct Stopped;
 
@@ -58,7 +99,10 @@
 
 impl UpstreamConnection {
     pub(super) async fn open(self, upstream: &Upstream) {
-        let Some(stream) = self.connect(upstream).await else { return upstream.not_up(self.server) };
+        let stream = match self.connect(upstream).await {
+            Ok(stream) => stream,
+            Err(cause) => return upstream.not_up(self.server, cause),
+        };
         if let Some(pool) = upstream.pools.borrow_mut().get_mut(&self.server) {
             pool.connecting -= 1;
         }
@@ -66,22 +110,23 @@
     }
 
     /// A connection to the host, if one comes up in time.
-    pub(super) async fn connect(&self, upstream: &Upstream) -> Option<Box<dyn Stream>> {
+    pub(super) async fn connect(&self, upstream: &Upstream) -> Result<Box<dyn Stream>, NoConnection> {
         let connect = timeout(upstream.limits.connect_timeout, upstream.ways.connect(self.address));
         let stream = match connect.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(problem)) => {
+                let cause = NoConnection::of(&problem);
                 debug!(upstream.log, "no connection"; "server" => %server_label(self.server),
-                    "problem" => %problem);
-                return None;
+                    "problem" => %problem, "cause" => ?cause);
+                return Err(cause);
             }
             Err(_) => {
                 debug!(upstream.log, "no connection in time"; "server" => %server_label(self.server));
-                return None;
+                return Err(NoConnection::Server);
             }
         };
         count(&upstream.counters.opened);
-        Some(stream)
+        Ok(stream)
     }
 
     pub(super) async fn carry(&self, upstream: &Upstream, mut stream: Box<dyn Stream>) {
--- a/node/src/upstream/uploads.rs
+++ b/node/src/upstream/uploads.rs
@@ -85,7 +85,7 @@
 
     /// Sends all but the last byte, on a connection of its own; none if that did not come to its end.
     async fn send_ahead(&self, upstream: &Upstream, upload: &Upload) -> Option<Box<dyn Stream>> {
-        let mut stream = self.connect(upstream).await?;
+        let mut stream = self.connect(upstream).await.ok()?;
         let length = upload.value.length();
         let (mut head, host) = (BytesMut::new(), self.address.to_string());
         let wait = upload.command.wait.unwrap_or_default();
