Bound a server's age by what the process has seen itself, whatever its wall clock says

Cause: the age of a server is its start as discovery tells it against the wall clock that the process read at its own start (`warmth` in src/rules/members.rs by `Clock::start` in exchange/src/clock.rs). On a machine whose clock has been stepped an hour ahead each server that has just started counts as warm; an hour behind, as cold for that hour.

Change: exchange/src/start_times.rs, pure, sets starts to the own clock. A start that is news lies between the last moment at which discovery confirmed a list without it, less 2.5 s until it is listed, and now. Lines of a watch that tell no change confirm the list in hand. A later start of the same server stays later. Where balancers share limits the clock is trusted, as a start is part of the name that they have for a server's process.

Open: what the first list of a process names is known by the wall clock alone; ahead, such a server counts as older than it is.

--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -27,6 +27,7 @@
 use crate::counters::{count, Counters};
 use crate::long::{long, Feed};
 pub use crate::numbers::AttemptId;
+use crate::start_times::StartTimes;
 use crate::tally::{Ended, Tally};
 use crate::telling::Telling;
 pub use crate::values::{Answer, Host, Reply};
@@ -52,8 +53,6 @@
     next_timer: Cell<Micros>,
     /// When the last command has to be answered.
     last: Cell<Micros>,
-    /// When discovery last told a list or its changes.
-    list_received: Cell<Micros>,
     telling: Telling,
     log: Logger,
 }
@@ -85,6 +84,7 @@
             last: 0,
             serving: FxHashMap::default(),
             bans: Bans::default(),
+            start_times: StartTimes::default(),
         };
         Rc::new(Exchange {
             inner: RefCell::new(inner),
@@ -99,7 +99,6 @@
             idle: Notify::new(),
             next_timer: Cell::new(NEVER),
             last: Cell::new(NEVER),
-            list_received: Cell::new(Micros(0)),
             telling: Telling::default(),
             log,
         })
@@ -107,7 +106,9 @@
 
     /// From now on this balancer keeps to the limits that it shares with others, and hears what they tell.
     pub fn join(&self, fleet: Box<dyn Fleet>) {
-        self.inner.borrow_mut().balancer.join(fleet);
+        let mut inner = self.inner.borrow_mut();
+        inner.start_times.trust_clock();
+        inner.balancer.join(fleet);
     }
 
     /// The program's counters.
--- a/exchange/src/exchange/attempts.rs
+++ b/exchange/src/exchange/attempts.rs
@@ -130,7 +130,7 @@
                 let state = inner.serving.get(&server).map(|(state, _)| *state);
                 debug!(self.log, "attempt begins"; "request" => command_id.0, "attempt" => running.attempt,
                     "number" => id.0, "server" => %server_label(server), "state" => ?state,
-                    "list-age-ms" => to_ms(now.minus(self.list_received.get())),
+                    "list-age-ms" => inner.start_times.confirmed().map(|at| to_ms(now.minus(at))),
                     "until-ms" => to_ms(until.minus(now)));
                 inner.attempts.insert(id, running);
                 inner.timers.push(Reverse((until, Due::Attempt(id))));
--- a/exchange/src/exchange/hosts.rs
+++ b/exchange/src/exchange/hosts.rs
@@ -41,14 +41,26 @@
         let hosts = match kind {
             ListKind::Unavailable => Vec::new(),
             _ => {
-                self.list_received.set(self.clock.now());
-                let known = self.within_bounds(&inner, kind, hosts);
-                inner.bans.over(kind.whole(), &known)
+                let now = self.clock.now();
+                let mut known = self.within_bounds(&inner, kind, hosts);
+                let Inner { start_times, bans, serving, .. } = &mut *inner;
+                start_times.translate(&mut known, now);
+                start_times.forget(|server| serving.contains_key(server));
+                if matches!(kind, ListKind::Update | ListKind::Replace) {
+                    start_times.confirm(now);
+                }
+                bans.over(kind.whole(), &known)
             }
         };
         self.tell(&mut inner, kind, &hosts);
     }
 
+    /// Discovery has said that the list in hand is what it has.
+    pub fn list_confirmed(&self) {
+        let now = self.clock.now();
+        self.inner.borrow_mut().start_times.confirm(now);
+    }
+
     /// The news without the hosts that are more than may be known; they are counted, and told in one line.
     fn within_bounds(&self, inner: &Inner, kind: ListKind, hosts: &[Host]) -> Vec<Host> {
         let known = |server| !kind.whole() && inner.serving.contains_key(&server);
--- a/exchange/src/exchange/state.rs
+++ b/exchange/src/exchange/state.rs
@@ -14,6 +14,7 @@
 use crate::carrier::Carrier;
 use crate::command::{Command, CommandId, Over};
 use crate::numbers::AttemptId;
+use crate::start_times::StartTimes;
 use crate::values::Answer;
 
 /// A time that does not come.
@@ -64,6 +65,7 @@
     pub(super) last: u64,
     pub(super) serving: FxHashMap<ServerId, (State, Option<SocketAddr>)>,
     pub(crate) bans: Bans,
+    pub(super) start_times: StartTimes,
 }
 
 impl Inner {
--- a/exchange/src/exchange/tests.rs
+++ b/exchange/src/exchange/tests.rs
@@ -197,3 +197,46 @@
         assert!(exchange.inner.borrow().ids.is_empty());
     });
 }
+
+/// A server that joins is cold, and one that joined long ago warm, however far off the wall clock is that tells its start.
+#[test]
+fn a_wall_clock_that_is_off_makes_no_server_warm_or_cold() {
+    const WARM_UP: Duration = Duration::from_secs(9);
+    const HOUR: u64 = 3_600_000_000;
+    let sends_in_a_second = |told: &dyn Fn(u64) -> u64, age: Duration| {
+        testing::run(async {
+            let (exchange, recorder) = with_timers(1, Effect::Safe, 3);
+            let old: Vec<Host> = (0..3).map(|n| testing::host(ServerId(9 + n), State::Serving)).collect();
+            exchange.listed(ListKind::Replace, &old);
+            tokio::time::sleep(Duration::from_secs(2)).await;
+            exchange.list_confirmed();
+            let mut joined = testing::host(ServerId(50), State::Serving);
+            joined.entry.started = juniperladder::Micros(told(exchange.clock().now().0));
+            exchange.listed(ListKind::Update, &[joined]);
+            tokio::time::sleep(age).await;
+            recorder.begun.borrow_mut().clear();
+            for number in 0..400 {
+                let mut one = command(&format!("c{number}"), None);
+                one.key = Bytes::from(format!("{number:016x}"));
+                let _answer = exchange.take(one);
+                for attempt in recorder.begun.borrow().iter().filter(|a| a.command.id == format!("c{number}"))
+                {
+                    exchange.ended(attempt.id, End::Reply(Reply::Served(Answer::Value(Bytes::new()))));
+                }
+                tokio::time::sleep(Duration::from_micros(2_500)).await;
+            }
+            let begun = recorder.begun.borrow();
+            begun.iter().filter(|attempt| attempt.server == ServerId(50)).count()
+        })
+    };
+    for age in [Duration::ZERO, WARM_UP] {
+        let right = sends_in_a_second(&|now| now, age);
+        let ahead = sends_in_a_second(&|now| now - HOUR, age);
+        let behind = sends_in_a_second(&|now| now + HOUR, age);
+        println!("{age:?}: {right} {ahead} {behind}");
+        // The part of its capacity that it is sent may be that of one which is older by the time until it is listed.
+        let part = |sends: usize| sends as f64 / right.max(1) as f64;
+        assert!(part(ahead) < 1.8 && part(ahead) > 0.7, "{age:?}: {ahead} for {right}");
+        assert!(part(behind) < 1.4 && part(behind) > 0.7, "{age:?}: {behind} for {right}");
+    }
+}
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod long;
 pub mod numbers;
 pub mod operators;
+pub mod start_times;
 pub mod tally;
 pub mod telling;
 #[cfg(any(test, feature = "testing"))]
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -25,7 +25,7 @@
 use crate::name_table::{watch_path, Catalog, NameTable};
 use budget::turn_again;
 use call::{Call, Message, News};
-use watches::{ListUse, WatchId, Watches};
+use watches::{ListUse, NoChange, WatchId, Watches};
 
 /// News of calls that may wait to be taken in.
 const INBOX: usize = 4;
@@ -174,12 +174,12 @@
         match news {
             News::Connected => debug!(self.log, "discovery connected"; "call" => ?watch),
             News::List(catalog) => self.on_list(watch, catalog),
-            News::NoChange => {
-                if self.watches.on_no_change(watch, Instant::now()) {
-                    // It has answered, though with nothing: the module need not ask again.
-                    self.exchange.listed(ListKind::Update, &[]);
-                }
-            }
+            News::NoChange => match self.watches.on_no_change(watch, Instant::now()) {
+                // It has answered, though with nothing: the module need not ask again.
+                NoChange::Answered => self.exchange.listed(ListKind::Update, &[]),
+                NoChange::Confirmed => self.exchange.list_confirmed(),
+                NoChange::Nothing => {}
+            },
             News::Ended(problem) => {
                 debug!(self.log, "discovery call ended"; "call" => ?watch, "problem" => &problem);
                 if let Some(lasted) = self.watches.on_end(watch, Instant::now()) {
--- a/node/src/discovery/watches.rs
+++ b/node/src/discovery/watches.rs
@@ -78,6 +78,17 @@
     Unknown,
 }
 
+/// What a line says that tells no change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoChange {
+    /// Nothing of the list in hand.
+    Nothing,
+    /// It is the answer to its call, which is in force now.
+    Answered,
+    /// The list in hand is what discovery has.
+    Confirmed,
+}
+
 /// All calls and watches that are open.
 #[derive(Debug)]
 pub struct Watches<T> {
@@ -145,21 +156,29 @@
         self.open.retain(|watch| watch.heard.is_some());
     }
 
-    /// A line that tells no change has ended. Whether that answers the call and puts it in force.
-    pub fn on_no_change(&mut self, id: WatchId, now: Instant) -> bool {
-        let turn = self.turn;
-        let Some(watch) = self.open.iter_mut().find(|watch| watch.id == id) else { return false };
+    /// A line that tells no change has ended; what that says.
+    pub fn on_no_change(&mut self, id: WatchId, now: Instant) -> NoChange {
+        let (turn, in_hand) = (self.turn, self.generation);
+        let Some(watch) = self.open.iter_mut().find(|watch| watch.id == id) else { return NoChange::Nothing };
         if watch.generation.is_none() {
             // Where the whole list was asked for, only that is an answer.
-            return false;
+            return NoChange::Nothing;
         }
         watch.overdue = None;
         let first = watch.heard.replace(now).is_none();
-        let answered = first && watch.turn == turn;
-        if answered {
+        let newest = watch.generation == in_hand;
+        if watch.turn != turn {
+            return NoChange::Nothing;
+        }
+        if first {
             self.keep_only(id);
+            return NoChange::Answered;
+        }
+        if newest {
+            NoChange::Confirmed
+        } else {
+            NoChange::Nothing
         }
-        answered
     }
 
     /// A list of this version has come; tells what it is to be taken for, and notes it.
--- a/node/src/discovery/watches/tests.rs
+++ b/node/src/discovery/watches/tests.rs
@@ -83,7 +83,8 @@
     assert_eq!(fixture.list(first, 5, false, 2_800), ListUse::Changes, "it was only slow");
     let third = fixture.begin(2_900);
     assert_eq!(fixture.list(second, 6, false, 2_950), ListUse::Unknown);
-    assert!(fixture.watches.on_no_change(third, fixture.start + Duration::from_secs(3)));
+    let answered = fixture.watches.on_no_change(third, fixture.start + Duration::from_secs(3));
+    assert_eq!(answered, NoChange::Answered);
     assert!(!fixture.end(first, 3_100), "a later call has been answered");
     assert!(fixture.end(third, 3_200), "the watch in force has ended");
 }
@@ -126,10 +127,8 @@
         fixture.watches.turn();
         let unanswered = fixture.begin(turn * 200);
         assert!(fixture.watches.turning());
-        assert!(
-            !fixture.watches.on_no_change(unanswered, fixture.at(turn * 200 + 1)),
-            "a whole list is wanted"
-        );
+        let nothing = fixture.watches.on_no_change(unanswered, fixture.start);
+        assert_eq!(nothing, NoChange::Nothing, "a whole list is wanted");
         assert_eq!(fixture.list(first, 4 + turn, false, turn * 200 + 50), ListUse::Changes);
         assert_eq!(
             fixture.watches.generation(),
