Leave a file of bans that cannot be read as it is, and say where a call is not kept yet

Cause: `bring_up_to_date` in node/src/state.rs took a file that could not be read (EIO, ENFILE) for one that is not there, and wrote the process's own names over it: after such errors at a start and at the first turn the bans that an operator had been promised were gone. `ACK` did not say where the file could not be written, and what was written of a file when the disk was full stayed beside it.

The answer ends with `; not kept for a successor yet` where the change is not in the file.

--- a/node/src/keeper.rs
+++ b/node/src/keeper.rs
@@ -44,7 +44,7 @@
                 info!(log, "bans taken over"; "hosts" => names.len());
                 names.iter().for_each(|name| exchange.restore_ban(name));
             }
-            Err(why) => info!(log, "no bans taken over"; "why" => why),
+            Err(why) => info!(log, "no bans taken over"; "why" => why.to_string()),
         }
         let keeper = Keeper {
             exchange,
@@ -74,6 +74,11 @@
         let _ = self.kept.subscribe().wait_for(|kept| *kept >= change).await;
     }
 
+    /// Whether the last change of this host is not in the file yet.
+    pub fn is_pending(&self, name: &str) -> bool {
+        self.changes.borrow().contains_key(name)
+    }
+
     /// Keeps the file, for as long as it is polled.
     pub async fn run(&self) {
         loop {
@@ -189,6 +194,33 @@
         });
     }
 
+    /// A file that can't be read for a while is not a missing one: what it holds is taken over once it can, and nothing is written
+    /// over it meanwhile.
+    #[test]
+    fn a_file_that_cannot_be_read_now_is_not_written_over() {
+        let dir = tempfile::tempdir().unwrap();
+        let (file, aside) = (dir.path().join("n0.bans"), dir.path().join("aside"));
+        testing::run_on_sockets(async {
+            state::write(&file, &[ONE.into()]).unwrap();
+            // Reading a folder fails as a disk does, with an error that is not that there is none.
+            std::fs::rename(&file, &aside).unwrap();
+            std::fs::create_dir(&file).unwrap();
+            let (exchange, keeper, _) = process(&file);
+            exchange.offline(TWO).unwrap();
+            keeper.changed(TWO, true);
+            keeper.turn().await;
+            assert!(file.is_dir() && exchange.banned() == [TWO]);
+            std::fs::remove_dir(&file).unwrap();
+            std::fs::rename(&aside, &file).unwrap();
+            keeper.turn().await;
+            assert_eq!(exchange.banned(), [ONE, TWO], "the process before is still listened to");
+            assert_eq!(state::read(&file).unwrap(), [ONE, TWO]);
+            let left: Vec<_> =
+                std::fs::read_dir(dir.path()).unwrap().map(|f| f.unwrap().file_name()).collect();
+            assert_eq!(left.len(), 2, "the file and its lock: {left:?}");
+        });
+    }
+
     /// Where nothing can be written calls are answered all the same, and what they ask for holds here.
     #[test]
     fn a_disk_that_takes_nothing_holds_nobody_up() {
--- a/node/src/operators.rs
+++ b/node/src/operators.rs
@@ -26,6 +26,8 @@
 const DEADLINE: Duration = Duration::from_secs(2);
 /// How long writing the reply may take.
 const WRITE: Duration = Duration::from_millis(500);
+/// What the answer adds where the file could not be written yet: it is tried again, and until then a kill loses the call.
+const NOT_KEPT: &str = "not kept for a successor yet";
 /// How long a call waits for what it changed to be kept for a successor; the change holds here whether it is or not.
 const KEPT: Duration = Duration::from_millis(400);
 
@@ -156,8 +158,10 @@
         let now = if out { "out by hand" } else { "may serve again" };
         info!(self.log, "operator"; "host" => name, "now" => now);
         let change = self.keeper.changed(name, out);
-        if timeout(KEPT, self.keeper.kept(change)).await.is_err() {
+        let _ = timeout(KEPT, self.keeper.kept(change)).await;
+        if self.keeper.is_pending(name) {
             warn!(self.log, "bans not kept yet"; "host" => name);
+            return ack(&format!("{name} {now}; {NOT_KEPT}"));
         }
         ack(&format!("{name} {now}"))
     }
@@ -290,12 +294,15 @@
             let lock = std::fs::File::create(dir.path().join("n0.lock")).unwrap();
             lock.lock().unwrap();
             let (operators, _) = process(dir.path());
-            assert!(operators.answer(Call::Offline(HOST.into())).await.starts_with("ACK"));
+            let promised = operators.answer(Call::Offline(HOST.into())).await;
+            assert_eq!(promised, format!("ACK {HOST} out by hand; not kept for a successor yet\n"));
             assert_eq!(operators.answer(Call::Health).await, "ACK ready\n");
             assert_eq!(operators.exchange.banned(), [HOST]);
             lock.unlock().unwrap();
             operators.keeper.kept(1).await;
             assert_eq!(crate::state::read(&dir.path().join("n0.bans")).unwrap(), [HOST]);
+            let promised = operators.answer(Call::Offline(HOST.into())).await;
+            assert_eq!(promised, format!("ACK {HOST} out by hand\n"), "now it is in the file");
         });
     }
 }
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -28,8 +28,12 @@
     text.push_str(END);
     text.push('\n');
     let beside = path.with_extension(format!("new-{}", std::process::id()));
-    std::fs::write(&beside, text)?;
-    std::fs::rename(&beside, path)
+    let written = std::fs::write(&beside, text).and_then(|()| std::fs::rename(&beside, path));
+    if written.is_err() {
+        // What could not be written whole takes room that the next try needs.
+        let _ = std::fs::remove_file(&beside);
+    }
+    written
 }
 
 /// Which writing of the file was seen.
@@ -48,8 +52,9 @@
 }
 
 /// Brings these changes (out, or back) into the file and returns the names in it, sorted, and its stamp; none where
-/// nothing is to be changed and the file is the one last seen. A file that cannot be read is written anew from the
-/// caller's own names. Two processes may do so at the same time: each change is made under a lock.
+/// nothing is to be changed and the file is the one last seen. A file that is missing, cut off or foreign is written anew from
+/// the caller's own names; one that can't be read now may hold others, and stays. Two processes may do so at the same time: each
+/// change is made under a lock.
 pub fn bring_up_to_date(
     path: &Path,
     own: &[String],
@@ -62,7 +67,11 @@
     // The lock lies beside the file, as that is another one after each change, and ends with this handle.
     let lock = File::create(path.with_extension("lock"))?;
     lock.lock()?;
-    let found = read(path).ok();
+    let found = match read(path) {
+        Ok(names) => Some(names),
+        Err(Unread::Missing | Unread::NotOurs(_)) => None,
+        Err(Unread::Failed(problem)) => return Err(problem),
+    };
     let mut names = found.clone().unwrap_or_else(|| own.to_vec());
     names.retain(|name| changes.get(name) != Some(&false));
     names.extend(changes.iter().filter(|(_, out)| **out).map(|(name, _)| name.clone()));
@@ -74,14 +83,45 @@
     Ok(Some((names, Stamp::of(&std::fs::metadata(path)?))))
 }
 
-/// Reads the names; a missing, cut-off, foreign or oversized file is none, with why.
-pub fn read(path: &Path) -> Result<Vec<String>, String> {
-    let size = std::fs::metadata(path).map_err(|e| format!("{}: {e}", path.display()))?.len();
+/// Why a file of bans gives no names.
+#[derive(Debug)]
+pub enum Unread {
+    /// There is none.
+    Missing,
+    /// It is cut off, of another program or version, or too large; with what is wrong.
+    NotOurs(String),
+    /// It could not be read this time.
+    Failed(std::io::Error),
+}
+
+impl From<std::io::Error> for Unread {
+    fn from(problem: std::io::Error) -> Unread {
+        match problem.kind() {
+            std::io::ErrorKind::NotFound => Unread::Missing,
+            _ => Unread::Failed(problem),
+        }
+    }
+}
+
+impl std::fmt::Display for Unread {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Unread::Missing => write!(out, "there is no file of bans"),
+            Unread::NotOurs(what) => write!(out, "{what}"),
+            Unread::Failed(problem) => write!(out, "the file of bans could not be read: {problem}"),
+        }
+    }
+}
+
+/// Reads the names.
+pub fn read(path: &Path) -> Result<Vec<String>, Unread> {
+    let size = std::fs::metadata(path)?.len();
     if size > MOST {
-        return Err(format!("{}: {size} bytes, too large to be ours", path.display()));
+        return Err(Unread::NotOurs(format!("{}: {size} bytes, too large to be ours", path.display())));
     }
-    let bytes = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    parse(&bytes).ok_or_else(|| format!("{}: not a whole file of bans of this version", path.display()))
+    let bytes = std::fs::read(path)?;
+    let cut = || Unread::NotOurs(format!("{}: not a whole file of bans of this version", path.display()));
+    parse(&bytes).ok_or_else(cut)
 }
 
 fn parse(bytes: &[u8]) -> Option<Vec<String>> {
