Let the test of an unreadable file of bans fail without its mend

Change: a link to itself stands there, which cannot be read but could be written over. Measured: with the mend taken out `a_file_that_cannot_be_read_now_is_not_written_over` fails (the link is gone); with it 4 tests pass.

--- a/node/src/keeper.rs
+++ b/node/src/keeper.rs
@@ -202,15 +202,15 @@
         let (file, aside) = (dir.path().join("n0.bans"), dir.path().join("aside"));
         testing::run_on_sockets(async {
             state::write(&file, &[ONE.into()]).unwrap();
-            // Reading a folder fails as a disk does, with an error that is not that there is none.
+            // A link to itself cannot be read, with an error that is not that there is no file, but could be written over.
             std::fs::rename(&file, &aside).unwrap();
-            std::fs::create_dir(&file).unwrap();
+            std::os::unix::fs::symlink(&file, &file).unwrap();
             let (exchange, keeper, _) = process(&file);
             exchange.offline(TWO).unwrap();
             keeper.changed(TWO, true);
             keeper.turn().await;
-            assert!(file.is_dir() && exchange.banned() == [TWO]);
-            std::fs::remove_dir(&file).unwrap();
+            assert!(file.is_symlink() && exchange.banned() == [TWO]);
+            std::fs::remove_file(&file).unwrap();
             std::fs::rename(&aside, &file).unwrap();
             keeper.turn().await;
             assert_eq!(exchange.banned(), [ONE, TWO], "the process before is still listened to");
