--- a/cli/tests/faults.rs
+++ b/cli/tests/faults.rs
@@ -8,10 +8,10 @@
 use std::path::PathBuf;
 use std::process::{Child, Command};
 use std::sync::OnceLock;
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use support::{address_in, config, logged, program, tell};
+use support::{address_in, config, file, logged, program, tell};
 
 /// How long one answer may take here: far longer than any, and shorter than the deadline of the requests.
 const LONGEST: Duration = Duration::from_secs(20);
@@ -58,8 +58,8 @@
     address
 }
 
-/// The program with these faults, and where it listens.
-fn start(faults: &str) -> (Child, String) {
+/// The program with these faults, where it listens, and the rest of its log once it has ended.
+fn start(faults: &str) -> (Child, String, JoinHandle<String>) {
     let instance = |number: usize| {
         format!(
             r#"{{"instanceId":"s-0000000{number}","hostPort":"{}","zone":"x","machineType":"a"}},"#,
@@ -74,9 +74,12 @@
     let mut child = program(Some(&text)).env("LD_PRELOAD", library()).env("FAULTS", faults).spawn().unwrap();
     let mut log = BufReader::new(child.stderr.take().unwrap());
     let listen = address_in(&logged(&mut log, "listening"));
-    // A log that nobody reads would fill its pipe.
-    thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-    (child, listen)
+    let rest = thread::spawn(move || {
+        let mut rest = String::new();
+        log.read_to_string(&mut rest).unwrap();
+        rest
+    });
+    (child, listen, rest)
 }
 
 /// Sends requests, several at once, and returns how many were answered with their value and how many otherwise.
@@ -108,13 +111,14 @@
     (served, other)
 }
 
-/// Every request is served though these calls fail.
-fn all_are_served(faults: &str) {
-    let (mut child, listen) = start(faults);
+/// Every request is served though these calls fail; the rest of the log.
+fn all_are_served(faults: &str) -> String {
+    let (mut child, listen, log) = start(faults);
     let (served, other) = exchange(&listen, Duration::ZERO);
     assert_eq!((served, other), (ROUNDS * PIPELINE, 0), "{faults}");
     tell(&child, "-TERM");
     assert!(child.wait().unwrap().success(), "{faults}");
+    log.join().unwrap()
 }
 
 /// What the other tests take for granted: without faults all are served.
@@ -158,7 +162,10 @@
         "connect=EAGAIN/2",
         "socket=ENFILE/3",
     ] {
-        all_are_served(call);
+        let log = all_are_served(call);
+        let last = log.lines().rfind(|line| line.contains("stopped")).unwrap();
+        assert!(last.contains(" connect_failed=0 "), "{call}: {last}");
+        assert!(!last.contains(" moot=0 "), "{call}: {last}");
     }
 }
 
@@ -172,7 +179,7 @@
         "bind=EADDRINUSE/1/3",
         "listen=ENOBUFS/1/3",
     ] {
-        let (mut child, listen) = start(faults);
+        let (mut child, listen, _log) = start(faults);
         let mut client = TcpStream::connect(&listen).unwrap();
         client.write_all(b"mn\r\n").unwrap();
         let mut answer = [0; 4];
@@ -182,3 +189,40 @@
         assert!(child.wait().unwrap().success(), "{faults}");
     }
 }
+
+/// The wall clock may jump by an hour, forward and back, at any time: nothing that is waited for follows it.
+#[test]
+fn steps_of_the_wall_clock_move_no_deadline() {
+    for faults in ["clock=ahead/1", "clock=behind/1", "clock=ahead/2", "clock=behind/3"] {
+        all_are_served(faults);
+    }
+}
+
+/// A configuration that can't be read for a moment is read then, at the start and when a signal asks for it.
+#[test]
+fn a_configuration_that_cannot_be_read_for_a_moment_is_read() {
+    for faults in ["open=EIO/1/3", "open=ENFILE/2"] {
+        let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+        let nobody = TcpListener::bind("127.0.0.1:0").unwrap();
+        let [before, after] = [&nobody, &discovery]
+            .map(|at| config("127.0.0.1:0", &at.local_addr().unwrap().to_string(), &cache_server()));
+        let path = file(&before);
+        let mut child = program(None)
+            .env("NODE_CONFIG", &path)
+            .env("LD_PRELOAD", library())
+            .env("FAULTS", faults)
+            .spawn()
+            .unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        logged(&mut log, "listening");
+        std::fs::write(&path, &after).unwrap();
+        tell(&child, "-HUP");
+        // The new address is called: the configuration has been read in spite of all.
+        let (mut call, _) = discovery.accept().unwrap();
+        let mut begin = [0; 4];
+        call.read_exact(&mut begin).unwrap();
+        assert_eq!(&begin, b"GET ", "{faults}");
+        tell(&child, "-TERM");
+        assert!(child.wait().unwrap().success(), "{faults}");
+    }
+}
--- a/cli/tests/support/faults.c
+++ b/cli/tests/support/faults.c
@@ -1,11 +1,13 @@
 /* Makes system calls of one process fail as Linux documents, for the tests: loaded with LD_PRELOAD, told by FAULTS.
  *
- * FAULTS holds rules "CALL=ACTION/EVERY" or "CALL=ACTION/EVERY/MOST", separated by commas. ACTION is the name of an error, or
- * "short", which lets a read or write take less than it could. A rule acts on each EVERYth call, at most MOST times in all.
+ * FAULTS holds rules "CALL=ACTION/EVERY" or "CALL=ACTION/EVERY/MOST", separated by commas. ACTION is the name of an error,
+ * "short", which lets a read or write take less than it could, or "ahead" and "behind", by which the wall clock is an hour off. A rule acts on each EVERYth call, at most MOST times in all.
  * Calls are counted for each rule by itself, so that the same calls fail in every run. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -13,9 +15,13 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
+#include <time.h>
 
 #define MOST_RULES 16
 #define SHORT (-1)
+#define AHEAD (-2)
+#define BEHIND (-3)
+#define HOUR 3600
 #define SHORT_BYTES 3
 
 struct rule {
@@ -29,7 +35,7 @@
 static int rule_count;
 
 static const struct { const char *name; int value; } errors[] = {
-    {"short", SHORT}, {"EINTR", EINTR}, {"ENFILE", ENFILE}, {"EMFILE", EMFILE}, {"ENOBUFS", ENOBUFS},
+    {"short", SHORT}, {"ahead", AHEAD}, {"behind", BEHIND}, {"EIO", EIO}, {"EINTR", EINTR}, {"ENFILE", ENFILE}, {"EMFILE", EMFILE}, {"ENOBUFS", ENOBUFS},
     {"ECONNABORTED", ECONNABORTED}, {"EPROTO", EPROTO}, {"EADDRNOTAVAIL", EADDRNOTAVAIL}, {"ENETUNREACH", ENETUNREACH},
     {"EAGAIN", EAGAIN}, {"ETIMEDOUT", ETIMEDOUT}, {"EHOSTUNREACH", EHOSTUNREACH}, {"EADDRINUSE", EADDRINUSE},
 };
@@ -104,6 +110,26 @@
     return NEXT(epoll_wait)(epoll, events, most, timeout);
 }
 
+/* Only the configuration's file, which the tests give this ending. */
+int open64(const char *path, int flags, ...) {
+    va_list rest;
+    va_start(rest, flags);
+    mode_t mode = flags & O_CREAT ? va_arg(rest, mode_t) : 0;
+    va_end(rest);
+    size_t length = strlen(path);
+    if (length > 5 && !strcmp(path + length - 5, ".json")) FAIL_AS("open");
+    return ((int (*)(const char *, int, ...))dlsym(RTLD_NEXT, "open64"))(path, flags, mode);
+}
+
+int clock_gettime(clockid_t clock, struct timespec *now) {
+    int result = NEXT(clock_gettime)(clock, now);
+    if (clock == CLOCK_REALTIME && !result) {
+        int action = fault("clock");
+        now->tv_sec += action == AHEAD ? HOUR : action == BEHIND ? -HOUR : 0;
+    }
+    return result;
+}
+
 /* Only connections over the network are at fault: the runtime's own socket pair, by which it hears of signals, never blocks
  * and so is never interrupted. */
 static int is_network(int fd) {
