--- a/src/rules.rs
+++ b/src/rules.rs
@@ -40,8 +40,10 @@
 const LEAST_SPREAD: f64 = 0.3;
 /// The least and the most from call to call: after a watch, a failed call, the second (a start's), more.
 pub const AGAIN: [(f64, f64); 4] = [(0.12, 0.15), (0.03, 0.06), (0.3, 0.34), (0.24, 0.28)];
-/// The place of a start's first failure among them.
+/// The place of a start's first failure among them, and how many in a row keep it: who has heard nothing yet
+/// needs a list more than those who have one.
 const START_FAILURES: usize = 2;
+const START_CALLS: usize = 3;
 /// The same from the end of a call or a watch to the next call, if that is later.
 pub const SOON: (f64, f64) = (0.005, 0.03);
 /// The timer tokens of discovery and of the origin's gap; requests use higher ones.
@@ -88,6 +90,7 @@
             members: Members {
                 balancers: settings.balancers,
                 failures: START_FAILURES,
+                start_calls: START_CALLS - 1,
                 ..Members::default()
             },
             settings,
@@ -156,7 +159,11 @@
             let part = if self.members.failures == START_FAILURES { start } else { 1.0 };
             let again = wait(AGAIN[self.members.failures]).times(part);
             let at = self.members.call.plus(again).max(soon);
-            self.members.failures = (self.members.failures + 1).min(AGAIN.len() - 1);
+            if self.members.failures == START_FAILURES && self.members.start_calls > 0 {
+                self.members.start_calls -= 1;
+            } else {
+                self.members.failures = (self.members.failures + 1).min(AGAIN.len() - 1);
+            }
             self.members.call = at;
             actions.push(Action::Timer { at, token: DISCOVERY });
             return;
@@ -168,7 +175,7 @@
             self.members.call = at;
             actions.push(Action::Timer { at, token: DISCOVERY });
         } else if kind != ListKind::ByHand {
-            (self.members.failures, self.members.call) = (0, now);
+            (self.members.failures, self.members.call, self.members.start_calls) = (0, now, 0);
         }
     }
 
--- a/src/rules/members.rs
+++ b/src/rules/members.rs
@@ -71,9 +71,11 @@
     pub(super) servers: Vec<Server>,
     /// The share of sends to a zone that were rejected of late: a zone is lost as a whole.
     pub(super) lost: FxHashMap<u32, f64>,
-    /// Calls to discovery that failed since its last list, and when the last one was due.
+    /// Calls to discovery that failed since its last list, when the last one was due, and how many more
+    /// calls of a start come at its pace.
     pub(super) failures: usize,
     pub(super) call: Micros,
+    pub(super) start_calls: usize,
 }
 
 impl Members {
