Call the limit on repeated log lines a log throttle

Need: NAMES: `Telling` and its `due` say neither what they do nor what they bound. Change: `LogThrottle::allows` in exchange/src/log_throttle.rs, in all that use it; the constant is `LINE_INTERVAL`.

--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -25,11 +25,11 @@
 use crate::command::{ticket, Over, Ticket};
 pub use crate::command::{Attempt, Command, CommandId};
 use crate::counters::{count, Counters};
+use crate::log_throttle::LogThrottle;
 use crate::long::{long, Feed};
 pub use crate::numbers::AttemptId;
 use crate::start_times::StartTimes;
 use crate::tally::{Ended, Tally};
-use crate::telling::Telling;
 pub use crate::values::{Answer, Host, Reply};
 use state::{Due, Inner, Open, NEVER};
 
@@ -53,7 +53,7 @@
     next_timer: Cell<Micros>,
     /// When the last command has to be answered.
     last: Cell<Micros>,
-    telling: Telling,
+    log_throttle: LogThrottle,
     log: Logger,
 }
 
@@ -99,7 +99,7 @@
             idle: Notify::new(),
             next_timer: Cell::new(NEVER),
             last: Cell::new(NEVER),
-            telling: Telling::default(),
+            log_throttle: LogThrottle::default(),
             log,
         })
     }
--- a/exchange/src/exchange/hosts.rs
+++ b/exchange/src/exchange/hosts.rs
@@ -79,7 +79,7 @@
         let kept = hosts.iter().filter(fits).cloned().collect();
         if left_out > 0 {
             self.counters.hosts_left_out.set(self.counters.hosts_left_out.get() + left_out);
-            if self.telling.due() {
+            if self.log_throttle.allows() {
                 warn!(self.log, "more hosts than can be known; the rest is left out"; "most" => MOST_HOSTS,
                     "left out" => left_out);
             }
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -9,12 +9,12 @@
 pub mod command;
 pub mod counters;
 pub mod exchange;
+pub mod log_throttle;
 pub mod long;
 pub mod numbers;
 pub mod operators;
 pub mod start_times;
 pub mod tally;
-pub mod telling;
 #[cfg(any(test, feature = "testing"))]
 pub mod testing;
 pub mod values;
--- /dev/null
+++ b/exchange/src/log_throttle.rs
@@ -0,0 +1,30 @@
+//! Limits the log to one line a cause and second, as peers can bring things about as fast as they like.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// The least time between two lines of one cause.
+const LINE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Limits the lines of one cause.
+#[derive(Debug, Default)]
+pub struct LogThrottle {
+    last: Cell<Option<Instant>>,
+}
+
+impl LogThrottle {
+    /// Whether a line may be written now. It is taken to be.
+    pub fn allows(&self) -> bool {
+        let now = Instant::now();
+        let allowed = self.last.get().is_none_or(|last| now.duration_since(last) >= LINE_INTERVAL);
+        if allowed {
+            self.last.set(Some(now));
+        }
+        allowed
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/exchange/src/telling/tests.rs
+++ b/exchange/src/log_throttle/tests.rs
@@ -5,11 +5,11 @@
 #[test]
 fn a_flood_is_told_of_once_a_second() {
     testing::run(async {
-        let (telling, mut told) = (Telling::default(), 0);
+        let (throttle, mut written) = (LogThrottle::default(), 0);
         for _ in 0..3_500 {
-            told += u32::from(telling.due());
+            written += u32::from(throttle.allows());
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
-        assert_eq!(told, 4);
+        assert_eq!(written, 4);
     });
 }
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -13,8 +13,8 @@
 
 use fastrand::Rng;
 use juniperladder::ListKind;
+use juniperladder_exchange::log_throttle::LogThrottle;
 use juniperladder_exchange::numbers::server_label;
-use juniperladder_exchange::telling::Telling;
 use slog::{debug, info, warn, Logger};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
@@ -103,7 +103,7 @@
     rng: Rng,
     exchange: Rc<Exchange>,
     inbox: mpsc::Sender<Message>,
-    telling: Telling,
+    log_throttle: LogThrottle,
     log: Logger,
 }
 
@@ -127,7 +127,7 @@
             rng: Rng::with_seed(calls.seed),
             exchange,
             inbox,
-            telling: Telling::default(),
+            log_throttle: LogThrottle::default(),
             log,
         }
     }
@@ -222,7 +222,7 @@
     fn failed(&mut self, problem: &str, lasted: Duration) {
         let failures = &self.exchange.counters().discovery_failures;
         count(failures);
-        if self.telling.due() {
+        if self.log_throttle.allows() {
             warn!(self.log, "discovery"; "problem" => problem, "after-ms" => lasted.as_millis(),
                 "so far" => failures.get());
         }
--- a/node/src/name_table.rs
+++ b/node/src/name_table.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::from_ms;
 use crate::exchange::Host;
-use juniperladder_exchange::telling::Telling;
+use juniperladder_exchange::log_throttle::LogThrottle;
 
 /// The names that stand for the settings' numbers.
 #[derive(Clone, Debug, Default)]
@@ -70,7 +70,7 @@
 #[derive(Debug, Default)]
 pub struct NameTable {
     names: Names,
-    telling: Telling,
+    log_throttle: LogThrottle,
 }
 
 impl NameTable {
@@ -89,7 +89,7 @@
                 "terminating" => State::Draining,
                 other => {
                     // A state this balancer does not know is no reason to send there.
-                    if self.telling.due() {
+                    if self.log_throttle.allows() {
                         warn!(log, "unknown lifecycle"; "host" => &instance.instance_id, "lifecycle" => other);
                     }
                     State::Draining
@@ -97,7 +97,7 @@
             };
             let address: Option<SocketAddr> = instance.host_port.parse().ok();
             if address.is_none() && state != State::Deleted {
-                if self.telling.due() {
+                if self.log_throttle.allows() {
                     warn!(log, "no address"; "host" => &instance.instance_id, "address" => &instance.host_port);
                 }
                 continue;
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -21,7 +21,7 @@
 use backlog::{Accepted, Backlog};
 pub use connection::{Connection, Reader};
 use downstream::{linger, until, DownstreamConnection};
-use juniperladder_exchange::telling::Telling;
+use juniperladder_exchange::log_throttle::LogThrottle;
 
 /// How long a connection that is about to close is read once more.
 const LAST_LOOK: Duration = Duration::from_millis(2);
@@ -59,7 +59,7 @@
     callers: Rc<Cell<usize>>,
     lingering: Cell<usize>,
     left: Notify,
-    telling: Telling,
+    log_throttle: LogThrottle,
     log: Logger,
 }
 
@@ -154,7 +154,7 @@
         bounds: Bounds,
         log: Logger,
     ) -> Rc<Service> {
-        let (held, seats, callers, lingering, left, telling) = Default::default();
+        let (held, seats, callers, lingering, left, log_throttle) = Default::default();
         Rc::new(Service {
             exchange,
             labels,
@@ -165,7 +165,7 @@
             callers,
             lingering,
             left,
-            telling,
+            log_throttle,
             log,
         })
     }
@@ -200,7 +200,7 @@
                     // Out of descriptors, or a client that left at once: neither may end the program.
                     let failed = &self.exchange.counters().accepts_failed;
                     count(failed);
-                    if self.telling.due() {
+                    if self.log_throttle.allows() {
                         warn!(self.log, "accept"; "problem" => problem.to_string(), "so far" => failed.get());
                     }
                     sleep(Duration::from_millis(10)).await;
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -20,7 +20,7 @@
 use crate::counters::{count, Counters};
 use crate::exchange::{Attempt, AttemptId, Carrier, End, Exchange, Host, Upload};
 use connection::{NoConnection, UpstreamConnection};
-use juniperladder_exchange::telling::Telling;
+use juniperladder_exchange::log_throttle::LogThrottle;
 
 /// The part of the idle time that the settings tell after which a connection is closed here: a write must never
 /// cross the host's close, which comes by its clock and after the way there. What lies between is kept open: one
@@ -99,7 +99,7 @@
     /// How long a connection may now stand idle here.
     keep: Cell<Duration>,
     last: Cell<u64>,
-    telling: Telling,
+    log_throttle: LogThrottle,
     log: Logger,
 }
 
@@ -140,7 +140,7 @@
             connections: Cell::new(0),
             uploads: Cell::new(0),
             last: Cell::new(0),
-            telling: Telling::default(),
+            log_throttle: LogThrottle::default(),
             log,
         })
     }
@@ -276,7 +276,7 @@
     fn tell_bad(&self, host: &SocketAddr, problem: &str) {
         let bad = &self.counters.bad_answers;
         count(bad);
-        if self.telling.due() {
+        if self.log_throttle.allows() {
             warn!(self.log, "bad answer"; "host" => host.to_string(), "problem" => problem, "so far" => bad.get());
         }
     }
