--- a/exchange/src/counters.rs
+++ b/exchange/src/counters.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::fmt;
 
-use juniperladder::Why;
+use juniperladder::RejectReason;
 
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
@@ -46,11 +46,11 @@
     /// Rejections: no host was left that the command might be sent to.
     rejected_nowhere,
     /// Rejections: too little time was left for the origin's usual pace.
-    rejected_hopeless,
+    rejected_deadline_unreachable,
     /// Rejections: the command had waited for a place at the origin for as long as it may.
-    rejected_waited,
+    rejected_queue_timeout,
     /// Rejections: too many commands that are worth more waited for a place at the origin.
-    rejected_outranked,
+    rejected_preempted,
     /// Rejections: all hosts of the command were gapped.
     rejected_gapped,
     /// Commands answered as failed.
@@ -103,15 +103,15 @@
 
 impl Counters {
     /// The counter of rejections for this reason.
-    pub fn refusals(&self, why: Why) -> &Cell<u64> {
-        match why {
-            Why::Late => &self.rejected_late,
-            Why::Spent => &self.rejected_spent,
-            Why::Nowhere => &self.rejected_nowhere,
-            Why::Hopeless => &self.rejected_hopeless,
-            Why::Waited => &self.rejected_waited,
-            Why::Outranked => &self.rejected_outranked,
-            Why::Gapped => &self.rejected_gapped,
+    pub fn refusals(&self, reason: RejectReason) -> &Cell<u64> {
+        match reason {
+            RejectReason::Late => &self.rejected_late,
+            RejectReason::Spent => &self.rejected_spent,
+            RejectReason::Nowhere => &self.rejected_nowhere,
+            RejectReason::DeadlineUnreachable => &self.rejected_deadline_unreachable,
+            RejectReason::QueueTimeout => &self.rejected_queue_timeout,
+            RejectReason::Preempted => &self.rejected_preempted,
+            RejectReason::Gapped => &self.rejected_gapped,
         }
     }
 }
--- a/exchange/src/exchange/attempts.rs
+++ b/exchange/src/exchange/attempts.rs
@@ -136,9 +136,9 @@
                 inner.timers.push(Reverse((until, Due::Attempt(id))));
                 inner.carrier.begin(Attempt { id, command, server, until, by, over });
             }
-            Action::Refuse { id, retry_after, why } => {
-                count(self.counters.refusals(why));
-                debug!(self.log, "request refused"; "request" => CommandId::of(&id).0, "reason" => ?why,
+            Action::Refuse { id, retry_after, reason } => {
+                count(self.counters.refusals(reason));
+                debug!(self.log, "request refused"; "request" => CommandId::of(&id).0, "reason" => ?reason,
                     "retry-after-ms" => to_ms(retry_after));
                 self.finish(inner, CommandId::of(&id), Answer::Rejected(retry_after));
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -360,7 +360,7 @@
 
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Why {
+pub enum RejectReason {
     /// An answer would be worth nothing any more.
     Late,
     /// It has had all its attempts.
@@ -368,11 +368,11 @@
     /// No server is left that it may be sent to.
     Nowhere,
     /// Too little time is left for the origin's usual pace.
-    Hopeless,
+    DeadlineUnreachable,
     /// It has waited for a place at the origin for as long as it may.
-    Waited,
+    QueueTimeout,
     /// Too many that are worth more wait for a place at the origin.
-    Outranked,
+    Preempted,
     /// All its servers are gapped.
     Gapped,
 }
@@ -396,7 +396,7 @@
         /// Advice to the client; zero is none.
         retry_after: Micros,
         /// For whoever counts; nothing else hangs on it.
-        why: Why,
+        reason: RejectReason,
     },
     /// Final answer: failed, promising nothing.
     Fail {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -54,7 +54,7 @@
 enum Path {
     Send(usize),
     Queue(Micros),
-    End(Micros, Why),
+    End(Micros, RejectReason),
 }
 
 /// One router's decisions; see the crate's documentation for its use.
@@ -222,16 +222,16 @@
                     // What is worth least is given up, and told so now.
                     let worth = |at: &usize| self.queue[*at].0;
                     let least = (0..self.queue.len()).min_by(|a, b| worth(a).total_cmp(&worth(b)));
-                    self.take_on(now, least.unwrap_or(0), Step::Outranked, actions);
+                    self.take_on(now, least.unwrap_or(0), Step::Preempted, actions);
                 }
             }
-            Path::End(wait, why) => {
-                self.together.ended(now, why);
+            Path::End(wait, reason) => {
+                self.together.ended(now, reason);
                 if pending.may_refuse(self.settings.class(pending.request.class)) {
                     let limits = &self.settings.limits;
                     let most = if limits.retry_after { limits.max_retry_after } else { Micros(0) };
                     let spread = SPREAD.times(self.rng.f64());
-                    actions.push(Action::Refuse { id, retry_after: wait.plus(spread).min(most), why });
+                    actions.push(Action::Refuse { id, retry_after: wait.plus(spread).min(most), reason });
                 } else {
                     actions.push(Action::Fail { id });
                 }
@@ -335,7 +335,7 @@
         let second = used > 0 && !pending.missed;
         let spent = left == 0 || second && self.together.wait(Common::Second, now).0 > 0;
         if now >= pending.useful || spent {
-            return Path::End(Micros(0), if spent { Why::Spent } else { Why::Late });
+            return Path::End(Micros(0), if spent { RejectReason::Spent } else { RejectReason::Late });
         }
         let tried = pending.missed || pending.out().is_some() || used as usize >= MAX_HOMES;
         if self.settings.mode == Mode::Through || !(pending.request.write || tried || left == 1) {
@@ -380,7 +380,9 @@
                 return Some(Path::Send(at));
             }
         }
-        least.filter(|_| self.settings.mode == Mode::Through).map(|wait| Path::End(wait, Why::Gapped))
+        least
+            .filter(|_| self.settings.mode == Mode::Through)
+            .map(|wait| Path::End(wait, RejectReason::Gapped))
     }
 
     fn at_origin(&mut self, now: Micros, pending: &Pending) -> Path {
@@ -388,17 +390,17 @@
         let wait = self.closed(now, request.tenant);
         let (settings, room) = (&self.settings, pending.useful.minus(now));
         let class = settings.class(request.class);
-        let Some(at) = self.members.origin else { return Path::End(Micros(0), Why::Nowhere) };
+        let Some(at) = self.members.origin else { return Path::End(Micros(0), RejectReason::Nowhere) };
         let server = &mut self.members.servers[at];
         if !pending.may_send(now, &server.entry, class, &settings.limits) {
-            return Path::End(Micros(0), Why::Nowhere);
+            return Path::End(Micros(0), RejectReason::Nowhere);
         }
         let full = wait.0 > 0 || !server.places.room(now, request.write);
         match pending.step {
             Step::Booked => Path::Send(at),
-            Step::Outranked => Path::End(wait, Why::Outranked),
-            Step::Queued => Path::End(wait, Why::Waited),
-            _ if !server.places.hopeful(room) => Path::End(wait, Why::Hopeless),
+            Step::Preempted => Path::End(wait, RejectReason::Preempted),
+            Step::Queued => Path::End(wait, RejectReason::QueueTimeout),
+            _ if !server.places.hopeful(room) => Path::End(wait, RejectReason::DeadlineUnreachable),
             _ if full || !(request.write || self.queue.is_empty()) => {
                 Path::Queue(room.times(if request.write { WRITE_WAITS } else { READ_WAITS }))
             }
--- a/src/rules/pending.rs
+++ b/src/rules/pending.rs
@@ -20,7 +20,7 @@
 pub(super) enum Step {
     Usual,
     Queued,
-    Outranked,
+    Preempted,
     Booked,
 }
 
--- a/src/rules/tests/together.rs
+++ b/src/rules/tests/together.rs
@@ -129,7 +129,7 @@
         let actions = step(&mut b, 20, outcome(1, 0, to, status));
         assert_eq!(sent(&actions).is_some(), again, "{second:?} {status:?}");
         if !again {
-            let refused = |a: &Action| matches!(a, Action::Refuse { why: Why::Spent, .. });
+            let refused = |a: &Action| matches!(a, Action::Refuse { reason: RejectReason::Spent, .. });
             assert!(actions.iter().any(refused), "given up at once: {actions:?}");
         }
         let spent = said.0.borrow().took.contains(&Common::Second);
--- a/src/together.rs
+++ b/src/together.rs
@@ -1,7 +1,7 @@
 //! The decisions' side of what balancers share: nothing at all where there is nobody to share with. Nothing here decides
 //! anything.
 
-use crate::interface::{Common, Entry, Fleet, Micros, State, Status, Why};
+use crate::interface::{Common, Entry, Fleet, Micros, RejectReason, State, Status};
 
 /// What is shared, if anything is.
 #[derive(Debug, Default)]
@@ -22,8 +22,11 @@
     }
 
     /// A command was given up: one for which there was no place at the origin had needed one.
-    pub(crate) fn ended(&mut self, now: Micros, why: Why) {
-        let needed = matches!(why, Why::Waited | Why::Outranked | Why::Hopeless);
+    pub(crate) fn ended(&mut self, now: Micros, reason: RejectReason) {
+        let needed = matches!(
+            reason,
+            RejectReason::QueueTimeout | RejectReason::Preempted | RejectReason::DeadlineUnreachable
+        );
         self.0.iter_mut().filter(|_| needed).for_each(|fleet| fleet.denied(Common::Origin, now));
     }
 
