Format ids and servers for debug lines only where such a line is written

Change: `ServerLabel` and `ClientText` are written where the line is. The two stand-in cache servers of cli/tests are one in support/mod.rs, and an argument that was always zero is gone from faults.rs; assertions as before. The processor time was not measured again.

--- a/cli/tests/discovery.rs
+++ b/cli/tests/discovery.rs
@@ -4,10 +4,9 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::thread;
 use std::time::Duration;
 
-use support::{address_in, config, logged, program, tell};
+use support::{address_in, cache_server, config, logged, program, tell};
 
 /// How long a call waits for its turn: longer than discovery's own limit of 2 s, behind which it refuses calls at once.
 const TURN: Duration = Duration::from_millis(2_300);
@@ -34,22 +33,6 @@
     format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{text}\r\n", text.len())
 }
 
-/// Answers every request that comes with this value.
-fn serve(host: TcpListener, value: &'static str) {
-    thread::spawn(move || loop {
-        let Ok((mut stream, _)) = host.accept() else { return };
-        thread::spawn(move || {
-            for line in BufReader::new(stream.try_clone().unwrap()).lines() {
-                let Ok(line) = line else { return };
-                let id = line.split(' ').find(|word| word.starts_with('O')).unwrap().to_owned();
-                if stream.write_all(format!("VA 1 {id} h1\r\n{value}\r\n").as_bytes()).is_err() {
-                    return;
-                }
-            }
-        });
-    });
-}
-
 /// Asks for this key, and returns the value.
 fn ask(client: &mut TcpStream, key: u64) -> String {
     client.write_all(format!("mg {key:016x} v O{key:016x} Pc=read,d=5000\r\n").as_bytes()).unwrap();
@@ -65,11 +48,9 @@
 /// call would wait behind all others. The list comes on the first call, and nothing goes to the server that drains.
 #[test]
 fn a_call_that_waits_for_its_turn_is_not_given_up() {
-    let [draining, serving, discovery] = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
-    let [draining_at, serving_at, discovery_at] =
-        [&draining, &serving, &discovery].map(|l| l.local_addr().unwrap().to_string());
-    serve(draining, "D");
-    serve(serving, "S");
+    let [draining_at, serving_at] = ["D", "S"].map(cache_server);
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let discovery_at = discovery.local_addr().unwrap().to_string();
     let text = config("127.0.0.1:0", &discovery_at, &draining_at).replace(
         "\"instances\":[",
         &format!(
--- a/cli/tests/faults.rs
+++ b/cli/tests/faults.rs
@@ -11,7 +11,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use support::{address_in, config, file, logged, program, tell};
+use support::{address_in, cache_server, config, file, logged, program, tell};
 
 /// How long one answer may take here: far longer than any, and shorter than the deadline of the requests.
 const LONGEST: Duration = Duration::from_secs(20);
@@ -38,24 +38,9 @@
     })
 }
 
-/// A cache server that serves every request, each on whatever connection it comes.
-fn cache_server() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    thread::spawn(move || loop {
-        let Ok((mut stream, _)) = listener.accept() else { return };
-        thread::spawn(move || {
-            for line in BufReader::new(stream.try_clone().unwrap()).lines() {
-                let Ok(line) = line else { return };
-                let id = line.split(' ').find(|word| word.starts_with('O')).unwrap().to_owned();
-                if stream.write_all(format!("VA 300 {id} h1\r\n{}\r\n", "v".repeat(300)).as_bytes()).is_err()
-                {
-                    return;
-                }
-            }
-        });
-    });
-    address
+/// What the servers answer.
+fn value() -> String {
+    "v".repeat(300)
 }
 
 /// The program with these faults, where it listens, and the rest of its log once it has ended.
@@ -63,11 +48,11 @@
     let instance = |number: usize| {
         format!(
             r#"{{"instanceId":"s-0000000{number}","hostPort":"{}","zone":"x","machineType":"a"}},"#,
-            cache_server()
+            cache_server(&value())
         )
     };
     let others: String = (2..=SERVERS).map(instance).collect();
-    let text = config("127.0.0.1:0", "127.0.0.1:9", &cache_server())
+    let text = config("127.0.0.1:0", "127.0.0.1:9", &cache_server(&value()))
         .replace("\"instances\":[", &format!("\"instances\":[{others}"))
         // A request that has certainly not run may be sent again.
         .replace("\"max-attempts\":1", "\"max-attempts\":5");
@@ -83,7 +68,7 @@
 }
 
 /// Sends requests, several at once, and returns how many were answered with their value and how many otherwise.
-fn exchange(listen: &str, pause: Duration) -> (u64, u64) {
+fn exchange(listen: &str) -> (u64, u64) {
     let (mut served, mut other) = (0, 0);
     for round in 0..ROUNDS {
         let mut client = TcpStream::connect(listen).unwrap();
@@ -92,15 +77,14 @@
         let ids: Vec<u64> = (0..PIPELINE).map(|at| 1 + round * PIPELINE + at).collect();
         for id in &ids {
             client.write_all(format!("mg {id:016x} v O{id:016x} Pc=read,d=50000\r\n").as_bytes()).unwrap();
-            thread::sleep(pause);
         }
         for id in ids {
             let mut head = String::new();
             answers.read_line(&mut head).unwrap_or_else(|problem| panic!("{id}: {problem}"));
             if head == format!("VA 300 O{id:016x}\r\n") {
-                let mut value = [0; 302];
-                answers.read_exact(&mut value).unwrap();
-                assert_eq!(&value[..], format!("{}\r\n", "v".repeat(300)).as_bytes());
+                let mut got = [0; 302];
+                answers.read_exact(&mut got).unwrap();
+                assert_eq!(&got[..], format!("{}\r\n", value()).as_bytes());
                 served += 1;
             } else {
                 assert!(head.starts_with("SERVER_ERROR"), "{id}: {head:?}");
@@ -114,7 +98,7 @@
 /// Every request is served though these calls fail; the rest of the log.
 fn all_are_served(faults: &str) -> String {
     let (mut child, listen, log) = start(faults);
-    let (served, other) = exchange(&listen, Duration::ZERO);
+    let (served, other) = exchange(&listen);
     assert_eq!((served, other), (ROUNDS * PIPELINE, 0), "{faults}");
     tell(&child, "-TERM");
     assert!(child.wait().unwrap().success(), "{faults}");
@@ -205,7 +189,7 @@
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
         let nobody = TcpListener::bind("127.0.0.1:0").unwrap();
         let [before, after] = [&nobody, &discovery]
-            .map(|at| config("127.0.0.1:0", &at.local_addr().unwrap().to_string(), &cache_server()));
+            .map(|at| config("127.0.0.1:0", &at.local_addr().unwrap().to_string(), &cache_server(&value())));
         let path = file(&before);
         let mut child = program(None)
             .env("NODE_CONFIG", &path)
--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -1,11 +1,12 @@
 //! What the tests of the program as a process share.
 #![allow(dead_code)]
 
-use std::io::{BufRead, Read, Write};
-use std::net::TcpStream;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
 
 /// A configuration with one cache host, whose lists have to be asked for.
 pub fn config(listen: &str, discovery: &str, host: &str) -> String {
@@ -71,3 +72,25 @@
     operator.read_to_string(&mut answer).unwrap();
     answer
 }
+
+/// A cache server that answers every request with this value, on whatever connection it comes; where it listens.
+pub fn cache_server(value: &str) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let value = value.to_owned();
+    thread::spawn(move || loop {
+        let Ok((mut stream, _)) = listener.accept() else { return };
+        let value = value.clone();
+        thread::spawn(move || {
+            for line in BufReader::new(stream.try_clone().unwrap()).lines() {
+                let Ok(line) = line else { return };
+                let id = line.split(' ').find(|word| word.starts_with('O')).unwrap();
+                let answer = format!("VA {} {id} h1\r\n{value}\r\n", value.len());
+                if stream.write_all(answer.as_bytes()).is_err() {
+                    return;
+                }
+            }
+        });
+    });
+    address
+}
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -12,6 +12,7 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashSet};
+use std::fmt;
 use std::rc::Rc;
 
 use juniperladder::{Balancer, Class, Effect, Event, Fleet, Micros, Request, Settings};
@@ -164,7 +165,7 @@
             tenant: command.tenant,
             retry: command.retry,
         };
-        debug!(self.log, "request taken"; "request" => id.0, "id" => %shown(&command.id),
+        debug!(self.log, "request taken"; "request" => id.0, "id" => %ClientText(&command.id),
             "class" => command.class, "left-ms" => to_ms(deadline.minus(now)));
         let (command, over) = (Rc::new(command), Over::default());
         inner.commands.insert(
@@ -209,7 +210,7 @@
         if let Some(open) = inner.close(id) {
             count(&self.counters.left);
             debug!(self.log, "request abandoned: the client is gone"; "request" => id.0,
-                "id" => %shown(&open.command.id));
+                "id" => %ClientText(&open.command.id));
             if !open.left {
                 self.handle(&mut inner, self.clock.now(), Event::Gone(id.request()));
             }
@@ -227,7 +228,7 @@
         }
         open.left = true;
         debug!(self.log, "request half-closed: the client sends no more"; "request" => id.0,
-            "id" => %shown(&open.command.id));
+            "id" => %ClientText(&open.command.id));
         // What no byte has gone out of does not begin any more.
         open.over.set(true);
         let out = open.out;
@@ -253,7 +254,7 @@
     pub(super) fn finish(&self, inner: &mut Inner, id: CommandId, answer: Answer) {
         if let Some(open) = inner.close(id) {
             let class = open.command.class;
-            debug!(self.log, "request answered"; "request" => id.0, "id" => %shown(&open.command.id),
+            debug!(self.log, "request answered"; "request" => id.0, "id" => %ClientText(&open.command.id),
                 "answer" => answer.label(), "attempts" => open.attempts, "out" => open.out);
             let (counter, how) = match answer {
                 Answer::Value(_) | Answer::Receipt(_) => (&self.counters.served, Some(Ended::Passed)),
@@ -296,7 +297,11 @@
     }
 }
 
-/// A client's text as the log shows it.
-fn shown(text: &[u8]) -> String {
-    String::from_utf8_lossy(text).into_owned()
+/// A client's text as the log shows it, looked at only where a line is written.
+struct ClientText<'a>(&'a [u8]);
+
+impl fmt::Display for ClientText<'_> {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(&String::from_utf8_lossy(self.0))
+    }
 }
--- a/exchange/src/exchange/attempts.rs
+++ b/exchange/src/exchange/attempts.rs
@@ -12,7 +12,7 @@
 use crate::clock::to_ms;
 use crate::command::{Attempt, CommandId};
 use crate::counters::count;
-use crate::numbers::{server_label, AttemptId};
+use crate::numbers::{AttemptId, ServerLabel};
 use crate::values::{Answer, Reply};
 
 impl Exchange {
@@ -82,7 +82,7 @@
         });
         let now = self.clock.now();
         debug!(self.log, "attempt ended"; "request" => running.command.0, "attempt" => running.attempt,
-            "server" => %server_label(running.server), "status" => ?status,
+            "server" => %ServerLabel(running.server), "status" => ?status,
             "after-ms" => to_ms(now.minus(running.sent)));
         let mut closed = true;
         if let Some(open) = inner.commands.get_mut(&running.command) {
@@ -129,7 +129,7 @@
                 count(&self.counters.attempts);
                 let state = inner.serving.get(&server).map(|(state, _)| *state);
                 debug!(self.log, "attempt begins"; "request" => command_id.0, "attempt" => running.attempt,
-                    "number" => id.0, "server" => %server_label(server), "state" => ?state,
+                    "number" => id.0, "server" => %ServerLabel(server), "state" => ?state,
                     "list-age-ms" => inner.start_times.confirmed().map(|at| to_ms(now.minus(at))),
                     "until-ms" => to_ms(until.minus(now)));
                 inner.attempts.insert(id, running);
--- a/exchange/src/numbers.rs
+++ b/exchange/src/numbers.rs
@@ -1,6 +1,8 @@
 //! The numbers of hosts and keys: the same at every balancer and after every restart, from the names alone. And
 //! those of attempts, which are this process's own.
 
+use std::fmt;
+
 use juniperladder::{Key, ServerId};
 
 /// Names one attempt for as long as the program runs.
@@ -30,11 +32,17 @@
     ServerId(digits.unwrap_or_else(|| hash(name.as_bytes()) | 1 << 63))
 }
 
-/// How the log names a host: by the name itself where it has the usual form, and by its number otherwise.
-pub fn server_label(server: ServerId) -> String {
-    match u32::try_from(server.0) {
-        Ok(digits) => format!("s-{digits:08x}"),
-        Err(_) => format!("#{:x}", server.0),
+/// How the log names a server: by the name itself where it has the usual form, and by its number otherwise. Written only where
+/// a line is, as the lines of single requests mostly are not.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLabel(pub ServerId);
+
+impl fmt::Display for ServerLabel {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match u32::try_from(self.0 .0) {
+            Ok(digits) => write!(out, "s-{digits:08x}"),
+            Err(_) => write!(out, "#{:x}", self.0 .0),
+        }
     }
 }
 
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -14,7 +14,7 @@
 use fastrand::Rng;
 use juniperladder::ListKind;
 use juniperladder_exchange::log_throttle::LogThrottle;
-use juniperladder_exchange::numbers::server_label;
+use juniperladder_exchange::numbers::ServerLabel;
 use slog::{debug, info, warn, Logger};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
@@ -209,7 +209,7 @@
         }
         let hosts = self.table.read(catalog, &self.log);
         for host in &hosts {
-            debug!(self.log, "list entry"; "server" => %server_label(host.entry.server),
+            debug!(self.log, "list entry"; "server" => %ServerLabel(host.entry.server),
                 "state" => ?host.entry.state, "started-ms" => to_ms(host.entry.started));
         }
         count(&self.exchange.counters().lists);
--- a/node/src/upstream/connection.rs
+++ b/node/src/upstream/connection.rs
@@ -10,7 +10,7 @@
 use bytes::BytesMut;
 use juniperladder::{Micros, ServerId};
 use juniperladder_exchange::long::{long, Feed};
-use juniperladder_exchange::numbers::server_label;
+use juniperladder_exchange::numbers::ServerLabel;
 use slog::debug;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite};
 use tokio::task::yield_now;
@@ -116,12 +116,12 @@
             Ok(Ok(stream)) => stream,
             Ok(Err(problem)) => {
                 let cause = NoConnection::of(&problem);
-                debug!(upstream.log, "no connection"; "server" => %server_label(self.server),
+                debug!(upstream.log, "no connection"; "server" => %ServerLabel(self.server),
                     "problem" => %problem, "cause" => ?cause);
                 return Err(cause);
             }
             Err(_) => {
-                debug!(upstream.log, "no connection in time"; "server" => %server_label(self.server));
+                debug!(upstream.log, "no connection in time"; "server" => %ServerLabel(self.server));
                 return Err(NoConnection::Server);
             }
         };
