Evict one connection for each that waits, after a last read of what has arrived

Callers saw a close in place of an answer: where all client slots were occupied, a connection that had just been accepted was closed with others though nobody waited for its slot.

Cause: evict_for_backlog took the time since the queue was last seen empty for time that clients had waited. It also grows while this process does not run; over 20 ms up to 16 silent connections were evicted at once, the newest among them, and whether anybody waited was not known. Evidence: a_late_turn_evicts_no_more_connections_than_wait forces time on between two turns and fails always on. The close was an orderly end and no reset, so that unread bytes are ruled out there. Three more forced orders failed: a request whose rest stands unread was cut for its slot, that eviction cut a later request too, and a late turn at the end of the listener gave connections up. Two hold before and after: 40 that connect and send during a late turn, a new connection beside busy ones.

Now the connection accepted next waits for its slot with a descriptor kept for it, and only for it is one evicted. A chosen connection is marked until it closes or brings something. Before it closes or is cut it is read by a call that does not ask the runtime, so that no lateness hides what has arrived, and a flood needs no turn for each connection, which the 16 at once were for. Spare slots are kept by connections alone that are neither new nor in the middle of a request.

--- a/node/src/downstream.rs
+++ b/node/src/downstream.rs
@@ -38,13 +38,10 @@
 const FINAL_READ_TIMEOUT: Duration = Duration::from_millis(2);
 /// How long a new connection without a slot waits for the one that was evicted.
 const EVICTION_TIMEOUT: Duration = Duration::from_millis(10);
-/// How long connections may wait unaccepted before several silent ones are evicted at once.
-const LONG_BACKLOG_WAIT: Duration = Duration::from_millis(20);
-/// How many silent connections are evicted at once then. Each turn of the event loop costs as much as some of
-/// them, and one for each connection lets the queue of a flood grow to hundreds.
-const EVICTIONS_AT_ONCE: usize = 16;
 /// How long the connections in the backlog wait for slots once the listener is about to close.
 const FINAL_ACCEPT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Descriptors of clients that are not for slots: the connection that is accepted next waits for its slot with one.
+const UNSERVED_CONNECTIONS: usize = 1;
 
 /// The names by which clients call the classes and the tenants of the settings, in the settings' order.
 #[derive(Clone, Debug, Default)]
@@ -68,6 +65,7 @@
     admin_connections: Rc<Cell<usize>>,
     /// Connections that are over but for what may cross their close.
     lingering: Cell<usize>,
+    /// Notified when a connection has closed, or stays open though it was to be evicted.
     connection_closed: Notify,
     log_throttle: LogThrottle,
     log: Logger,
@@ -77,17 +75,8 @@
 enum FinalRead {
     /// For [`FINAL_READ_TIMEOUT`].
     Wait,
-    /// For what has come already: others wait for its slot, by the hundred where connections come in a flood.
-    OneTurn,
-}
-
-impl FinalRead {
-    async fn wait(self) {
-        match self {
-            FinalRead::Wait => sleep(FINAL_READ_TIMEOUT).await,
-            FinalRead::OneTurn => yield_now().await,
-        }
-    }
+    /// For what has arrived already: another connection waits for its slot.
+    AtOnce,
 }
 
 impl Downstream {
@@ -118,12 +107,6 @@
     pub async fn accept(self: Rc<Downstream>, listener: TcpListener) {
         let mut backlog = Backlog::new(listener);
         loop {
-            if self.is_full() {
-                // Connections that send nothing must not shut out those that do. Where all are busy the
-                // backlog holds new ones until one closes.
-                self.evict_for_backlog(&backlog).await;
-                continue;
-            }
             let accepted = tokio::select! {
                 accepted = backlog.accept() => accepted,
                 () = self.shutdown.wait_for_closing() => {
@@ -135,7 +118,7 @@
             match accepted {
                 Ok(accepted) => {
                     self.shutdown.on_connection_accepted();
-                    self.serve_accepted(accepted);
+                    self.serve_in_turn(accepted).await;
                     self.keep_spare_slots();
                 }
                 Err(error) => self.on_accept_failed(&error).await,
@@ -143,20 +126,34 @@
         }
     }
 
+    /// Serves a connection as soon as it has a slot. Connections that send nothing must not shut it out; where all are
+    /// busy it waits until one closes, and the backlog holds those behind it.
+    async fn serve_in_turn(self: &Rc<Downstream>, accepted: Accepted) {
+        let accepted_at = Instant::now();
+        while self.is_full() {
+            self.evict_for_waiting().await;
+        }
+        self.serve_accepted(accepted, accepted_at.elapsed());
+    }
+
     /// Accepts the connections that wait in the backlog already: those would be reset when it closes. Where all slots are
-    /// occupied they wait a moment for one, as the descriptors beyond those are others'.
+    /// occupied they wait a moment for one, as the descriptors beyond those are others'. Time in which this process did not
+    /// run is no part of that.
     async fn accept_remaining(self: &Rc<Downstream>, backlog: &mut Backlog) {
-        let give_up_at = Instant::now() + FINAL_ACCEPT_TIMEOUT;
-        loop {
-            if self.is_full() {
-                if Instant::now() >= give_up_at {
+        // In this turn the runtime notices what has arrived until now.
+        yield_now().await;
+        let mut waited = Duration::ZERO;
+        while let Some(accepted) = backlog.accept_waiting() {
+            let accepted_at = Instant::now();
+            while self.is_full() {
+                if waited >= FINAL_ACCEPT_TIMEOUT {
                     return;
                 }
-                self.evict_for_backlog(backlog).await;
-                continue;
+                let wait_begun = Instant::now();
+                self.evict_for_waiting().await;
+                waited += wait_begun.elapsed().min(EVICTION_TIMEOUT);
             }
-            let Some(accepted) = backlog.accept_waiting() else { return };
-            self.serve_accepted(accepted);
+            self.serve_accepted(accepted, accepted_at.elapsed());
         }
     }
 
@@ -170,24 +167,25 @@
         sleep(ACCEPT_RETRY_DELAY).await;
     }
 
-    /// Evicts one connection, or several where others have waited for long, and waits for a moment until one has closed.
-    async fn evict_for_backlog(&self, backlog: &Backlog) {
-        let is_behind = backlog.longest_wait() > LONG_BACKLOG_WAIT;
-        self.evict(if is_behind { EVICTIONS_AT_ONCE } else { 1 });
-        // The evicted one may have brought a request meanwhile: then another is evicted.
+    /// Evicts one connection for the one that waits for a slot, unless that is under way already, and waits for a moment until
+    /// one has closed. The evicted one may have brought a request meanwhile: then another is evicted.
+    async fn evict_for_waiting(&self) {
+        if !self.is_evicting() {
+            self.evict(1);
+        }
         let _ = timeout(EVICTION_TIMEOUT, self.connection_closed.notified()).await;
     }
 
-    /// Evicts one connection where nearly all slots are occupied.
+    /// Evicts one connection where nearly all slots are occupied, though nobody waits for one yet.
     fn keep_spare_slots(&self) {
         let limit = self.resource_limits.client_connections;
         if self.occupied_descriptors() + limit / SPARE_SLOT_DIVISOR > limit {
-            self.evict(1);
+            self.evict_settled();
         }
     }
 
     fn is_full(&self) -> bool {
-        self.occupied_descriptors() >= self.resource_limits.client_connections
+        self.occupied_descriptors() + UNSERVED_CONNECTIONS >= self.resource_limits.client_connections
     }
 
     /// Clients' descriptors that are in use. Operators' connections beyond those that have descriptors of their own
@@ -202,12 +200,13 @@
         Rc::clone(&self.admin_connections)
     }
 
-    fn serve_accepted(self: &Rc<Downstream>, accepted: Accepted) {
+    /// Serves a connection that has waited so long for its slot.
+    fn serve_accepted(self: &Rc<Downstream>, accepted: Accepted, slot_wait: Duration) {
         let _ = accepted.stream.set_nodelay(true);
-        self.serve(Socket(accepted.stream), accepted.backlog_wait);
+        self.serve(Socket(accepted.stream), accepted.backlog_wait + slot_wait);
     }
 
-    /// Gives a client that has just connected a slot, and serves it; it may have waited this long to be accepted at most.
+    /// Gives a client that has just connected a slot, and serves it; it may have waited this long for that at most.
     pub(crate) fn serve(self: &Rc<Downstream>, stream: impl ClientStream, backlog_wait: Duration) {
         increment(&self.dispatcher.counters().connections_accepted);
         let slot = self.occupy_slot(backlog_wait);
@@ -224,10 +223,7 @@
     async fn wait_for_close(&self, slot: &Slot, idle_until: Option<Instant>) -> FinalRead {
         tokio::select! {
             () = self.shutdown.wait_for_closing() => FinalRead::Wait,
-            () = slot.evicted.notified() => {
-                debug!(self.log, "downstream connection evicted");
-                FinalRead::OneTurn
-            }
+            () = slot.wait_for_eviction(&slot.evicted) => FinalRead::AtOnce,
             () = wait_until(idle_until) => {
                 increment(&self.dispatcher.counters().idle_connections_closed);
                 debug!(self.log, "downstream connection idle for too long");
--- a/node/src/downstream/connection.rs
+++ b/node/src/downstream/connection.rs
@@ -10,14 +10,16 @@
 
 use std::collections::VecDeque;
 use std::io;
+use std::task::Poll;
 
 use bytes::{Bytes, BytesMut};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
-use tokio::time::{sleep_until, Instant};
+use slog::debug;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::{sleep_until, timeout, Instant};
 
 use super::slots::Slot;
 use super::stream::{wait_for_disconnect, ClientReader, ClientStream};
-use super::{Downstream, FinalRead, LINGER_TIMEOUT};
+use super::{Downstream, FinalRead, FINAL_READ_TIMEOUT, LINGER_TIMEOUT};
 use crate::dispatcher::Answer;
 use crate::downstream::upload::{self, StreamedUpload};
 use crate::memcache::RequestReader;
@@ -157,6 +159,13 @@
                         return Ok(Some(reader).filter(|_| self.has_answered_lately()));
                     }
                 }
+                ConnectionEvent::TimedOut | ConnectionEvent::EvictedMidRequest
+                    if interests.can_read && self.output.is_empty() =>
+                {
+                    if !self.read_arrived(&mut reader)? {
+                        self.end_mid_request();
+                    }
+                }
                 event => self.on_event(event)?,
             }
         }
@@ -233,9 +242,8 @@
             }
             () = wait_until(interests.deadline), if !interests.is_idle => ConnectionEvent::TimedOut,
             // A connection in the middle of a request gives its slot up too, but only when no other can.
-            () = self.slot.evicted_mid_request.notified(), if !interests.is_idle && !self.slot.is_busy.get() => {
-                ConnectionEvent::EvictedMidRequest
-            }
+            () = self.slot.wait_for_eviction(&self.slot.evicted_mid_request),
+                if !interests.is_idle && !self.slot.is_busy.get() => ConnectionEvent::EvictedMidRequest,
         })
     }
 
@@ -245,8 +253,7 @@
             ConnectionEvent::Answered(pending, answer) => self.write_answer(pending, answer),
             ConnectionEvent::Written => self.on_written(),
             ConnectionEvent::Chunk(chunk) => self.write_chunk(chunk)?,
-            ConnectionEvent::Received(0) => self.on_input_ended(),
-            ConnectionEvent::Received(_) => self.last_received = Instant::now(),
+            ConnectionEvent::Received(length) => self.on_received(length),
             ConnectionEvent::Disconnected => self.on_disconnected(),
             ConnectionEvent::TimedOut if !self.output.is_empty() => {
                 return Err(io::ErrorKind::TimedOut.into());
@@ -262,18 +269,35 @@
     /// the runtime has not looked for yet: it is taken, and a close over unread bytes would reset the connection.
     async fn read_before_close(
         &mut self,
-        reader: &mut (impl AsyncRead + Unpin),
+        reader: &mut impl ClientReader,
         final_read: FinalRead,
     ) -> io::Result<bool> {
-        tokio::select! {
-            biased;
-            read = reader.read_buf(&mut self.input) => {
-                if read? == 0 {
-                    self.on_input_ended();
-                }
-                Ok(false)
+        if let FinalRead::Wait = final_read {
+            if let Ok(read) = timeout(FINAL_READ_TIMEOUT, reader.read_buf(&mut self.input)).await {
+                self.on_received(read?);
+                return Ok(false);
+            }
+        }
+        if self.read_arrived(reader)? {
+            return Ok(false);
+        }
+        if let FinalRead::AtOnce = final_read {
+            debug!(self.downstream.log, "downstream connection evicted"; "had_request" => self.slot.has_had_request.get(),
+                "accepted_ms_ago" => self.slot.accepted.elapsed().as_millis(),
+                "backlog_wait_ms" => self.slot.backlog_wait.as_millis());
+        }
+        Ok(true)
+    }
+
+    /// Reads what has arrived already, whether or not the runtime has looked for it, and returns whether there was anything:
+    /// however late the event loop is, nothing is concluded from a silence that was none.
+    fn read_arrived(&mut self, reader: &mut impl ClientReader) -> io::Result<bool> {
+        match reader.read_arrived(&mut self.input) {
+            Poll::Ready(read) => {
+                self.on_received(read?);
+                Ok(true)
             }
-            () = final_read.wait() => Ok(true),
+            Poll::Pending => Ok(false),
         }
     }
 
@@ -282,6 +306,15 @@
         self.last_written.is_some_and(|written| written.elapsed() < LINGER_TIMEOUT)
     }
 
+    /// So many bytes came; none at the end of the input.
+    fn on_received(&mut self, length: usize) {
+        if length == 0 {
+            self.on_input_ended();
+        } else {
+            self.last_received = Instant::now();
+        }
+    }
+
     /// The client has closed its side, and that has been read: it is gone, or waits for the answers that it is owed.
     fn on_input_ended(&mut self) {
         self.takes_no_more_requests = true;
--- a/node/src/downstream/connection/timing.rs
+++ b/node/src/downstream/connection/timing.rs
@@ -47,6 +47,9 @@
         }
         let has_incomplete_request = !self.input.is_empty() || self.request_reader.has_incomplete_request();
         self.slot.has_incomplete_request.set(has_incomplete_request);
+        if is_busy || has_incomplete_request {
+            self.withdraw_eviction();
+        }
         self.incomplete_since = has_incomplete_request.then(|| self.incomplete_since.unwrap_or(now));
         if self.is_upload_blocked() {
             // It is not the client who is waited for.
@@ -57,6 +60,13 @@
         }
     }
 
+    /// The connection goes on, so that another has to be evicted where one is still needed.
+    fn withdraw_eviction(&self) {
+        if self.slot.withdraw_eviction() {
+            self.downstream.connection_closed.notify_one();
+        }
+    }
+
     /// Counts what this connection buffers.
     pub(super) fn count_buffered_bytes(&mut self) {
         let upload_bytes = self.upload.as_ref().map_or(0, StreamedUpload::buffered_bytes);
--- a/node/src/downstream/slots.rs
+++ b/node/src/downstream/slots.rs
@@ -1,7 +1,9 @@
 //! The slots of downstream connections: how many there are, and which of them are evicted when others need theirs.
 //!
 //! Guarantee: a connection with an open request is never evicted, and one in the middle of a request only when
-//! there is no other.
+//! there is no other. One that may be about to send its first request is evicted only for a connection that waits, so that no
+//! more of those close than wait; and an evicted connection is read once more before it closes, so that however late the
+//! event loop is, no request that has arrived is lost.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -31,6 +33,8 @@
     pub(super) has_incomplete_request: Cell<bool>,
     /// Whether it has ever brought a request.
     pub(super) has_had_request: Cell<bool>,
+    /// Whether it is to be evicted and has neither closed nor brought anything since.
+    is_evicted: Cell<bool>,
     /// Notified when it is to close as soon as its client is owed nothing.
     pub(super) evicted: Notify,
     /// Notified when it is to end in the middle of a request.
@@ -47,6 +51,7 @@
             is_busy: Cell::default(),
             has_incomplete_request: Cell::default(),
             has_had_request: Cell::default(),
+            is_evicted: Cell::default(),
             evicted: Notify::new(),
             evicted_mid_request: Notify::new(),
         }
@@ -73,14 +78,35 @@
         )
     }
 
-    /// Notifies its connection that it is to close. One that is notified while idle and then begins a request may finish it.
+    /// Whether it may be chosen for eviction.
+    fn is_evictable(&self) -> bool {
+        !self.is_busy.get() && !self.is_evicted.get()
+    }
+
+    /// Notifies its connection that it is to close. One that brings a request, or a part of one, before that stays open.
     fn evict(&self) {
+        self.is_evicted.set(true);
         if self.has_incomplete_request.get() {
             self.evicted_mid_request.notify_one();
         } else {
             self.evicted.notify_one();
         }
     }
+
+    /// Its connection has brought something since it was to be evicted, and stays open. Returns whether it was.
+    pub(super) fn withdraw_eviction(&self) -> bool {
+        self.is_evicted.replace(false)
+    }
+
+    /// Waits until this notification says that it is to be evicted, and it still is.
+    pub(super) async fn wait_for_eviction(&self, notification: &Notify) {
+        loop {
+            notification.notified().await;
+            if self.is_evicted.get() {
+                return;
+            }
+        }
+    }
 }
 
 /// Holds a slot for as long as it lives.
@@ -127,26 +153,38 @@
         let mut idle: Vec<_> = used.into_iter().filter(|slot| is_idle(slot)).collect();
         idle.sort_by_key(|slot| slot.idle_since.get());
         for slot in idle.into_iter().take(surplus) {
-            slot.evicted.notify_one();
+            slot.evict();
         }
     }
 
-    /// Evicts up to this many connections that have no request open: the longest idle of those that never brought
-    /// one, or else of the others, then one that has only just come, and one in the middle of a request only when
-    /// there is no other. Beyond the first only those are evicted that have brought nothing.
+    /// Whether a connection is being evicted that has not closed yet.
+    pub(super) fn is_evicting(&self) -> bool {
+        self.slots.borrow().iter().any(|slot| slot.is_evicted.get())
+    }
+
+    /// Evicts up to this many connections that have no request open, for as many that wait: the longest idle of those that
+    /// never brought one, or else of the others, then one that has only just come, and one in the middle of a request only
+    /// when there is no other. Beyond the first only those are evicted that have brought nothing.
     pub(super) fn evict(&self, count: usize) {
         let slots = self.slots.borrow();
-        let mut candidates: Vec<&Rc<Slot>> = slots.iter().filter(|slot| !slot.is_busy.get()).collect();
+        let mut candidates: Vec<&Rc<Slot>> = slots.iter().filter(|slot| slot.is_evictable()).collect();
         let now = Instant::now();
-        if candidates.len() > count {
-            candidates.select_nth_unstable_by_key(count, |slot| slot.eviction_order(now));
-            candidates.truncate(count);
-        }
         candidates.sort_unstable_by_key(|slot| slot.eviction_order(now));
-        for (position, slot) in candidates.into_iter().enumerate() {
+        for (position, slot) in candidates.into_iter().take(count).enumerate() {
             if position == 0 || slot.is_silent() {
                 slot.evict();
             }
         }
     }
+
+    /// Evicts the connection that is idle longest and loses nothing by it: it is neither new nor in the middle of a request.
+    pub(super) fn evict_settled(&self) {
+        let slots = self.slots.borrow();
+        let now = Instant::now();
+        let is_settled =
+            |slot: &&Rc<Slot>| slot.is_evictable() && !slot.is_new(now) && !slot.has_incomplete_request.get();
+        if let Some(slot) = slots.iter().filter(is_settled).min_by_key(|slot| slot.eviction_order(now)) {
+            slot.evict();
+        }
+    }
 }
--- a/node/src/downstream/stream.rs
+++ b/node/src/downstream/stream.rs
@@ -1,9 +1,11 @@
 //! A client's connection in two halves, and whether its client has left, which a half that is not read does not show by itself.
 
 use std::future::Future;
+use std::io;
 use std::pin::pin;
 use std::task::{Context, Poll, Waker};
 
+use bytes::BytesMut;
 use tokio::io::{AsyncRead, AsyncWrite, Interest};
 use tokio::time::{sleep, Duration};
 
@@ -27,6 +29,9 @@
 pub trait ClientReader: AsyncRead + Unpin {
     /// Whether the connection has ended or broken behind whatever stands unread before that.
     fn has_disconnected(&self) -> bool;
+
+    /// Reads what has arrived, even if the runtime has had no turn to notice it since. Pending if there is nothing.
+    fn read_arrived(&mut self, input: &mut BytesMut) -> Poll<io::Result<usize>>;
 }
 
 impl ClientStream for Socket {
@@ -45,6 +50,10 @@
         let readiness = pin!(self.0.ready(Interest::READABLE)).poll(&mut context);
         matches!(readiness, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
+
+    fn read_arrived(&mut self, input: &mut BytesMut) -> Poll<io::Result<usize>> {
+        self.read_now(input)
+    }
 }
 
 /// Waits until the client has left though nothing is read.
--- a/node/src/downstream/tests.rs
+++ b/node/src/downstream/tests.rs
@@ -1,6 +1,7 @@
 //! The client side, against clients played in memory and on loopback.
 
 mod closing;
+mod eviction;
 mod slots;
 
 use std::io;
--- a/node/src/socket.rs
+++ b/node/src/socket.rs
@@ -9,11 +9,15 @@
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 
+use bytes::BytesMut;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
 
+/// How many bytes one call takes that does not ask the runtime.
+const READ_NOW_BYTES: usize = 2048;
+
 /// A connection, or one half of it.
 #[derive(Debug)]
 pub struct Socket<S = TcpStream>(pub S);
@@ -56,6 +60,26 @@
     }
 }
 
+impl<S: AsTcpStream> Socket<S> {
+    /// Reads what has arrived without asking the runtime, which knows only of what came before its last turn. Pending if there
+    /// is nothing; zero at the end.
+    pub fn read_now(&self, input: &mut BytesMut) -> Poll<io::Result<usize>> {
+        let socket = SockRef::from(self.0.as_tcp_stream());
+        let mut buffer = [0; READ_NOW_BYTES];
+        loop {
+            match (&*socket).read(&mut buffer) {
+                Ok(length) => {
+                    input.extend_from_slice(&buffer[..length]);
+                    return Poll::Ready(Ok(length));
+                }
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Poll::Pending,
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
 impl<S: AsTcpStream + Unpin> AsyncRead for Socket<S> {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/node/src/testing.rs
+++ b/node/src/testing.rs
@@ -1,10 +1,15 @@
 //! Fixtures of the daemon's tests, beside those of the dispatcher's.
 
+use std::future::Future;
+use std::io;
+use std::pin::pin;
 use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
 
 pub use juniperladder_dispatch::testing::*;
 
-use tokio::io::{DuplexStream, ReadHalf, WriteHalf};
+use bytes::BytesMut;
+use tokio::io::{AsyncReadExt, DuplexStream, ReadHalf, WriteHalf};
 
 use crate::clock::Clock;
 use crate::counters::Counters;
@@ -47,6 +52,11 @@
     fn has_disconnected(&self) -> bool {
         false
     }
+
+    fn read_arrived(&mut self, input: &mut BytesMut) -> Poll<io::Result<usize>> {
+        let mut context = Context::from_waker(Waker::noop());
+        pin!(self.read_buf(input)).poll(&mut context)
+    }
 }
 
 /// Limits of a small balancer.
