Wake idle connections only when a phase of the shutdown begins

The rest was set_open_connections: each connection that opened or closed notified all who wait for a phase of the shutdown, and every idle connection, up to 257, does. Evicting 16 at once had let those wake-ups coincide.

Now the phases and the number of open connections have a notification each, and eviction takes one pass.

--- a/node/src/downstream/slots.rs
+++ b/node/src/downstream/slots.rs
@@ -166,25 +166,28 @@
     /// never brought one, or else of the others, then one that has only just come, and one in the middle of a request only
     /// when there is no other. Beyond the first only those are evicted that have brought nothing.
     pub(super) fn evict(&self, count: usize) {
-        let slots = self.slots.borrow();
-        let mut candidates: Vec<&Rc<Slot>> = slots.iter().filter(|slot| slot.is_evictable()).collect();
-        let now = Instant::now();
-        candidates.sort_unstable_by_key(|slot| slot.eviction_order(now));
-        for (position, slot) in candidates.into_iter().take(count).enumerate() {
-            if position == 0 || slot.is_silent() {
-                slot.evict();
+        for position in 0..count {
+            let is_allowed = |slot: &Slot| position == 0 || slot.is_silent();
+            if !self.evict_first(Instant::now(), is_allowed) {
+                return;
             }
         }
     }
 
     /// Evicts the connection that is idle longest and loses nothing by it: it is neither new nor in the middle of a request.
     pub(super) fn evict_settled(&self) {
-        let slots = self.slots.borrow();
         let now = Instant::now();
-        let is_settled =
-            |slot: &&Rc<Slot>| slot.is_evictable() && !slot.is_new(now) && !slot.has_incomplete_request.get();
-        if let Some(slot) = slots.iter().filter(is_settled).min_by_key(|slot| slot.eviction_order(now)) {
+        self.evict_first(now, |slot| !slot.is_new(now) && !slot.has_incomplete_request.get());
+    }
+
+    /// Evicts the first in the order of eviction, if this allows it. Returns whether one was evicted.
+    fn evict_first(&self, now: Instant, is_allowed: impl Fn(&Slot) -> bool) -> bool {
+        let slots = self.slots.borrow();
+        let candidates = slots.iter().filter(|slot| slot.is_evictable());
+        let first = candidates.min_by_key(|slot| slot.eviction_order(now)).filter(|slot| is_allowed(slot));
+        if let Some(slot) = first {
             slot.evict();
         }
+        first.is_some()
     }
 }
--- a/node/src/graceful_shutdown.rs
+++ b/node/src/graceful_shutdown.rs
@@ -41,7 +41,9 @@
     has_final_phase_begun: Cell<bool>,
     last_accept: Cell<Option<Instant>>,
     open_connections: Cell<usize>,
-    changed: Notify,
+    /// Every idle connection waits for it, so that it is notified only when a phase begins.
+    phase_changed: Notify,
+    all_closed: Notify,
 }
 
 impl GracefulShutdown {
@@ -58,27 +60,29 @@
     /// Sets how many connections are open.
     pub fn set_open_connections(&self, open: usize) {
         self.open_connections.set(open);
-        self.changed.notify_waiters();
+        if open == 0 {
+            self.all_closed.notify_waiters();
+        }
     }
 
     /// Waits until connections are to close between requests.
     pub async fn wait_for_closing(&self) {
         while !self.is_closing.get() {
-            self.changed.notified().await;
+            self.phase_changed.notified().await;
         }
     }
 
     /// Waits until no more requests are to be read: the last answers are on their way.
     pub async fn wait_for_final_phase(&self) {
         while !self.has_final_phase_begun.get() {
-            self.changed.notified().await;
+            self.phase_changed.notified().await;
         }
     }
 
     /// From now on connections close between requests.
     pub fn begin_closing(&self) {
         self.is_closing.set(true);
-        self.changed.notify_waiters();
+        self.phase_changed.notify_waiters();
     }
 
     /// Runs all phases. Returns when every connection is closed, or at the time limit, since a client may never finish sending
@@ -109,14 +113,14 @@
 
     async fn wait_until_all_closed(&self) {
         while self.open_connections.get() > 0 {
-            self.changed.notified().await;
+            self.all_closed.notified().await;
         }
     }
 
     /// All that was read has its answer now; who goes on sending sees the end of the connection.
     fn begin_final_phase(&self) {
         self.has_final_phase_begun.set(true);
-        self.changed.notify_waiters();
+        self.phase_changed.notify_waiters();
     }
 }
 
--- a/node/src/graceful_shutdown/tests.rs
+++ b/node/src/graceful_shutdown/tests.rs
@@ -1,5 +1,10 @@
+use std::cell::Cell;
+use std::future::{poll_fn, Future};
+use std::pin::pin;
+use std::rc::Rc;
+
 use super::*;
-use crate::testing;
+use crate::testing::{self, settle};
 
 /// The front deals out connections for up to 0.4 s after the signal; to close those that are open
 /// meanwhile would only bring more.
@@ -42,3 +47,29 @@
         assert_eq!(start.elapsed(), Duration::from_secs(3));
     });
 }
+
+/// Connections that come and go in a flood must not wake each other: every one that opened or closed cost a turn of all.
+#[test]
+fn connections_that_open_and_close_wake_no_other() {
+    testing::run(async {
+        let shutdown = Rc::new(GracefulShutdown::default());
+        let polls = Rc::new(Cell::new(0));
+        let (waited_for, counted) = (Rc::clone(&shutdown), Rc::clone(&polls));
+        let idle = tokio::task::spawn_local(async move {
+            let mut closing = pin!(waited_for.wait_for_closing());
+            poll_fn(|context| {
+                counted.set(counted.get() + 1);
+                closing.as_mut().poll(context)
+            })
+            .await;
+        });
+        settle().await;
+        for open in 1..100 {
+            shutdown.set_open_connections(open);
+            settle().await;
+        }
+        assert_eq!(polls.get(), 1);
+        shutdown.begin_closing();
+        idle.await.unwrap();
+    });
+}
