Fire timers only after a turn in which what had arrived was read

Callers saw requests answered as failed, or retried, though their answer stood in the socket: when this process stood still past an attempt's time, the attempt counted as timed out, and against its server. A list from discovery that had arrived was passed over for the time-out of its watch as often as not, which counts as a failure and has discovery called again.

Cause: the runtime takes what has come before it fires its own timers, but the dispatcher compares its timers with the clock itself, and may be woken by a new timer with no such turn since; discovery's `tokio::select!` drew between a list and a deadline that were both ready.

Now both note what is due, let the event loop turn once, and act only on what was due before that turn and is not settled by it. So no stop, however long and wherever it falls, turns an answer that arrived in time into a missing one.

--- a/dispatch/src/dispatcher/timers.rs
+++ b/dispatch/src/dispatcher/timers.rs
@@ -1,8 +1,12 @@
 //! The dispatcher's timers: the decisions' own, the deadline of each attempt, and each request's deadline behind them.
+//!
+//! Guarantee: a timer fires only after a turn of the event loop that began when it was due already. Whatever arrived in time is
+//! read in that turn, so that an event loop that is late lets no answer pass for a missing one.
 
 use std::cmp::Reverse;
 
 use juniperladder::{Event, Micros};
+use tokio::task::yield_now;
 use tokio::time::sleep_until;
 
 use super::state::{DispatcherState, Timer, NO_DEADLINE};
@@ -19,9 +23,15 @@
     /// Fires the timers, for as long as it is polled.
     pub async fn run_timers(&self) {
         loop {
-            let next = self.fire_due_timers();
+            let now = self.clock.now();
+            let next = self.next_due();
             self.next_timer.set(next);
-            let wake_at = next.min(self.clock.now().saturating_add(MAX_SLEEP));
+            if next <= now {
+                yield_now().await;
+                self.fire_timers_due_by(now);
+                continue;
+            }
+            let wake_at = next.min(now.saturating_add(MAX_SLEEP));
             tokio::select! {
                 () = sleep_until(self.clock.instant(wake_at)) => {}
                 () = self.timer_set.notified() => {}
@@ -29,17 +39,22 @@
         }
     }
 
-    /// Fires what is due and returns when the next timer is.
-    fn fire_due_timers(&self) -> Micros {
+    /// When the next timer is due.
+    fn next_due(&self) -> Micros {
+        let state = self.state.borrow();
+        state.timers.peek().map_or(NO_DEADLINE, |Reverse((at, _))| *at)
+    }
+
+    /// Fires all timers that were due by this time.
+    fn fire_timers_due_by(&self, due_by: Micros) {
         loop {
             let mut state = self.state.borrow_mut();
-            let now = self.clock.now();
             match state.timers.peek() {
-                Some(Reverse((at, _))) if *at <= now => {}
-                Some(Reverse((at, _))) => return *at,
-                None => return NO_DEADLINE,
+                Some(Reverse((at, _))) if *at <= due_by => {}
+                _ => return,
             }
-            let Some(Reverse((_, timer))) = state.timers.pop() else { continue };
+            let Some(Reverse((_, timer))) = state.timers.pop() else { return };
+            let now = self.clock.now();
             match timer {
                 Timer::Decisions(token) => self.handle(&mut state, now, Event::Timer(token)),
                 Timer::Attempt(id) => self.on_attempt_timeout(&mut state, id),
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -21,6 +21,7 @@
 use juniperladder_dispatch::log_throttle::LogThrottle;
 use slog::{debug, info, warn, Logger};
 use tokio::sync::{mpsc, watch};
+use tokio::task::yield_now;
 use tokio::time::{sleep_until, Instant};
 
 use crate::clock::to_ms;
@@ -82,6 +83,7 @@
     loop {
         let due = follower.deadline();
         tokio::select! {
+            biased;
             changed = address.changed() => {
                 if changed.is_err() {
                     return;
@@ -91,7 +93,15 @@
             }
             Some(message) = events.recv() => follower.on_poll_event(message),
             () = dispatcher.wait_for_watch_request() => follower.on_watch_requested(),
-            () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => follower.on_deadline(),
+            () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {
+                let due_by = Instant::now();
+                // What arrived in time is read in this turn, however late it is.
+                yield_now().await;
+                while let Ok(message) = events.try_recv() {
+                    follower.on_poll_event(message);
+                }
+                follower.on_deadline(due_by);
+            }
         }
     }
 }
@@ -166,12 +176,12 @@
         self.watches.deadline().into_iter().chain(self.next_poll).min()
     }
 
-    fn on_deadline(&mut self) {
-        let now = Instant::now();
-        for overdue in self.watches.take_overdue(now) {
+    /// Acts on all that was due by this time.
+    fn on_deadline(&mut self, due_by: Instant) {
+        for overdue in self.watches.take_overdue(due_by) {
             self.on_failure(overdue.kind.label(), overdue.age);
         }
-        if self.next_poll.is_some_and(|due| due <= now) {
+        if self.next_poll.is_some_and(|due| due <= due_by) {
             self.start_poll(PollReason::Backoff);
         }
     }
--- a/node/src/discovery/tests.rs
+++ b/node/src/discovery/tests.rs
@@ -1,6 +1,7 @@
 //! Discovery played on loopback and in memory: silence, refusals, calls that hang, a new address, lists that are pushed.
 
 mod fake_discovery;
+mod late_turn;
 
 use fake_discovery::{Behaviour, CrowdedDiscovery, Discovery};
 
--- /dev/null
+++ b/node/src/discovery/tests/late_turn.rs
@@ -0,0 +1,34 @@
+//! Turns of the event loop that are late: this process does not run while lists arrive and times pass.
+
+use super::*;
+
+/// The repeats of an order in which two branches are ready at once, so that none is taken first by chance each time.
+const ROUNDS: usize = 16;
+
+fn list(version: u64) -> Vec<u8> {
+    let object = format!("{{\"generation\":{version},\"reset\":true,\"instances\":[]}}\n");
+    format!("{:x}\r\n{object}\r\n", object.len()).into_bytes()
+}
+
+/// A list that arrived while this process stood still is taken first: its watch is not silent, and discovery is not called again.
+#[test]
+fn a_list_that_arrived_in_a_late_turn_keeps_its_watch() {
+    for round in 0..ROUNDS {
+        testing::run(async {
+            let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+            let balancer = balancer_at(listener.local_addr().unwrap(), NOW, true);
+            let (mut watch, _) = listener.accept().await.unwrap();
+            watch.read_buf(&mut BytesMut::new()).await.unwrap();
+            watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await.unwrap();
+            watch.write_all(&list(1)).await.unwrap();
+            settle().await;
+            let counters = balancer.dispatcher.counters();
+            assert_eq!(counters.endpoint_updates.get(), 1);
+            watch.try_write(&list(2)).unwrap();
+            tokio::time::advance(WATCH_SILENCE_TIMEOUT + Duration::from_millis(300)).await;
+            settle().await;
+            assert_eq!(counters.endpoint_updates.get(), 2);
+            assert_eq!(counters.discovery_failures.get(), 0, "round {round}");
+        });
+    }
+}
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -1,5 +1,7 @@
 //! Pools and connections, against servers simulated in memory and on loopback.
 
+mod late_turn;
+
 use super::connection::{AfterAttempt, UpstreamConnection};
 use super::*;
 use crate::dispatcher::Answer;
