Read what peers sent before judging them silent at a tick

Where balancers may talk, a member that stood still suspected members whose answers stood unread in its socket, and told others so: their requests passed by nobody, but limits shared by fewer.

Cause: `tokio::select!` in Peers::run drew between a due tick and a readable socket, and a tick drawn first judged time without a read.

--- a/node/src/peers.rs
+++ b/node/src/peers.rs
@@ -89,13 +89,13 @@
         let mut next_tick = Instant::now();
         let mut alive_members = 0;
         loop {
-            let has_packets = tokio::select! {
-                () = sleep_until(next_tick) => false,
-                ready = self.socket.readable() => ready.is_ok(),
-            };
-            if has_packets {
-                self.receive();
+            tokio::select! {
+                () = sleep_until(next_tick) => {}
+                // An error shows at the read.
+                _ = self.socket.readable() => {}
             }
+            // Before each tick, too: a member whose answer has come must not be taken for silent where this process was late.
+            self.receive();
             if Instant::now() >= next_tick {
                 // A tick that was missed is not made up for.
                 next_tick = Instant::now() + TICK_INTERVAL;
@@ -150,3 +150,6 @@
     socket.set_nonblocking(true)?;
     UdpSocket::from_std(socket)
 }
+
+#[cfg(test)]
+mod tests;
