Count a balancer's process as new from its start on in the checker

Seen: in plays with restarts and drains the checker counted `drains` that were none. A process was taken for the one before it until the poll that found it ready, though it serves from its "listening" on; and what it was notified of in that time did not count against it, so that real breaks were passed over. The trace printed with a break was that of the last request with the same id.

Three new tests fail without the change: one on each side of the start, one for the trace.

--- a/platform-model/src/checker/rules.rs
+++ b/platform-model/src/checker/rules.rs
@@ -9,9 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{CheckTerms, Idempotency};
-use crate::event_log::{
-    Attempt, ClientRequest, EndpointNotice, EventLog, Impairment, Receiver, RequestResult,
-};
+use crate::event_log::{Attempt, ClientRequest, EndpointNotice, EventLog, Receiver, RequestResult};
 use crate::{Micros, MICROS_PER_SECOND};
 
 /// A rule.
@@ -51,12 +49,11 @@
 
 /// All violations: those of requests in the order of the log, then those of drains, then those of slow start.
 pub fn find_violations(event_log: &EventLog, terms: &CheckTerms) -> Vec<Violation> {
-    let requests = event_log.requests.iter();
     let run = Run {
         event_log,
         terms,
-        attempts: attempts_by_request(event_log),
-        requests: requests.map(|request| (request.id, request)).collect(),
+        attempts: by_id(&event_log.attempts, |attempt| attempt.id),
+        requests: by_id(&event_log.requests, |request| request.id),
     };
     let mut violations = run.request_violations();
     violations.extend(run.drain_violations());
@@ -64,12 +61,12 @@
     violations
 }
 
-fn attempts_by_request(event_log: &EventLog) -> HashMap<u64, Vec<&Attempt>> {
-    let mut attempts: HashMap<u64, Vec<&Attempt>> = HashMap::new();
-    for attempt in &event_log.attempts {
-        attempts.entry(attempt.id).or_default().push(attempt);
+fn by_id<T>(entries: &[T], id: impl Fn(&T) -> u64) -> HashMap<u64, Vec<&T>> {
+    let mut by_id: HashMap<u64, Vec<&T>> = HashMap::new();
+    for entry in entries {
+        by_id.entry(id(entry)).or_default().push(entry);
     }
-    attempts
+    by_id
 }
 
 /// When a rule was violated, and how.
@@ -82,7 +79,7 @@
     /// The attempts of each request, by its id.
     attempts: HashMap<u64, Vec<&'a Attempt>>,
     /// Requests by their ids.
-    requests: HashMap<u64, &'a ClientRequest>,
+    requests: HashMap<u64, Vec<&'a ClientRequest>>,
 }
 
 impl<'a> Run<'a> {
@@ -196,20 +193,23 @@
         since
     }
 
-    /// When a balancer's process last started before this time; it knows only what it was notified of since.
-    fn process_started_at(&self, balancer: u32, before: Micros) -> Micros {
-        self.event_log
-            .process_impairments
-            .iter()
-            .filter(|span| span.number == balancer && span.impairment == Impairment::Dead)
-            .filter_map(|span| span.to.filter(|to| *to <= before))
-            .max()
-            .unwrap_or(0)
+    /// When the balancer's process that ran at this time was started; it knows only what it was notified of since.
+    fn process_started_at(&self, balancer: u32, time: Micros) -> Micros {
+        let starts = self.event_log.process_starts.iter();
+        let of_balancer = starts.filter(|start| start.balancer == balancer && start.at <= time);
+        of_balancer.map(|start| start.at).max().unwrap_or(0)
+    }
+
+    /// The request that an attempt was made for: the last that was sent with its id by then.
+    fn request_of(&self, attempt: &Attempt) -> Option<&'a ClientRequest> {
+        let requests = self.requests.get(&attempt.id)?.iter().copied();
+        requests
+            .filter(|request| request.sent_at <= attempt.received_at)
+            .max_by_key(|request| request.sent_at)
     }
 
     fn drain_violation(&self, attempt: &Attempt, server: u32, since: Micros) -> Violation {
         let late_ms = (attempt.first_byte_at - since) as f64 / 1e3;
-        let request = self.requests.get(&attempt.id);
         let trace = |request| request_trace(self.terms, request, self.attempts_of(attempt.id));
         Violation {
             rule: Rule::Drains,
@@ -218,7 +218,7 @@
                 "balancer {} sent to host {server} {late_ms:.0} ms after its drain was told",
                 attempt.balancer
             ),
-            request_trace: request.copied().map(trace).unwrap_or_default(),
+            request_trace: self.request_of(attempt).map(trace).unwrap_or_default(),
         }
     }
 
--- a/platform-model/src/checker/rules/tests.rs
+++ b/platform-model/src/checker/rules/tests.rs
@@ -2,7 +2,7 @@
 
 use super::super::test_log::{attempt, served, terms, EventLogBuilder};
 use super::*;
-use crate::event_log::{AttemptResult, ImpairedSpan, Receiver};
+use crate::event_log::{AttemptResult, ImpairedSpan, Impairment, ProcessStart, Receiver};
 use crate::micros_from_seconds;
 
 fn rules(builder: &EventLogBuilder) -> Vec<Rule> {
@@ -141,9 +141,54 @@
         from: micros_from_seconds(11.0),
         to: Some(micros_from_seconds(12.0)),
     }];
+    builder.event_log.process_starts = vec![ProcessStart { balancer: 0, at: micros_from_seconds(12.0) }];
     assert_eq!(rules(&builder), []);
 }
 
+/// A process that was started at 12 s and found to be ready at 12.5 s, after a drain at this second.
+fn restarted_after_drain(notified: f64) -> EventLogBuilder {
+    let mut builder = EventLogBuilder::default();
+    let at = micros_from_seconds(notified);
+    builder.event_log.notices = vec![EndpointNotice { balancer: 0, server: 2, in_service: false, at }];
+    builder.event_log.process_starts = vec![ProcessStart { balancer: 0, at: micros_from_seconds(12.0) }];
+    builder.event_log.process_impairments = vec![ImpairedSpan {
+        number: 0,
+        impairment: Impairment::Dead,
+        from: micros_from_seconds(11.0),
+        to: Some(micros_from_seconds(12.5)),
+    }];
+    builder
+}
+
+/// Guards against taking a new process for the one before it until it is found to be ready, though it serves sooner.
+#[test]
+fn process_knows_nothing_of_before_its_start_while_it_is_not_found_ready() {
+    let mut builder = restarted_after_drain(10.0);
+    builder.event_log.attempts = vec![attempt(1, Receiver::CacheServer(2), 12.2)];
+    assert_eq!(rules(&builder), []);
+}
+
+/// Guards against blindness for what a new process was notified of before it was found to be ready.
+#[test]
+fn drain_notified_right_after_a_start_holds() {
+    let mut builder = restarted_after_drain(12.01);
+    for (at, breaks) in [(12.2, 0), (12.57, 1), (12.7, 1)] {
+        builder.event_log.attempts = vec![attempt(1, Receiver::CacheServer(2), at)];
+        assert_eq!(rules(&builder), vec![Rule::Drains; breaks], "{at}");
+    }
+}
+
+/// Guards against the trace of a later request that has the same id.
+#[test]
+fn trace_of_a_drain_is_that_of_the_request_that_was_sent_before_the_attempt() {
+    let mut builder = restarted_after_drain(12.01);
+    let id = builder.request(ClientRequest { key: 7, ..served(12.6) });
+    builder.event_log.requests.push(ClientRequest { id, key: 8, ..served(14.0) });
+    builder.event_log.attempts = vec![attempt(id, Receiver::CacheServer(2), 12.7)];
+    let violations = find_violations(&builder.event_log, &terms());
+    assert!(violations[0].request_trace.iter().any(|line| line.contains("of key 7 ")), "{violations:?}");
+}
+
 #[test]
 fn collapse_in_slow_start_and_origin_stopped_by_its_misses_violate_the_rule() {
     let mut builder = EventLogBuilder::default();
--- a/platform-model/src/event_log.rs
+++ b/platform-model/src/event_log.rs
@@ -219,6 +219,15 @@
     }
 }
 
+/// A balancer's process was started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProcessStart {
+    /// The balancer's number.
+    pub balancer: u32,
+    /// When. It serves clients some time before it is found to be ready.
+    pub at: Micros,
+}
+
 /// All that a run left.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EventLog {
@@ -234,6 +243,8 @@
     pub server_impairments: Vec<ImpairedSpan>,
     /// When processes were impaired.
     pub process_impairments: Vec<ImpairedSpan>,
+    /// When processes were started.
+    pub process_starts: Vec<ProcessStart>,
     /// Servers that collapsed under load in slow start: the server's number and when.
     pub server_collapses: Vec<(u32, Micros)>,
     /// When the origin stopped, and the share of misses of servers in slow start in what it had been sent.
--- a/testbed/src/experiment_run/measurement.rs
+++ b/testbed/src/experiment_run/measurement.rs
@@ -67,6 +67,9 @@
         shift(&mut attempt.received_at);
         attempt.answered_at.iter_mut().for_each(shift);
     }
+    for start in &mut event_log.process_starts {
+        shift(&mut start.at);
+    }
     for span in event_log.server_impairments.iter_mut().chain(&mut event_log.process_impairments) {
         shift(&mut span.from);
         span.to.iter_mut().for_each(shift);
--- a/testbed/src/processes.rs
+++ b/testbed/src/processes.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use juniperladder_platform_model::event_log::{EventLog, Impairment};
+use juniperladder_platform_model::event_log::{EventLog, Impairment, ProcessStart};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -223,6 +223,7 @@
         };
         let log = OpenOptions::new().create(true).append(true).open(&process.log);
         let log = log.map_err(|source| error(&process.log, source))?;
+        let started_at = self.testbed.now();
         let child = self.command(process, log).spawn().map_err(|source| error(&self.program, source))?;
         process.pid.set(child.id().map_or(0, |pid| pid as i32));
         if let Some(reaper) = &mut *self.child_reaper.borrow_mut() {
@@ -230,6 +231,8 @@
         }
         process.end_requested.set(false);
         process.starts.set(process.starts.get() + 1);
+        let start = ProcessStart { balancer: number as u32, at: started_at };
+        self.testbed.event_log.borrow_mut().process_starts.push(start);
         spawn_local(Rc::clone(self).wait_for_end(number, child));
         Ok(())
     }
