Add a soak of planned ends: signals in series, restless clients, crowds and late turns

Need: what callers lose most easily is what stands open when a process ends, and no test kept clients sending up to the kill at the protocol's earliest (the longest deadline, counted as 3 s at most, and 0.7 s).

A planned end excuses no answer any more in the checker (Impairment::Ended), a stall only its own length.

--- a/platform-model/src/checker/rules.rs
+++ b/platform-model/src/checker/rules.rs
@@ -9,7 +9,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::{CheckTerms, Idempotency};
-use crate::event_log::{Attempt, ClientRequest, EndpointNotice, EventLog, Receiver, RequestResult};
+use crate::event_log::{
+    Attempt, ClientRequest, EndpointNotice, EventLog, Impairment, Receiver, RequestResult,
+};
 use crate::{Micros, MICROS_PER_SECOND};
 
 /// A rule.
@@ -146,9 +148,19 @@
         self.event_log
             .process_impairments
             .iter()
+            .filter(|span| span.impairment != Impairment::Ended)
             .any(|span| span.number == request.balancer && span.overlaps(request.sent_at, until))
     }
 
+    /// How long the balancer's process stood still while a request was open, at the most.
+    fn stalled_time(&self, request: &ClientRequest, until: Micros) -> Micros {
+        let stalls = self.event_log.process_stalls.iter();
+        let near = stalls.filter(|stall| {
+            stall.balancer == request.balancer && stall.from <= until && stall.to >= request.sent_at
+        });
+        near.map(|stall| stall.to - stall.from).sum()
+    }
+
     fn check_deadline(&self, request: &ClientRequest, due: Micros) -> Option<Finding> {
         let ended_at = request.ended_at?;
         // By what the testbed itself was late, up to a second before or after, the program cannot be held late.
@@ -156,7 +168,8 @@
             stall.0 + MICROS_PER_SECOND >= request.sent_at && stall.0 <= due + MICROS_PER_SECOND
         };
         let stalls = self.event_log.testbed_stalls.iter().filter(near);
-        let stall = stalls.map(|(_, lateness)| *lateness).max().unwrap_or(0);
+        let testbed_stall = stalls.map(|(_, lateness)| *lateness).max().unwrap_or(0);
+        let stall = testbed_stall + self.stalled_time(request, due);
         let late = ended_at.checked_sub(due + stall).filter(|late| *late > 0)?;
         let late_ms = (late + stall) as f64 / 1e3;
         Some((ended_at, format!("its answer came {late_ms:.0} ms after its deadline")))
--- a/platform-model/src/checker/rules/tests.rs
+++ b/platform-model/src/checker/rules/tests.rs
@@ -2,7 +2,7 @@
 
 use super::super::test_log::{attempt, served, terms, EventLogBuilder};
 use super::*;
-use crate::event_log::{AttemptResult, ImpairedSpan, Impairment, ProcessStart, Receiver};
+use crate::event_log::{AttemptResult, ImpairedSpan, Impairment, ProcessStall, ProcessStart, Receiver};
 use crate::micros_from_seconds;
 
 fn rules(builder: &EventLogBuilder) -> Vec<Rule> {
@@ -218,3 +218,33 @@
     assert_eq!(story.len(), 4, "{story:?}");
     assert!(story.iter().zip(parts).all(|(line, part)| line.contains(part)), "{story:?}");
 }
+
+/// Guards against excusing what a process took and did not answer before a planned end.
+#[test]
+fn planned_end_excuses_no_answer() {
+    let unanswered = ClientRequest { result: RequestResult::ConnectionClosed, ..served(10.0) };
+    for (impairment, expected) in [(Impairment::Dead, &[][..]), (Impairment::Ended, &[Rule::Answers][..])] {
+        let mut builder = EventLogBuilder::default();
+        builder.request(unanswered.clone());
+        builder.event_log.process_impairments =
+            vec![ImpairedSpan { number: 0, impairment, from: micros_from_seconds(10.1), to: None }];
+        assert_eq!(rules(&builder), expected, "{impairment:?}");
+    }
+}
+
+/// A process that stood still may answer later by that, and by no more; it owes the answer all the same.
+#[test]
+fn stalled_process_may_be_later_by_its_stall() {
+    let request = served(10.0);
+    let due = request.deadline + 50_000;
+    let stall = |balancer| ProcessStall { balancer, from: request.sent_at, to: request.sent_at + 200_000 };
+    let late = ClientRequest { ended_at: Some(due + 200_000), ..request.clone() };
+    let too_late = ClientRequest { ended_at: Some(due + 200_001), ..request.clone() };
+    let silent = ClientRequest { result: RequestResult::NoAnswer, ended_at: None, ..request.clone() };
+    for (request, stalled, breaks) in [(&late, 0, 0), (&late, 1, 1), (&too_late, 0, 1), (&silent, 0, 1)] {
+        let mut builder = EventLogBuilder::default();
+        builder.request(request.clone());
+        builder.event_log.process_stalls = vec![stall(stalled)];
+        assert_eq!(rules(&builder), vec![Rule::Answers; breaks], "{request:?}");
+    }
+}
--- a/platform-model/src/checker/self_reports.rs
+++ b/platform-model/src/checker/self_reports.rs
@@ -89,7 +89,9 @@
 }
 
 fn alive_processes(event_log: &EventLog, terms: &CheckTerms, at: Micros) -> usize {
-    let is_dead = |span: &&ImpairedSpan| span.impairment == Impairment::Dead && span.overlaps(at, at);
-    let dead = event_log.process_impairments.iter().filter(is_dead).count();
-    terms.balancers - dead.min(terms.balancers)
+    let is_gone = |span: &&ImpairedSpan| {
+        matches!(span.impairment, Impairment::Dead | Impairment::Ended) && span.overlaps(at, at)
+    };
+    let gone = event_log.process_impairments.iter().filter(is_gone).count();
+    terms.balancers - gone.min(terms.balancers)
 }
--- a/platform-model/src/checker/terms.rs
+++ b/platform-model/src/checker/terms.rs
@@ -1,6 +1,6 @@
 //! What the checker goes by: the measured time, the classes of requests, what the fleet is and what its program states.
 
-use crate::experiment::{CacheServers, Experiment};
+use crate::experiment::{CacheServers, DeadlineProfile, Experiment};
 use crate::{micros_from_seconds, Micros, MICROS_PER_SECOND};
 
 /// Whether a request may run again once it may have been executed.
@@ -67,9 +67,12 @@
         CheckTerms {
             measured_from,
             measured_until: measured_from + micros_from_seconds(experiment.seconds),
-            classes: [READ_CLASS, WRITE_CLASS],
+            classes: classes(experiment.deadlines),
             max_attempts: 3,
-            drain_grace: MICROS_PER_SECOND / 2,
+            drain_grace: match experiment.deadlines {
+                DeadlineProfile::Long => 500_000,
+                DeadlineProfile::Short => 400_000,
+            },
             tolerance: 50_000,
             server_weights: (0..fleet.servers).map(weight).collect(),
             origin_capacity: experiment.origin.capacity,
@@ -80,6 +83,11 @@
         }
     }
 
+    /// The longest deadline of a class.
+    pub fn longest_deadline(&self) -> Micros {
+        self.classes[0].deadline.max(self.classes[1].deadline)
+    }
+
     /// The class of reads or of writes.
     pub fn class(&self, write: bool) -> &RequestClass {
         &self.classes[usize::from(write)]
@@ -96,6 +104,14 @@
     }
 }
 
+/// The classes of reads and of writes.
+fn classes(deadlines: DeadlineProfile) -> [RequestClass; 2] {
+    match deadlines {
+        DeadlineProfile::Long => [READ_CLASS, WRITE_CLASS],
+        DeadlineProfile::Short => [SHORT_READ_CLASS, SHORT_WRITE_CLASS],
+    }
+}
+
 const READ_CLASS: RequestClass = RequestClass {
     name: "read",
     latency_objective: 750_000,
@@ -112,6 +128,16 @@
     idempotency: Idempotency::WithIdempotencyKey(6 * MICROS_PER_SECOND),
 };
 
+const SHORT_READ_CLASS: RequestClass =
+    RequestClass { latency_objective: 150_000, deadline: 300_000, ..READ_CLASS };
+
+const SHORT_WRITE_CLASS: RequestClass = RequestClass {
+    latency_objective: 500_000,
+    deadline: 1_200_000,
+    idempotency: Idempotency::WithIdempotencyKey(1_200_000),
+    ..WRITE_CLASS
+};
+
 /// What the program states of what its balancers share.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StatedBounds {
--- a/platform-model/src/event_log.rs
+++ b/platform-model/src/event_log.rs
@@ -191,6 +191,8 @@
     LinkFault,
     /// A process is not running.
     Dead,
+    /// A process was told to end, and has ended of itself: it owes an answer to all that it took before.
+    Ended,
     /// A process is frozen.
     Frozen,
 }
@@ -228,6 +230,17 @@
     pub at: Micros,
 }
 
+/// A balancer's process stood still, and went on. It owes the same answers as any other, later by that.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProcessStall {
+    /// The balancer's number.
+    pub balancer: u32,
+    /// From when.
+    pub from: Micros,
+    /// Until when.
+    pub to: Micros,
+}
+
 /// All that a run left.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EventLog {
@@ -245,6 +258,8 @@
     pub process_impairments: Vec<ImpairedSpan>,
     /// When processes were started.
     pub process_starts: Vec<ProcessStart>,
+    /// When processes stood still for a moment.
+    pub process_stalls: Vec<ProcessStall>,
     /// Servers that collapsed under load in slow start: the server's number and when.
     pub server_collapses: Vec<(u32, Micros)>,
     /// When the origin stopped, and the share of misses of servers in slow start in what it had been sent.
--- a/platform-model/src/experiment.rs
+++ b/platform-model/src/experiment.rs
@@ -25,6 +25,9 @@
     pub fleet: Fleet,
     /// What clients ask for.
     pub load: Load,
+    /// How long clients wait.
+    #[serde(default)]
+    pub deadlines: DeadlineProfile,
     /// What clients do after an answer.
     #[serde(default)]
     pub clients: Clients,
@@ -45,6 +48,17 @@
     pub fault: Vec<Fault>,
 }
 
+/// How long clients wait, and how long a balancer may send to a server that drains.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum DeadlineProfile {
+    /// 1.5 s for reads, 3 s for writes; a grace of 0.5 s.
+    #[default]
+    Long,
+    /// 0.3 s for reads, 1.2 s for writes; a grace of 0.4 s.
+    Short,
+}
+
 /// The processes and the servers.
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
--- a/platform-model/src/rng.rs
+++ b/platform-model/src/rng.rs
@@ -29,6 +29,10 @@
     Processes = 7,
     /// The checker's fair draws.
     Fair = 8,
+    /// What happens in a run of the soak.
+    Soak = 9,
+    /// What its clients send, and in which pieces.
+    SoakClients = 10,
 }
 
 /// The generator of this stream in a run of this seed.
--- a/testbed-cli/src/lib.rs
+++ b/testbed-cli/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod scale_run;
 mod scale_table;
 pub mod sizes;
+pub mod soak;
 pub mod tables;
 
 use std::path::PathBuf;
@@ -80,6 +81,9 @@
     /// Runs the control code of many members in one process, over sockets or in simulated time: 0 it counts, 1 a check
     /// failed, 2 not allowed (nothing was started), 3 the test bed was late and the run does not count
     Scale(scale_args::ScaleArgs),
+    /// Runs many short seeded runs round the planned end of processes: 0 every rule kept, 1 something broken (each failing seed
+    /// is printed with the command that runs it again), 2 not allowed (nothing was started)
+    Soak(soak::SoakArgs),
     /// Fits a column of a table to another: which law describes the cost, and what the smaller sizes say of the largest
     Fit {
         /// The table, as CSV
@@ -113,6 +117,7 @@
         Command::Replay { folder } => replay::replay(&folder),
         Command::Report { folder } => report::rewrite_report(&folder),
         Command::Scale(args) => scale::scale(&args),
+        Command::Soak(args) => soak::soak(&args),
         Command::Fit { table, x, y } => fit_table::fit_table(&table, &x, &y),
         Command::Reap => reap_processes(),
         Command::Demo { out } => demo::demo(&out),
--- /dev/null
+++ b/testbed-cli/tests/soak.rs
@@ -0,0 +1,45 @@
+//! The soak with a few seeds, on the real program: planned ends under signals in series, crowds, late turns and changes of the endpoint
+//! list. By hand it runs many: `juniperladder-testbed soak`.
+
+use juniperladder_platform_model::experiment::DeadlineProfile;
+use juniperladder_testbed::soak::check::{check_soak, SoakFinding, SoakResult};
+use juniperladder_testbed::soak::plan::SoakPlan;
+use juniperladder_testbed::soak::run::run_soak;
+
+/// Seeds of each deadline profile; among them are a crowd, late turns, changes of the endpoint list and a crowded discovery.
+const SEEDS: std::ops::Range<u64> = 1..9;
+
+/// The program, as built beside this test.
+fn program() -> String {
+    let own = std::env::current_exe().unwrap();
+    let program = own.parent().and_then(|deps| deps.parent()).unwrap().join("juniperladder");
+    assert!(program.is_file(), "build the program first: cargo build -p juniperladder-cli");
+    program.to_str().unwrap().into()
+}
+
+fn run_seed(seed: u64, deadlines: DeadlineProfile, program: &str) -> (SoakPlan, SoakResult) {
+    let folder = tempfile::tempdir().unwrap();
+    let plan = SoakPlan::draw(seed, deadlines, program);
+    let record = run_soak(&plan, folder.path(), None).unwrap();
+    let result = check_soak(&plan, &record);
+    (plan, result)
+}
+
+fn assert_kept(seed: u64, deadlines: DeadlineProfile) {
+    let (plan, result) = run_seed(seed, deadlines, &program());
+    let findings: Vec<String> = result.findings.iter().map(SoakFinding::to_string).collect();
+    assert!(findings.is_empty(), "{deadlines:?}, {plan}{}", findings.join("\n"));
+    assert!(result.requests.served > 0 && result.requests.after_sigterm > 0, "{plan}{}", result.requests);
+}
+
+/// Guards against requests lost in a planned end where clients wait up to 3 s, and SIGKILL comes after 3.7 s.
+#[test]
+fn planned_ends_lose_no_request_with_long_deadlines() {
+    SEEDS.for_each(|seed| assert_kept(seed, DeadlineProfile::Long));
+}
+
+/// Guards against requests lost in a planned end where clients wait up to 1.2 s, and SIGKILL comes after 1.9 s.
+#[test]
+fn planned_ends_lose_no_request_with_short_deadlines() {
+    SEEDS.for_each(|seed| assert_kept(seed, DeadlineProfile::Short));
+}
--- a/testbed/faulty-balancer/main.rs
+++ b/testbed/faulty-balancer/main.rs
@@ -9,6 +9,7 @@
 use serde_json::Value;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
@@ -60,6 +61,8 @@
     Shun,
     /// It sends everything to the origin.
     Flood,
+    /// It ends at once when it is told to, with code 0, and leaves what it took without an answer.
+    Abrupt,
 }
 
 impl Flaw {
@@ -78,6 +81,7 @@
             "favour" => Flaw::Favour,
             "shun" => Flaw::Shun,
             "flood" => Flaw::Flood,
+            "abrupt" => Flaw::Abrupt,
             _ => Flaw::None,
         }
     }
@@ -112,6 +116,11 @@
     } else {
         spawn_local(Rc::clone(&balancer).follow_discovery(discovery));
     }
+    if flaw == Flaw::Abrupt {
+        spawn_local(end_at_sigterm(signal(SignalKind::terminate())?));
+        // It lives through the other signals, whose default would end it.
+        let _ = (signal(SignalKind::hangup())?, signal(SignalKind::user_defined1())?);
+    }
     let listener = TcpListener::bind(config["listen"].as_str().ok_or("no address")?).await?;
     loop {
         let (stream, _) = listener.accept().await?;
@@ -123,6 +132,11 @@
     }
 }
 
+async fn end_at_sigterm(mut sigterm: Signal) {
+    sigterm.recv().await;
+    std::process::exit(0);
+}
+
 /// It is notified, and does not act on it.
 async fn ignore_discovery(discovery: SocketAddr) -> Result<(), Error> {
     let mut watch = TcpStream::connect(discovery).await?;
--- a/testbed/src/clients.rs
+++ b/testbed/src/clients.rs
@@ -1,6 +1,4 @@
 //! Clients: send each request when it is due, whatever the answers; read what comes back; retry as clients do.
-//!
-//! The reader of answers is the testbed's own, so that the program's codec is not tested against itself.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -10,15 +8,16 @@
 use juniperladder_platform_model::checker::CheckTerms;
 use juniperladder_platform_model::event_log::{ClientRequest, RequestResult};
 use juniperladder_platform_model::rng::{seeded_rng, RngStream, SeededRng};
-use juniperladder_platform_model::workload::{key_name, Arrival};
+use juniperladder_platform_model::workload::Arrival;
 use juniperladder_platform_model::{micros_from_millis, Micros};
 use rand::Rng;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, timeout, timeout_at};
 
-use crate::testbed::{receipt_of, request_id, value_of, Testbed};
+use crate::client_protocol::{read_answer, ParsedAnswer, WireRequest};
+use crate::testbed::{request_id, Testbed};
 
 /// How long after its deadline a request is still listened to: to tell a late answer from none.
 const LATE_ANSWER_WAIT: Micros = 1_000_000;
@@ -34,10 +33,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Idle connections that are pooled for one balancer.
 const MAX_IDLE_CONNECTIONS: usize = 64;
-/// The longest line of an answer that is read, in bytes; one without an end is no answer.
-const MAX_ANSWER_LINE: u64 = 8_192;
-/// The longest value that is read, in bytes.
-const MAX_VALUE_LENGTH: usize = 65_536;
 
 /// A connection to a balancer.
 type Connection = BufReader<TcpStream>;
@@ -71,21 +66,9 @@
 }
 
 impl OutgoingRequest {
-    /// The request on the wire. The key's number rides along as a property, for the testbed's servers.
-    fn wire_form(&self) -> String {
-        let OutgoingRequest { id, first_id, key, .. } = *self;
-        let name = key_name(key);
-        let millis = self.time / 1_000;
-        let retry = if self.is_retry { ",r=1" } else { "" };
-        if self.write {
-            let value = format!("written {first_id:016x}");
-            let length = value.len();
-            format!(
-                "ms {name} {length} O{id:016x} Pc=put,d={millis},k={first_id:016x},q={key}{retry}\r\n{value}\r\n"
-            )
-        } else {
-            format!("mg {name} v O{id:016x} Pc=read,d={millis},q={key}{retry}\r\n")
-        }
+    fn wire_request(&self) -> WireRequest {
+        let OutgoingRequest { id, first_id, key, write, is_retry, time, .. } = *self;
+        WireRequest { id, first_id, key, write, is_retry, time }
     }
 }
 
@@ -104,12 +87,6 @@
     }
 }
 
-/// An answer as it was read.
-struct ParsedAnswer {
-    result: RequestResult,
-    retry_after: Micros,
-}
-
 impl Clients {
     /// Clients of balancers at these addresses.
     pub fn new(testbed: Rc<Testbed>, terms: CheckTerms, addresses: Vec<SocketAddr>) -> Rc<Clients> {
@@ -273,13 +250,14 @@
         place: usize,
         request: &OutgoingRequest,
     ) -> Option<RequestEnd> {
-        let written = connection.write_all(request.wire_form().as_bytes()).await;
+        let wire_request = request.wire_request();
+        let written = connection.write_all(wire_request.wire_form().as_bytes()).await;
         let sent_at = self.testbed.now();
         self.log_sent(place, sent_at, request);
         let until = sent_at + request.leaves_after.unwrap_or(request.time + LATE_ANSWER_WAIT);
         let read = async {
             written.ok()?;
-            read_answer(&mut connection, request).await
+            read_answer(&mut connection, &wire_request).await
         };
         match timeout_at(self.testbed.instant(until), read).await {
             Ok(Some(answer)) => Some(self.on_answer(connection, answer, request.balancer)),
@@ -312,48 +290,3 @@
         RequestEnd { result: answer.result, at, extra_lines, retry_after: answer.retry_after }
     }
 }
-
-/// Reads the answer to a request; none where the connection ends before it is complete.
-async fn read_answer(connection: &mut Connection, request: &OutgoingRequest) -> Option<ParsedAnswer> {
-    let mut line = Vec::new();
-    (&mut *connection).take(MAX_ANSWER_LINE).read_until(b'\n', &mut line).await.ok()?;
-    let line = std::str::from_utf8(line.strip_suffix(b"\r\n")?).unwrap_or_default();
-    let words: Vec<&str> = line.split(' ').collect();
-    let id_flag = format!("O{:016x}", request.id);
-    let (result, retry_after) = match words[..] {
-        ["SERVER_ERROR", "busy"] => (RequestResult::Rejected, 0),
-        ["SERVER_ERROR", "busy", millis] => {
-            (RequestResult::Rejected, micros_from_millis(millis.parse().unwrap_or(0.0)))
-        }
-        ["VA", length, flag, ..] => {
-            let value = read_value(connection, length.parse().ok()?).await?;
-            let is_right = value == value_of(request.id, request.key).as_bytes();
-            (served_if(is_right && flag == id_flag && !request.write), 0)
-        }
-        ["HD", flag, receipt, ..] => {
-            let is_right = receipt.strip_prefix('c') == Some(&receipt_of(request.first_id));
-            (served_if(is_right && flag == id_flag && request.write), 0)
-        }
-        _ => (RequestResult::Failed, 0),
-    };
-    Some(ParsedAnswer { result, retry_after })
-}
-
-/// Reads a value and the end of its line.
-async fn read_value(connection: &mut Connection, length: usize) -> Option<Vec<u8>> {
-    if length > MAX_VALUE_LENGTH {
-        return None;
-    }
-    let mut value = vec![0; length + 2];
-    connection.read_exact(&mut value).await.ok()?;
-    value.truncate(length);
-    Some(value)
-}
-
-fn served_if(is_right: bool) -> RequestResult {
-    if is_right {
-        RequestResult::Served
-    } else {
-        RequestResult::WrongValue
-    }
-}
--- a/testbed/src/experiment_run.rs
+++ b/testbed/src/experiment_run.rs
@@ -1,8 +1,8 @@
 //! Runs an experiment: prepares the platform, starts the processes, sends the load, makes the faults, ends everything and
 //! gives the record.
 
-mod measurement;
-mod platform;
+pub(crate) mod measurement;
+pub(crate) mod platform;
 
 use std::iter::Peekable;
 use std::path::Path;
--- a/testbed/src/experiment_run/measurement.rs
+++ b/testbed/src/experiment_run/measurement.rs
@@ -67,6 +67,10 @@
         shift(&mut attempt.received_at);
         attempt.answered_at.iter_mut().for_each(shift);
     }
+    for stall in &mut event_log.process_stalls {
+        shift(&mut stall.from);
+        shift(&mut stall.to);
+    }
     for start in &mut event_log.process_starts {
         shift(&mut start.at);
     }
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod cache_servers;
 pub mod child_reaper;
+mod client_protocol;
 mod clients;
 mod discovery;
 mod error;
@@ -19,6 +20,7 @@
 mod resource_check;
 pub mod scale;
 mod self_reports;
+pub mod soak;
 mod testbed;
 
 pub use error::{RunError, SetupError, TestbedError};
--- a/testbed/src/processes.rs
+++ b/testbed/src/processes.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use juniperladder_platform_model::event_log::{EventLog, Impairment, ProcessStart};
+use juniperladder_platform_model::event_log::{EventLog, Impairment, ProcessStall, ProcessStart};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -131,6 +131,19 @@
     child_reaper: RefCell<Option<ChildReaper>>,
     /// Processes that ended by themselves: which and how, with the last log lines.
     pub crashes: RefCell<Vec<String>>,
+    /// How processes ended that had been told to.
+    pub planned_ends: RefCell<Vec<PlannedEnd>>,
+}
+
+/// How a process ended that had been told to.
+#[derive(Clone, Debug)]
+pub struct PlannedEnd {
+    /// The balancer's number.
+    pub balancer: usize,
+    /// Its exit code; none where a signal ended it.
+    pub exit_code: Option<i32>,
+    /// The end of its log.
+    pub log_end: String,
 }
 
 impl Processes {
@@ -159,6 +172,7 @@
             peers,
             child_reaper: RefCell::new(child_reaper),
             crashes: RefCell::default(),
+            planned_ends: RefCell::default(),
         };
         for number in 0..processes.all.len() {
             processes.write_files(number, discovery[number], &servers[number])?;
@@ -253,8 +267,13 @@
         let status = child.wait().await;
         let process = &self.all[number];
         process.pid.set(0);
-        self.begin_impairment(number, Impairment::Dead);
-        if !process.end_requested.get() {
+        let exit_code = status.as_ref().ok().and_then(ExitStatus::code);
+        let has_ended_as_told = process.end_requested.get() && exit_code == Some(0);
+        self.begin_impairment(number, if has_ended_as_told { Impairment::Ended } else { Impairment::Dead });
+        if process.end_requested.get() {
+            let log_end = log_end(&process.log);
+            self.planned_ends.borrow_mut().push(PlannedEnd { balancer: number, exit_code, log_end });
+        } else {
             self.on_crash(number, status);
         }
         process.ends.send_modify(|count| *count += 1);
@@ -281,12 +300,32 @@
                     process.end_requested.set(true);
                     self.begin_impairment(number, Impairment::Dead);
                 }
+                Signal::SIGHUP | Signal::SIGUSR1 => {}
                 _ => process.end_requested.set(true),
             }
             process.send(signal);
         }
     }
 
+    /// Holds a process up for so long: it stands still, and owes the same answers afterwards.
+    pub async fn stall(&self, number: usize, lasts: Duration) {
+        let process = &self.all[number];
+        let from = self.testbed.now();
+        process.send(Signal::SIGSTOP);
+        sleep(lasts).await;
+        process.send(Signal::SIGCONT);
+        let stall = ProcessStall { balancer: number as u32, from, to: self.testbed.now() };
+        self.testbed.event_log.borrow_mut().process_stalls.push(stall);
+    }
+
+    /// Puts this text in the place of a process's configuration; gives what stood there.
+    pub fn replace_config(&self, number: usize, text: &str) -> io::Result<String> {
+        let file = self.all[number].config_file();
+        let before = std::fs::read_to_string(&file)?;
+        std::fs::write(&file, text)?;
+        Ok(before)
+    }
+
     fn begin_impairment(&self, number: usize, impairment: Impairment) {
         let now = self.testbed.now();
         let spans = &mut self.testbed.event_log.borrow_mut().process_impairments;
@@ -317,6 +356,7 @@
         }
         process.wait_until_ready(RESTART_POLL_INTERVAL).await;
         self.end_impairment(number, Impairment::Dead);
+        self.end_impairment(number, Impairment::Ended);
     }
 
     /// How many were started, restarts included.
--- a/testbed/tests/controls.rs
+++ b/testbed/tests/controls.rs
@@ -3,10 +3,15 @@
 
 use std::path::PathBuf;
 
+use juniperladder_platform_model::checker::rules::Rule;
 use juniperladder_platform_model::checker::{check_run, CheckTerms};
+use juniperladder_platform_model::experiment::DeadlineProfile;
 use juniperladder_platform_model::reader::read;
 use juniperladder_platform_model::summary::Summary;
 use juniperladder_platform_model::MICROS_PER_SECOND;
+use juniperladder_testbed::soak::check::{check_soak, SoakFinding};
+use juniperladder_testbed::soak::plan::SoakPlan;
+use juniperladder_testbed::soak::run::run_soak;
 use juniperladder_testbed::{run_experiment, RunOptions, TestbedError};
 
 /// Runs the control with this flaw; `more` is put at the end of the experiment's file.
@@ -104,6 +109,30 @@
     assert_eq!(is_slow, flaw == "stubborn", "{detection:?}");
 }
 
+/// Guards against a checker that is blind for a new process: one that forwards to a drained server right after its start is found.
+#[test]
+fn deaf_balancer_is_found_right_after_its_restart() {
+    let restart_and_drain = "[[fault]]\nat = 1\nwhat = \"kill\"\nwho = \"balancers:0-3\"\nback = 0.2\n\
+                             [[fault]]\nat = 1.1\nwhat = \"drain\"\nwho = \"hosts:3\"\nfor = 6\n";
+    assert!(run_control("deaf", restart_and_drain).rules.drains > 0);
+    assert_eq!(run_control("sound", restart_and_drain).rules.drains, 0);
+}
+
+/// Guards against a soak that is blind for what a process took and did not answer before it ended as it was told to.
+#[test]
+fn abrupt_balancer_is_found_by_the_soak() {
+    let folder = tempfile::tempdir().unwrap();
+    let program: PathBuf = folder.path().join("abrupt");
+    std::os::unix::fs::symlink(env!("CARGO_BIN_EXE_juniperladder-faulty-balancer"), &program).unwrap();
+    let plan = SoakPlan::draw(1, DeadlineProfile::Short, program.to_str().unwrap());
+    let record = run_soak(&plan, folder.path(), None).unwrap();
+    assert!(record.planned_ends.iter().all(|end| end.exit_code == Some(0)));
+    let lost = "its connection ended without a whole answer";
+    let is_loss = |finding: &SoakFinding| matches!(finding, SoakFinding::Rule(violation) if violation.rule == Rule::Answers && violation.description == lost);
+    let result = check_soak(&plan, &record);
+    assert!(result.findings.iter().any(is_loss), "{:?}", result.findings);
+}
+
 /// A program that ends at once, and one that is not there.
 #[test]
 fn process_that_does_not_become_ready_ends_the_run_with_its_reason() {
