Count a planned end from when its signal may have come, not from its notice

Callers lost the answers of connections that never rest: a balancer that stood still while SIGTERM came went on past the earliest SIGKILL.

Cause: Daemon::stop counts from when it notices the signal; after a stall of 245 ms its last answers were due 2.095 s after a SIGTERM that lets it live for 1.9 s, and 100 ms were left for that. Runs without a stall ended in time, with connections that never rest and with a second SIGTERM, so that neither is the cause.

Now the dispatcher notes times of 10 ms and more without an event; a signal noticed within 50 ms after one may have come at its beginning, and up to 300 ms come off the time for answers. The wait for new connections counts as before. That holds for stalls of up to 300 ms, as events can't come in a stall.

--- a/dispatch/src/dispatcher.rs
+++ b/dispatch/src/dispatcher.rs
@@ -31,6 +31,7 @@
 use crate::request::{upload_handle, ClosedFlag, UploadHandle};
 pub use crate::request::{Attempt, ClientRequest, ClientRequestId};
 use crate::request_metrics::{RequestMetrics, RequestOutcome};
+use crate::stall_tracker::StallTracker;
 use crate::start_times::StartTimes;
 use crate::streamed_value::{streamed_value, ChunkSender};
 pub use crate::values::{Answer, ListedServer, Reply};
@@ -63,6 +64,7 @@
     next_timer: Cell<Micros>,
     /// When the last request has to be answered.
     final_deadline: Cell<Micros>,
+    stalls: StallTracker,
     log_throttle: LogThrottle,
     log: Logger,
 }
@@ -108,6 +110,7 @@
             last_request_closed: Notify::new(),
             next_timer: Cell::new(NO_DEADLINE),
             final_deadline: Cell::new(NO_DEADLINE),
+            stalls: StallTracker::new(clock.now()),
             log_throttle: LogThrottle::default(),
             log,
         })
@@ -311,8 +314,15 @@
         }
     }
 
+    /// How long ago something may have happened that is noticed now: this process may have stood still since.
+    pub fn longest_unnoticed(&self) -> Micros {
+        let now = self.clock.now();
+        now.saturating_sub(self.stalls.earliest_time(now))
+    }
+
     /// Passes an event to the decisions and carries their actions out.
     fn handle(&self, state: &mut DispatcherState, now: Micros, event: Event) {
+        self.stalls.on_event(now);
         let mut actions = std::mem::take(&mut state.actions);
         state.balancer.handle(now, event, &mut actions);
         for action in actions.drain(..) {
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod overrides;
 pub mod request;
 pub mod request_metrics;
+pub mod stall_tracker;
 pub mod start_times;
 pub mod streamed_value;
 #[cfg(any(test, feature = "testing"))]
--- a/node/src/daemon.rs
+++ b/node/src/daemon.rs
@@ -182,12 +182,15 @@
 
     /// Ends the service after a signal; returns when every request that was taken has its answer.
     async fn stop(self) {
-        info!(self.log, "stopping");
-        let signalled_at = Instant::now();
-        let time_for_answers = graceful_shutdown::time_for_answers(self.longest_deadline);
+        let noticed_at = Instant::now();
+        // The signal may have come while this process stood still: its time counts from then.
+        let longest_unnoticed = self.dispatcher.longest_unnoticed();
+        info!(self.log, "stopping"; "signalled_ms_ago_at_most" => clock::to_ms(longest_unnoticed));
+        let time_for_answers = graceful_shutdown::time_for_answers(self.longest_deadline)
+            .saturating_sub(clock::duration(longest_unnoticed));
         let clock = self.dispatcher.clock();
         self.dispatcher.set_final_deadline(clock.now().saturating_add(clock::micros(time_for_answers)));
-        self.shutdown.run(signalled_at, time_for_answers + graceful_shutdown::EXIT_DELAY).await;
+        self.shutdown.run(noticed_at, time_for_answers + graceful_shutdown::EXIT_DELAY).await;
         self.dispatcher.wait_until_idle().await;
         if let Some(peers) = &self.peers {
             peers.leave();
