Count every write in flight of a closed request as the read that its end releases

Where writes go to cache servers and are hedged, a write whose client left, or that one of its two servers answered, stayed counted as out at the other for good: less and less capacity there.

Cause: the end of an attempt of a closed request releases a read; a disconnect turned only the latest attempt in flight into one, an answer none. Evidence: abandoned_write_with_a_hedged_request_out_leaves_nothing_reserved and write_that_one_of_two_servers_served_leaves_nothing_reserved, the same fault elsewhere, each left one place reserved, always.

Now a request that is closed, by either, turns all its writes in flight into reads. What an abandoned read did besides, a pause anew where the limit is below one, is gone with it: the pause begins when the attempt ends, as for all others.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -121,7 +121,7 @@
             Event::ResponseStarted(id) => self.on_response_started(&id),
             Event::AttemptCompleted(completed) => self.on_attempt_completed(now, &completed, actions),
             Event::Timer(token) => self.on_timer(now, token, actions),
-            Event::RequestAbandoned(id) => self.on_request_abandoned(now, &id),
+            Event::RequestAbandoned(id) => self.on_request_abandoned(&id),
         }
     }
 
@@ -180,14 +180,22 @@
     }
 
     /// The caller decides this request from now on: it is forgotten.
-    fn on_request_abandoned(&mut self, now: Micros, id: &RequestId) {
+    fn on_request_abandoned(&mut self, id: &RequestId) {
         let Some(open) = self.open_requests.take(id) else { return };
         self.origin_queue.remove(id);
-        let Some(attempt) = open.attempt_in_flight() else { return };
-        if let Some(server) = self.endpoints.server_mut(attempt.endpoint.server) {
-            // The end of the attempt will release a read, since its request is not known any more then.
-            server.concurrency.release(now, open.request.is_write, None);
-            server.concurrency.reserve(false);
+        self.on_closed_with_attempts(&open);
+    }
+
+    /// A request is closed whose attempts may still be in flight. Their ends will release reads, since the
+    /// request is not known any more then.
+    fn on_closed_with_attempts(&mut self, open: &OpenRequest) {
+        if !open.request.is_write {
+            return;
+        }
+        for attempt in open.attempts_in_flight() {
+            if let Some(server) = self.endpoints.server_mut(attempt.endpoint.server) {
+                server.concurrency.count_write_as_read();
+            }
         }
     }
 
--- a/src/balancer/concurrency_limit.rs
+++ b/src/balancer/concurrency_limit.rs
@@ -146,6 +146,12 @@
         }
     }
 
+    /// A write that is out counts as a read from now on.
+    pub(super) fn count_write_as_read(&mut self) {
+        self.writes_in_flight = (self.writes_in_flight - 1.0).max(0.0);
+        self.reads_in_flight += 1.0;
+    }
+
     /// The count of the reads or of the writes in flight.
     fn in_flight_of(&mut self, is_write: bool) -> &mut f64 {
         if is_write {
--- a/src/balancer/open_request.rs
+++ b/src/balancer/open_request.rs
@@ -109,9 +109,14 @@
         self.queue_state = QueueState::NotQueued;
     }
 
-    /// The latest attempt without a result.
+    /// The attempts without a result.
+    pub(super) fn attempts_in_flight(&self) -> impl DoubleEndedIterator<Item = &Attempt> {
+        self.attempts.iter().filter(|attempt| attempt.state == AttemptState::InFlight)
+    }
+
+    /// The latest of them.
     pub(super) fn attempt_in_flight(&self) -> Option<&Attempt> {
-        self.attempts.iter().rfind(|attempt| attempt.state == AttemptState::InFlight)
+        self.attempts_in_flight().next_back()
     }
 
     /// Whether the next attempt is a retry or a hedged request. A fetch from the origin after a
--- a/src/balancer/retry.rs
+++ b/src/balancer/retry.rs
@@ -99,7 +99,7 @@
     ) {
         open.on_attempt_completed(completed.attempt, completed.result);
         match next_step(&open, completed) {
-            NextStep::Close => {}
+            NextStep::Close => self.on_closed_with_attempts(&open),
             NextStep::Wait => self.open_requests.insert(open),
             NextStep::RouteAgain => self.route(now, open, actions),
         }
--- a/src/balancer/tests/hedging.rs
+++ b/src/balancer/tests/hedging.rs
@@ -87,3 +87,57 @@
         assert!(balancer.open_requests.is_empty());
     }
 }
+
+/// A write that is out at two servers, the second by a hedged request, and when that was.
+fn hedged_write() -> (Balancer, [ServerId; 2], u64) {
+    let mut settings = idempotent_settings();
+    settings.mode = CacheMode::ReadThrough;
+    settings.limits.may_duplicate = true;
+    let mut balancer = new_balancer(settings, &endpoints(12));
+    let mut now = 2 * SECOND;
+    let write = |n, now| Request { is_write: true, ..request(n, now, n) };
+    for n in 0..100 {
+        now += 200_000;
+        let sends = handle(&mut balancer, now, Event::Request(write(n, now)));
+        let server = sent_to(&sends).expect("it is sent");
+        handle(&mut balancer, now + 20_000, closing(n, 0, server, AttemptResult::Served));
+    }
+    now += 200_000;
+    let sends = handle(&mut balancer, now, Event::Request(write(500, now)));
+    let [Action::Send { server: first, .. }, Action::Timer { at, token }] = sends[..] else {
+        panic!("{sends:?}")
+    };
+    let second = sent_to(&handle(&mut balancer, at.0, Event::Timer(token))).expect("it is hedged");
+    (balancer, [first, second], at.0)
+}
+
+fn assert_nothing_reserved(balancer: &mut Balancer, servers: [ServerId; 2]) {
+    for server in servers {
+        let server = balancer.endpoints.server_mut(server).expect("listed");
+        assert_eq!(server.concurrency.in_flight(), 0.0, "{:?}", server.endpoint.server);
+    }
+}
+
+/// Guards against capacity that stays reserved for good for a write whose client left while it was out at two servers.
+#[test]
+fn abandoned_write_with_a_hedged_request_out_leaves_nothing_reserved() {
+    let (mut balancer, servers, now) = hedged_write();
+    handle(&mut balancer, now + 1_000, Event::RequestAbandoned(request_id(500)));
+    for (attempt, server) in (0..).zip(servers) {
+        handle(&mut balancer, now + 2_000, closing(500, attempt, server, AttemptResult::Served));
+    }
+    assert_nothing_reserved(&mut balancer, servers);
+}
+
+/// Guards against the same where one of the two answers first.
+#[test]
+fn write_that_one_of_two_servers_served_leaves_nothing_reserved() {
+    for answers_first in [0, 1] {
+        let (mut balancer, servers, now) = hedged_write();
+        for attempt in [answers_first, 1 - answers_first] {
+            let end = closing(500, attempt as u32, servers[attempt], AttemptResult::Served);
+            handle(&mut balancer, now + 2_000, end);
+        }
+        assert_nothing_reserved(&mut balancer, servers);
+    }
+}
