Bound repeats of an unknown class by the last class's deduplication window

A write whose class the settings lack could be repeated after its key's window and so run twice, through a front that embeds the dispatcher; the daemon rejects unknown classes. Cause: begin_attempt found no window for it, though its deadline and the decisions take it for the last class. Evidence: a_retry_of_an_unknown_class_is_written_only_within_the_last_classes_window failed before, passes now; 29 of dispatch passed, 0 failed.

--- a/dispatch/src/dispatcher/attempts.rs
+++ b/dispatch/src/dispatcher/attempts.rs
@@ -188,7 +188,9 @@
         let write_deadline = open.retry_write_deadline;
         if open.attempts == 0 {
             let class = open.request.class as usize;
-            let window = self.deduplication_windows.get(class).copied().flatten();
+            let windows = &self.deduplication_windows;
+            // A class that the settings lack counts as the last one everywhere.
+            let window = windows.get(class).or(windows.last()).copied().flatten();
             open.retry_write_deadline = window.map_or(NO_DEADLINE, |window| now.saturating_add(window));
         }
         let attempt = open.attempts;
--- a/dispatch/src/dispatcher/tests.rs
+++ b/dispatch/src/dispatcher/tests.rs
@@ -152,6 +152,26 @@
     });
 }
 
+/// Guards against a repeated write of a class that the settings lack: it counts as the last class everywhere, its window included.
+#[test]
+fn a_retry_of_an_unknown_class_is_written_only_within_the_last_classes_window() {
+    testing::run(async {
+        let recorder = Rc::new(Recorder::default());
+        let mut settings = settings(3, Idempotency::WithIdempotencyKey);
+        let window = Micros(200_000);
+        settings.classes[0].deduplication_window = window;
+        let dispatcher = dispatcher(settings, recorder.clone(), 3);
+        let end = dispatcher.clock.now().saturating_add(window);
+        let mut unknown = request("1", Some(vec![]));
+        unknown.class = 7;
+        let _answer = dispatcher.take(unknown).unwrap();
+        let attempt = recorder.begun.borrow_mut().pop().unwrap();
+        dispatcher.on_attempt_ended(attempt.id, AttemptEnd::Broken);
+        let repeat = recorder.begun.borrow_mut().pop().unwrap();
+        assert!(!repeat.is_cancelled(end.saturating_sub(Micros(1))) && repeat.is_cancelled(end));
+    });
+}
+
 /// A list as long as a fleet's is known completely; of one that is far too long a bounded part is, with the origin at its end.
 /// Servers that go leave capacity for others.
 #[test]
