Keep no transfer of credits that holds none

Where balancers share a retry budget, a transfer of 0 credits, which no sound peer sends, made a later retry free. Cause: the oldest received credits pay first; the empty entry was charged and thrown away, and the one behind it kept its credit. Evidence: transfer_without_credits_pays_no_retry failed always before, passes now; 35 of cluster passed, 0 failed.

--- a/cluster/src/retry_budget.rs
+++ b/cluster/src/retry_budget.rs
@@ -200,7 +200,9 @@
                 }
             }
             Message::Transfer { incarnation, sent, credits } => {
-                if incarnation == self.incarnation && self.requests.close(now, from, sent) {
+                let is_awaited = incarnation == self.incarnation && self.requests.close(now, from, sent);
+                // The oldest received credits pay first, so that none may stand there that pay nothing.
+                if is_awaited && credits > 0 {
                     let credits = f64::from(credits.min(MAX_TRANSFER));
                     self.received.push_back(ReceivedCredits { at: now, credits });
                 }
--- a/cluster/src/retry_budget/tests.rs
+++ b/cluster/src/retry_budget/tests.rs
@@ -185,3 +185,20 @@
     budget.on_message(late, address(1), Message::Transfer { incarnation, sent, credits: 3 });
     assert_eq!(budget.metrics(late).received_credits, 0.0, "too late");
 }
+
+/// Guards against a retry for nothing: a transfer of no credits stood before one that pays, and was charged in its place.
+#[test]
+fn transfer_without_credits_pays_no_retry() {
+    let terms = RetryBudgetTerms { retries_per_first_attempt: 0.1, max_saved_credits: 10.0, holders: 1 };
+    let mut budget = RetryBudget::new(terms, 0, 1);
+    let now = Micros::from_secs(10);
+    let mut receive = |budget: &mut RetryBudget, credits| {
+        let sent = budget.requests.open(now, address(1));
+        budget.on_message(now, address(1), Message::Transfer { incarnation: 1, sent, credits });
+    };
+    receive(&mut budget, 0);
+    receive(&mut budget, 1);
+    assert!(budget.has_credit(now));
+    budget.acquire(now);
+    assert!(!budget.has_credit(now), "one credit pays one retry");
+}
