Own no slow-start tokens after leaving

A member that had left owned its tokens of servers in slow start again from the next tick on, and at servers that it met later, while others may use them. Cause: tick and access raise them by the position's part, whether the member has left or not.

--- a/cluster/src/slow_start_limit.rs
+++ b/cluster/src/slow_start_limit.rs
@@ -94,6 +94,8 @@
     incarnation: u64,
     /// From when on own tokens may be used: all that an earlier incarnation of this member used or leased out has expired.
     own_usable_from: Micros,
+    /// Whether this member has left, and owns nothing any more.
+    has_left: bool,
     limits: BTreeMap<ServerIncarnation, RateLimit>,
     /// Requests for which no limit could be kept, because there were [`MAX_SERVER_INCARNATIONS`] already.
     pub unavailable: u64,
@@ -107,6 +109,7 @@
             position,
             incarnation,
             own_usable_from: now + terms.rate_limit.lock_time(),
+            has_left: false,
             limits: BTreeMap::new(),
             unavailable: 0,
         }
@@ -117,7 +120,7 @@
         if self.terms.capacity_share(server.started, now) >= 1.0 {
             return SlowStartAccess::Unlimited;
         }
-        let owned = self.terms.owned_tokens(server, self.position, now);
+        let owned = self.owned_tokens(server, now);
         let is_full = self.limits.len() >= MAX_SERVER_INCARNATIONS;
         let limit = match self.limits.entry(server) {
             Entry::Occupied(known) => known.into_mut(),
@@ -152,17 +155,28 @@
     /// Does what is due at each limit, and forgets those of servers that are warm and have no token locked any more.
     /// `peers` gives a source of members to ask for each server, each from the first member on.
     pub fn tick<P: FnMut() -> Option<SocketAddr>>(&mut self, now: Micros, peers: impl Fn() -> P) {
-        let terms = self.terms;
-        let kept_for = terms.duration + terms.rate_limit.lock_time();
+        let kept_for = self.terms.duration + self.terms.rate_limit.lock_time();
         self.limits.retain(|server, _| now < server.started + kept_for);
-        for (server, limit) in &mut self.limits {
-            limit.raise_owned_tokens(terms.owned_tokens(*server, self.position, now));
+        let mut limits = std::mem::take(&mut self.limits);
+        for (server, limit) in &mut limits {
+            limit.raise_owned_tokens(self.owned_tokens(*server, now));
             limit.tick(now, peers());
         }
+        self.limits = limits;
+    }
+
+    /// The tokens of a server's limit that this member owns now.
+    fn owned_tokens(&self, server: ServerIncarnation, now: Micros) -> u32 {
+        if self.has_left {
+            0
+        } else {
+            self.terms.owned_tokens(server, self.position, now)
+        }
     }
 
     /// This member leaves: leased tokens are given back where its uses allow it.
     pub fn leave(&mut self, now: Micros) {
+        self.has_left = true;
         for limit in self.limits.values_mut() {
             limit.leave(now);
         }
--- a/cluster/src/slow_start_limit/tests.rs
+++ b/cluster/src/slow_start_limit/tests.rs
@@ -72,3 +72,19 @@
     assert!(usable_tokens(STARTED - Micros::from_secs(50), now) > 0);
     assert_eq!(usable_tokens(STARTED + Micros::from_secs(8), now), 0);
 }
+
+/// Guards against own tokens that rise again at the tick after this member has left: others use them then.
+#[test]
+fn member_that_left_owns_nothing_any_more() {
+    let mut limits = SlowStartLimits::new(terms(), 3, 1, Micros::ZERO);
+    let now = STARTED + Micros::from_secs(9);
+    let owned = |limits: &mut SlowStartLimits| limits.metrics(now).rate_limits.owned_tokens;
+    limits.access(server(1), now);
+    assert!(owned(&mut limits) > 0);
+    limits.leave(now);
+    limits.tick(now, || || None);
+    assert_eq!(owned(&mut limits), 0);
+    limits.access(server(1), now);
+    limits.access(server(2), now);
+    assert_eq!(owned(&mut limits), 0);
+}
