Say that a fleet has no member of a group instead of counting below zero

Cause: `count - 1` and a clamp up to `count` where the count is 0. Evidence: `check` of a file with `fleet.hosts=0` and who = "hosts:3-4".

--- a/platform-model/src/group.rs
+++ b/platform-model/src/group.rs
@@ -24,6 +24,9 @@
 /// What is wrong with a group's text, and what would be right.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum GroupError {
+    /// The fleet has no member of the kind.
+    #[error("{0:?}: the fleet has none of these")]
+    NoMembers(String),
     /// The text before the colon names no kind of group.
     #[error(
         "{0:?} is no group: write balancers:0-49, balancers:10%, hosts:3, hosts:12.5%, zone:1, origin or discovery"
@@ -106,6 +109,9 @@
     count: usize,
     rng: &mut SeededRng,
 ) -> Result<Vec<usize>, GroupError> {
+    if count == 0 {
+        return Err(GroupError::NoMembers(group.to_owned()));
+    }
     if let Some(share) = which.strip_suffix('%') {
         return draw_share(group, share, count, rng);
     }
--- a/platform-model/src/group/tests.rs
+++ b/platform-model/src/group/tests.rs
@@ -22,3 +22,14 @@
         assert!(problem.to_string().contains(wrong), "{problem}");
     }
 }
+
+/// Guards against a panic, and against a number of a member that is none, where a file states no balancers or no hosts.
+#[test]
+fn group_of_a_fleet_without_members_is_an_error() {
+    let mut fleet = read(VALID_EXPERIMENT, &[]).unwrap().fleet;
+    (fleet.balancers, fleet.servers) = (0, 0);
+    for text in ["balancers:0-4", "balancers:0", "balancers:50%", "hosts:3", "hosts:1%"] {
+        let problem = resolve_group(text, &fleet, &mut seeded_rng(1, RngStream::Groups)).unwrap_err();
+        assert_eq!(problem, GroupError::NoMembers(text.to_owned()));
+    }
+}
