Use one bit mixer and one wait without tokens where each stood twice

The finalizer of SplitMix64 stood in placement and in the cluster's incarnations of servers, the wait of 50 ms where a member has no token in cluster/src/rate_limit.rs and node/src/coordination.rs. Now juniperladder::mix_bits and juniperladder_cluster::rate_limit::WAIT_WITHOUT_TOKENS serve both; the model of the platform keeps its own mixer, as it is linked with nothing that it tests. An unused `mut` of a test is gone.

--- a/cluster/src/failure_detector/evidence.rs
+++ b/cluster/src/failure_detector/evidence.rs
@@ -2,8 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use juniperladder::mix_bits;
+
 use super::reports::{ReportTable, StoredReport};
-use crate::server_incarnation::mix;
 
 /// Reports of silence on a server from which on they are urgent: one alone is mostly a server that is slow for a moment.
 pub(super) const URGENT_REPORTS: usize = 2;
@@ -60,11 +61,11 @@
             digest ^= server;
         } else {
             for report in &silent {
-                digest ^= mix(server ^ mix(report.stamp.0 ^ u64::from(report.reporter)));
+                digest ^= mix_bits(server ^ mix_bits(report.stamp.0 ^ u64::from(report.reporter)));
             }
         }
         if silent.is_empty() {
-            digest ^= mix(!server);
+            digest ^= mix_bits(!server);
         }
     }
     digest
--- a/cluster/src/failure_detector/reports.rs
+++ b/cluster/src/failure_detector/reports.rs
@@ -3,10 +3,10 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
-use juniperladder::Micros;
+use juniperladder::{mix_bits, Micros};
 
 use super::message::Report;
-use crate::server_incarnation::{mix, ServerIncarnation};
+use crate::server_incarnation::ServerIncarnation;
 
 /// Reports of silence that are kept of one server and zone: the newest.
 const MAX_SILENT_REPORTS: usize = 4;
@@ -115,7 +115,7 @@
     for (server, reports) in table {
         for report in reports {
             let reporter = u64::from(report.reporter) << REPORTER_SHIFT;
-            digest ^= mix(server.hash() ^ mix(report.stamp.0 ^ reporter));
+            digest ^= mix_bits(server.hash() ^ mix_bits(report.stamp.0 ^ reporter));
         }
     }
     digest
--- a/cluster/src/rate_limit.rs
+++ b/cluster/src/rate_limit.rs
@@ -57,8 +57,8 @@
 const MAX_LEASE_REQUEST_INTERVAL: Micros = Micros::from_millis(800);
 /// How long tokens that are not needed are kept, in case they are needed again.
 const SURPLUS_RETENTION: Micros = Micros::SECOND;
-/// How long a request waits at first where there is no token at all: some may be leased by then.
-const WAIT_WITHOUT_TOKENS: Micros = Micros::from_millis(50);
+/// How long a request waits where this member may use no token at all now: some may be leased to it by then.
+pub const WAIT_WITHOUT_TOKENS: Micros = Micros::from_millis(50);
 /// Tokens that a member wants beyond those that it has while a request waits for one.
 const TOKENS_FOR_WAITING_REQUEST: u32 = 2;
 
--- a/cluster/src/retry_budget/tests.rs
+++ b/cluster/src/retry_budget/tests.rs
@@ -192,7 +192,7 @@
     let terms = RetryBudgetTerms { retries_per_first_attempt: 0.1, max_saved_credits: 10.0, holders: 1 };
     let mut budget = RetryBudget::new(terms, 0, 1);
     let now = Micros::from_secs(10);
-    let mut receive = |budget: &mut RetryBudget, credits| {
+    let receive = |budget: &mut RetryBudget, credits| {
         let sent = budget.requests.open(now, address(1));
         budget.on_message(now, address(1), Message::Transfer { incarnation: 1, sent, credits });
     };
--- a/cluster/src/server_incarnation.rs
+++ b/cluster/src/server_incarnation.rs
@@ -1,6 +1,6 @@
 //! The process that serves at a cache server's address from one start of it to the next.
 
-use juniperladder::{Micros, ServerId, ServingServer};
+use juniperladder::{mix_bits, Micros, ServerId, ServingServer};
 use serde::{Deserialize, Serialize};
 
 /// One start of a cache server. A server that started again is another one: nothing that was reported or limited for the
@@ -18,7 +18,7 @@
 impl ServerIncarnation {
     /// A number that is the same at every member, and spread over all 64 bits.
     pub(crate) fn hash(&self) -> u64 {
-        mix(self.server.0 ^ mix(self.started.0))
+        mix_bits(self.server.0 ^ mix_bits(self.started.0))
     }
 }
 
@@ -27,10 +27,3 @@
         ServerIncarnation { server: serving.server, started: serving.started }
     }
 }
-
-/// Mixes the bits of a number (the finalizer of SplitMix64).
-pub(crate) fn mix(number: u64) -> u64 {
-    let number = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let number = (number ^ (number >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    number ^ (number >> 31)
-}
--- a/node/src/coordination.rs
+++ b/node/src/coordination.rs
@@ -10,16 +10,13 @@
 use std::rc::Rc;
 
 use juniperladder::{Coordination, Micros, ServerId, ServingServer, SharedLimit};
-use juniperladder_cluster::rate_limit::RateLimit;
+use juniperladder_cluster::rate_limit::{RateLimit, WAIT_WITHOUT_TOKENS};
 use juniperladder_cluster::slow_start_limit::SlowStartAccess;
 use juniperladder_cluster::{Cluster, ServerIncarnation};
 
 use crate::cluster_config::ORIGIN_LIMIT;
 pub use metrics::metrics_text;
 
-/// How long a request waits where this balancer owns nothing of a limit now: something may be leased to it by then.
-const LEASE_RETRY_INTERVAL: Micros = Micros::from_millis(50);
-
 /// The decisions' view of this balancer's member of the cluster.
 #[derive(Debug)]
 pub struct ClusterCoordination {
@@ -52,7 +49,7 @@
     match cluster.slow_start(ServerIncarnation { server, started }, now) {
         SlowStartAccess::Unlimited => None,
         SlowStartAccess::Limited(limit) => Some(limit.wait_time(now)),
-        SlowStartAccess::Unavailable => Some(LEASE_RETRY_INTERVAL),
+        SlowStartAccess::Unavailable => Some(WAIT_WITHOUT_TOKENS),
     }
 }
 
@@ -62,7 +59,7 @@
         match limit {
             SharedLimit::RetryBudget => {
                 let has_credit = cluster.retry_budget()?.has_credit(now);
-                Some(if has_credit { Micros::ZERO } else { LEASE_RETRY_INTERVAL })
+                Some(if has_credit { Micros::ZERO } else { WAIT_WITHOUT_TOKENS })
             }
             SharedLimit::SlowStart(server, started) => slow_start_wait(&mut cluster, server, started, now),
             SharedLimit::OriginRate => cluster.rate_limit(ORIGIN_LIMIT).map(|limit| limit.wait_time(now)),
--- a/node/src/coordination/tests.rs
+++ b/node/src/coordination/tests.rs
@@ -102,9 +102,9 @@
     coordination.on_rejected(SharedLimit::OriginRate, NOW);
     coordination.acquire(SharedLimit::RetryBudget, NOW);
     coordination.on_rejected(SharedLimit::RetryBudget, NOW);
-    assert_eq!(coordination.wait_time(SharedLimit::OriginRate, NOW), Some(LEASE_RETRY_INTERVAL));
+    assert_eq!(coordination.wait_time(SharedLimit::OriginRate, NOW), Some(WAIT_WITHOUT_TOKENS));
     assert_eq!(coordination.wait_time(SharedLimit::RetryBudget, NOW), Some(Micros::ZERO));
-    assert_eq!(coordination.wait_time(slow_start, NOW), Some(LEASE_RETRY_INTERVAL));
+    assert_eq!(coordination.wait_time(slow_start, NOW), Some(WAIT_WITHOUT_TOKENS));
     coordination.on_server_observed(SERVER, SERVER_STARTED, true, NOW);
     cluster.borrow_mut().tick(LATER);
     coordination.acquire(SharedLimit::OriginRate, LATER);
--- a/src/balancer/placement.rs
+++ b/src/balancer/placement.rs
@@ -9,6 +9,7 @@
 use super::endpoint_set::Server;
 use super::slow_start::slow_start_weight;
 use crate::endpoint::{Endpoint, EndpointState, ServerId};
+use crate::hash::mix_bits;
 use crate::request::Key;
 use crate::settings::Settings;
 use crate::time::Micros;
@@ -136,13 +137,6 @@
 
 /// A pseudorandom number for a key at a server, between 0 and 1 (both excluded); the same at every balancer.
 fn rendezvous_hash(key: Key, server: ServerId) -> f64 {
-    let hash = mix(mix(key.0).wrapping_add(server.0));
+    let hash = mix_bits(mix_bits(key.0).wrapping_add(server.0));
     ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
 }
-
-/// The finalizer of SplitMix64: spreads any difference over all bits.
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,7 @@
 mod coordination;
 mod endpoint;
 mod event;
+mod hash;
 mod request;
 mod settings;
 mod time;
@@ -79,6 +80,7 @@
 pub use coordination::{Coordination, ServingServer, SharedLimit};
 pub use endpoint::{Endpoint, EndpointState, EndpointUpdate, ServerId};
 pub use event::Event;
+pub use hash::mix_bits;
 pub use request::{AttemptResult, CompletedAttempt, Key, Request, RequestId};
 pub use settings::{CacheMode, Class, DeduplicationScope, Idempotency, Limits, Rules, Settings, Tenant};
 pub use time::Micros;
