--- a/platform-model/src/experiment.rs
+++ b/platform-model/src/experiment.rs
@@ -1,4 +1,4 @@
-//! The experiment's file: what is run, in the form that `docs/operate/laboratory.md` states. An unknown field is an error.
+//! The experiment's file: what is run, in the form that `docs/operate/testbed.md` states. An unknown field is an error.
 //!
 //! [`read`](crate::reader::read) parses a file and checks it; what is wrong comes back as [`FileProblem`]s that name the
 //! line, the field and what would be right. Nothing is started before that.
@@ -26,7 +26,7 @@
     /// What clients ask for.
     pub load: Load,
     /// How long clients wait.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "DeadlineProfile::is_default")]
     pub deadlines: DeadlineProfile,
     /// What clients do after an answer.
     #[serde(default)]
@@ -59,6 +59,13 @@
     Short,
 }
 
+impl DeadlineProfile {
+    /// Whether it is the one of files that name none, which stay as they were.
+    fn is_default(&self) -> bool {
+        *self == DeadlineProfile::default()
+    }
+}
+
 /// The processes and the servers.
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
