--- a/platform-model/tests/file_formats.rs
+++ b/platform-model/tests/file_formats.rs
@@ -1,4 +1,4 @@
-//! The files that leave the laboratory keep their form: fixtures as an earlier version wrote them are read with the
+//! The files that leave the testbed keep their form: fixtures as an earlier version wrote them are read with the
 //! values that it meant, and written again they are the same JSON.
 
 use std::path::PathBuf;
--- a/testbed-cli/src/exit.rs
+++ b/testbed-cli/src/exit.rs
@@ -1,4 +1,4 @@
-//! The exit codes of the program, as `docs/operate/laboratory.md` states them.
+//! The exit codes of the program, as `docs/operate/testbed.md` states them.
 
 use std::process::ExitCode;
 
--- a/testbed-cli/src/lib.rs
+++ b/testbed-cli/src/lib.rs
@@ -28,7 +28,7 @@
 
 use exit::ExitStatus;
 
-/// Plays experiments with fleets of real processes under faults, and reports on them.
+/// Runs experiments with fleets of real processes under faults, and reports on them.
 #[derive(Debug, Parser)]
 #[command(name = "juniperladder-testbed", version, arg_required_else_help = true)]
 pub struct Args {
@@ -40,10 +40,10 @@
 /// A command of the program.
 #[derive(Debug, Subcommand)]
 pub enum Command {
-    /// Plays an experiment: 0 played and every rule and stated bound kept, 1 something broken, 2 not allowed (nothing
-    /// was started), 3 the rig was late and the run does not count
+    /// Runs an experiment: 0 run and every rule and stated bound kept, 1 something broken, 2 not allowed (nothing
+    /// was started), 3 the testbed was late and the run does not count
     Run(run::RunArgs),
-    /// Checks an experiment's file without playing it
+    /// Checks an experiment's file without running it
     Check {
         /// The file
         file: PathBuf,
@@ -95,10 +95,10 @@
         #[arg(long)]
         y: String,
     },
-    /// Ends the processes named on standard input once it closes; the laboratory starts this itself
+    /// Ends the processes named on standard input once it closes; the testbed starts this itself
     #[command(hide = true)]
     Reap,
-    /// Plays a small whole fleet with one fault, about 20 s, and says where the report is
+    /// Runs a small whole fleet with one fault, about 20 s, and says where the report is
     Demo {
         /// The folder for what it leaves
         #[arg(long, default_value = "target/lab/demo")]
--- a/testbed-cli/src/main.rs
+++ b/testbed-cli/src/main.rs
@@ -1,4 +1,4 @@
-//! `juniperladder-testbed`: plays experiments with fleets of real processes under faults, and reports on them.
+//! `juniperladder-testbed`: runs experiments with fleets of real processes under faults, and reports on them.
 
 use std::process::ExitCode;
 
--- a/testbed-cli/src/report/page.rs
+++ b/testbed-cli/src/report/page.rs
@@ -160,8 +160,8 @@
     let balancer_ms = summary.cpu.balancer_ms_per_request;
     vec![
         row("processes started", summary.processes.started.to_string()),
-        row("rig: lag, 99%", format!("{:.1} ms", summary.lag_p99_ms)),
-        row("rig: processor time", format!("{:.1} s", summary.cpu.testbed_s)),
+        row("testbed: lag, 99%", format!("{:.1} ms", summary.lag_p99_ms)),
+        row("testbed: processor time", format!("{:.1} s", summary.cpu.testbed_s)),
         row("balancers: processor time a command", format!("{balancer_ms:.3} ms")),
     ]
 }
--- a/testbed-cli/src/run.rs
+++ b/testbed-cli/src/run.rs
@@ -23,7 +23,7 @@
 /// How often the progress bar is drawn.
 const PROGRESS_DRAW_INTERVAL: Duration = Duration::from_millis(200);
 
-/// How an experiment is played.
+/// How an experiment is run.
 #[derive(Debug, clap::Args)]
 pub struct RunArgs {
     /// The file
--- a/testbed-cli/src/run_outcome.rs
+++ b/testbed-cli/src/run_outcome.rs
@@ -31,7 +31,7 @@
     }
     if summary.lag_p99_ms > MAX_LAG_MS {
         println!(
-            "LATE: the rig's sends were {:.1} ms behind their plan, over {MAX_LAG_MS}: the run does not count",
+            "LATE: the testbed's sends were {:.1} ms behind their plan, over {MAX_LAG_MS}: the run does not count",
             summary.lag_p99_ms
         );
         return ExitStatus::TESTBED_LATE;
@@ -99,7 +99,7 @@
 
 fn print_costs(summary: &Summary) {
     println!(
-        "rig: lag p99 {:.1} ms, {:.1} s of processor time; balancers {:.2} ms a command; {} processes started",
+        "testbed: lag p99 {:.1} ms, {:.1} s of processor time; balancers {:.2} ms a command; {} processes started",
         summary.lag_p99_ms,
         summary.cpu.testbed_s,
         summary.cpu.balancer_ms_per_request,
--- a/testbed-cli/src/scale_args.rs
+++ b/testbed-cli/src/scale_args.rs
@@ -98,7 +98,7 @@
         }
     }
 
-    /// The arguments that play the same in another process.
+    /// The arguments that run the same in another process.
     pub fn arguments(&self) -> Vec<String> {
         let mut arguments = vec!["scale".to_owned()];
         let values = [
--- a/testbed/src/scale/virtual_time.rs
+++ b/testbed/src/scale/virtual_time.rs
@@ -51,7 +51,7 @@
     }
 }
 
-/// Plays a run to its end; gives what was observed, and the resident memory at the end.
+/// Runs to its end; gives what was observed, and the resident memory at the end.
 pub fn run_in_virtual_time(run: &Arc<Run>) -> (Observations, u64) {
     let mut shard = Shard::new(Arc::clone(run), 0, 1);
     let mut queue = Queue::default();
