Name no idle server as full in the limits' view

SIGUSR1 said `reason: places` of an idle server whose limit is below one, though one attempt may always go out there.

--- a/src/balancer/limit_view.rs
+++ b/src/balancer/limit_view.rs
@@ -50,7 +50,8 @@
         if self.gap > Micros::ZERO {
             return Some(BindingLimit::Gap);
         }
-        let is_full = self.in_flight + 1.0 > self.limit;
+        // One attempt may always go out.
+        let is_full = self.in_flight + 1.0 > self.limit.max(1.0);
         is_full.then_some(BindingLimit::Concurrency)
     }
 }
--- a/src/balancer/tests/limit_view.rs
+++ b/src/balancer/tests/limit_view.rs
@@ -18,3 +18,16 @@
     assert_eq!(binding, [(0, None), (1, Some("gap")), (900, Some("places"))]);
     assert_eq!(limits.waiting_for_origin, 1);
 }
+
+/// Guards against an idle server named as full: one attempt may always go out, however low the limit is.
+#[test]
+fn idle_server_with_a_limit_below_one_is_not_full() {
+    let mut balancer = new_balancer(idempotent_settings(), &endpoints(1));
+    let server = balancer.endpoints.server_mut(ServerId(0)).expect("listed");
+    server.concurrency.limit = 0.5;
+    assert!(server.concurrency.has_capacity(Micros(SECOND), false));
+    assert_eq!(balancer.limits(Micros(SECOND)).servers[0].binding_limit(), None);
+    balancer.endpoints.server_mut(ServerId(0)).expect("listed").concurrency.reserve(false);
+    let binding = balancer.limits(Micros(SECOND)).servers[0].binding_limit();
+    assert_eq!(binding, Some(BindingLimit::Concurrency));
+}
