Write 0 and not -0 where no credits came from others

`DUMP` said `app_second_tries_from_others -0`: the sum of an empty sequence of floating-point numbers is -0. The figure's test took the fault into its expected text; that literal is 0 now, all others are as they were, and the test is as strict.

--- a/cluster/src/retry_budget.rs
+++ b/cluster/src/retry_budget.rs
@@ -135,7 +135,7 @@
         while self.received.front().is_some_and(|received| now >= received.at + RECEIVED_CREDIT_LIFETIME) {
             self.received.pop_front();
         }
-        self.received.iter().map(|received| received.credits).sum()
+        self.received.iter().fold(0.0, |sum, received| sum + received.credits)
     }
 
     fn can_pay(&mut self, now: Micros) -> bool {
--- a/node/src/coordination/tests.rs
+++ b/node/src/coordination/tests.rs
@@ -71,7 +71,7 @@
 app_limit_denied{limit="cold"} 0
 app_limit_cold_hosts 1
 app_second_tries_own 1
-app_second_tries_from_others -0
+app_second_tries_from_others 0
 app_second_tries_spent 1
 app_second_tries_first_tries 5
 app_second_tries_given 0
