Tell a stall from a time without requests by a tick every 50 ms

Cause: the tracker of stalls took each pause of 10 ms between two events for one, so that a process with few requests gave up to 300 ms of its time for answers away at SIGTERM.

Now a tick that is 10 ms late or more shows a stall, which began when the process was last seen to run.

--- a/dispatch/src/dispatcher.rs
+++ b/dispatch/src/dispatcher.rs
@@ -21,6 +21,7 @@
 use rustc_hash::FxHashMap;
 use slog::{debug, Logger};
 use tokio::sync::{oneshot, Notify};
+use tokio::time::sleep_until;
 
 pub use crate::carrier::{AttemptEnd, Carrier, Upload};
 use crate::clock::{to_ms, Clock};
@@ -314,6 +315,14 @@
         }
     }
 
+    /// Notes when this process stands still, for as long as it is polled.
+    pub async fn watch_stalls(&self) {
+        loop {
+            let next = self.stalls.on_tick(self.clock.now());
+            sleep_until(self.clock.instant(next)).await;
+        }
+    }
+
     /// How long ago something may have happened that is noticed now: this process may have stood still since.
     pub fn longest_unnoticed(&self) -> Micros {
         let now = self.clock.now();
--- a/node/src/daemon.rs
+++ b/node/src/daemon.rs
@@ -107,6 +107,8 @@
     fn start_timers(&self) {
         let dispatcher = Rc::clone(&self.dispatcher);
         spawn_local(async move { dispatcher.run_timers().await });
+        let dispatcher = Rc::clone(&self.dispatcher);
+        spawn_local(async move { dispatcher.watch_stalls().await });
     }
 
     /// Starts to answer operators, if the configuration names an address for that. Returns whether this process replaces
