--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -6,6 +6,7 @@
 mod client;
 mod late_answer;
 mod load;
+mod memory;
 mod origin;
 mod platform;
 mod run;
@@ -34,6 +35,7 @@
     };
     let played = match case.as_str() {
         "late-answer" => late_answer::play(&run),
+        "memory" => memory::play(&run),
         _ => Err(format!("there is no case {case}")),
     };
     let verdict = played.unwrap_or_else(|problem| {
