Review case 3: a long value is cut off while its client reads it steadily

The balancer takes 5 s without a successful write for a client that does not read; a full socket becomes writable again only when a third of its buffer is free.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -11,6 +11,7 @@
 mod platform;
 mod run;
 mod site;
+mod slow_reader;
 
 use std::process::ExitCode;
 use std::time::Duration;
@@ -36,6 +37,7 @@
     let played = match case.as_str() {
         "late-answer" => late_answer::play(&run),
         "memory" => memory::play(&run),
+        "slow-reader" => slow_reader::play(&run),
         _ => Err(format!("there is no case {case}")),
     };
     let verdict = played.unwrap_or_else(|problem| {
