Reuse a connection only after silence when its last answer names no request

After an answer that names no request (an origin's without X-Trace-Id, a SERVER_ERROR line) a connection now carries no attempt until it has been silent for the settle time: 50 ms, or four times the longest delay seen from that server within a minute, 500 ms at most. Bytes that arrive meanwhile close it, and an attempt that waits for it moves on. An attempt waits up to 50 ms and a quarter of its time for such a connection before a new one is opened, so that no handshake is added. A connection with bytes behind its answer closes at once and not at its next use. The counter late_bytes and a debug line tell of such bytes. The life of a connection between its attempts is a module of its own now (upstream/reuse.rs).

--- a/dispatch/src/counters.rs
+++ b/dispatch/src/counters.rs
@@ -94,6 +94,8 @@
     uploads => "uploads",
     /// Responses that were malformed or had another request's id.
     malformed_responses => "bad_answers",
+    /// Connections to servers that closed because bytes followed a complete response.
+    late_bytes => "late_bytes",
     /// Connections opened to servers.
     connections_opened => "opened",
     /// Endpoint lists and watch events received from discovery.
--- a/node/src/simulation/servers.rs
+++ b/node/src/simulation/servers.rs
@@ -37,7 +37,10 @@
     Malformed,
     /// Answers with another request's id.
     OtherRequest,
+    /// Sends the answer again a little later.
     AnswerTwice,
+    /// Rejects the request, and sends the rejection again a little later.
+    BusyTwice,
     /// Sends an endless answer.
     EndlessAnswer,
     /// Closes in the middle of the answer.
@@ -49,7 +52,7 @@
 }
 
 /// The behaviours on a request other than the correct one, with their probabilities in percent.
-pub const REQUEST_BEHAVIOURS: [(Behaviour, u8); 12] = [
+pub const REQUEST_BEHAVIOURS: [(Behaviour, u8); 13] = [
     (Behaviour::Miss, 25),
     (Behaviour::Busy, 4),
     (Behaviour::Fail, 4),
@@ -59,6 +62,7 @@
     (Behaviour::Malformed, 5),
     (Behaviour::OtherRequest, 3),
     (Behaviour::AnswerTwice, 4),
+    (Behaviour::BusyTwice, 2),
     (Behaviour::EndlessAnswer, 1),
     (Behaviour::TruncatedAnswer, 3),
     (Behaviour::AnswerInPieces, 4),
@@ -207,7 +211,7 @@
             let may_have_been_executed = self.event_log.on_request_arrived(&id, self.last_received);
             let behaviour = draw_behaviour(&mut self.rng);
             self.event_log.count(Occurrence::Server(behaviour));
-            if matches!(behaviour, Behaviour::Busy) || self.misses(behaviour) {
+            if matches!(behaviour, Behaviour::Busy | Behaviour::BusyTwice) || self.misses(behaviour) {
                 may_have_been_executed.set(false);
             }
             let Some(answer) = self.answer(behaviour, &id, is_write).await else { return };
@@ -226,12 +230,14 @@
     async fn answer(&mut self, behaviour: Behaviour, id: &str, is_write: bool) -> Option<Vec<u8>> {
         Some(match behaviour {
             Behaviour::Miss if !self.is_origin => format!("EN O{id} h0\r\n").into_bytes(),
-            Behaviour::Busy => self.error_response("SERVER_ERROR busy\r\n", "503 No\r\nX-Never-Ran: 1"),
+            Behaviour::Busy | Behaviour::BusyTwice => {
+                self.error_response("SERVER_ERROR busy\r\n", "503 No\r\nX-Never-Ran: 1")
+            }
             Behaviour::Fail => self.error_response("SERVER_ERROR failed\r\n", "500 No"),
             Behaviour::Silent => std::future::pending().await,
             Behaviour::Reset => return None,
             Behaviour::Malformed => self.malformed_response(id, is_write),
-            Behaviour::OtherRequest => self.well_formed_response("ffff", is_write),
+            Behaviour::OtherRequest => self.response_to_other_request(is_write),
             _ => self.well_formed_response(id, is_write),
         })
     }
@@ -248,7 +254,7 @@
                 Err(ErrorKind::UnexpectedEof.into())
             }
             Behaviour::AnswerInPieces => self.write_in_pieces(answer).await,
-            Behaviour::AnswerTwice => {
+            Behaviour::AnswerTwice | Behaviour::BusyTwice => {
                 let first = self.stream.write_all(answer).await;
                 // The next request may begin to arrive before the second answer is sent.
                 let second_at = Instant::now() + Duration::from_millis(self.rng.u64(..20));
@@ -280,14 +286,21 @@
         meta_answer.as_bytes().to_vec()
     }
 
-    /// The correct answer: a value that contains the request's id, or a receipt.
+    /// A well-formed answer that names another request.
+    fn response_to_other_request(&self, is_write: bool) -> Vec<u8> {
+        const OTHER_ID: &str = "ffff";
+        if self.is_origin {
+            return origin_response(&format!("X-Trace-Id: {OTHER_ID}\r\n"), &body(OTHER_ID, is_write));
+        }
+        self.well_formed_response(OTHER_ID, is_write)
+    }
+
+    /// The correct answer: a value that contains the request's id, or a receipt. Only a cache server's names the
+    /// request in its head.
     fn well_formed_response(&self, id: &str, is_write: bool) -> Vec<u8> {
-        let body = if is_write { format!("r-{id}") } else { format!("v-{id}\r\nHD O{id}") };
+        let body = body(id, is_write);
         match (self.is_origin, is_write) {
-            (true, _) => {
-                let head = format!("HTTP/1.1 200 OK\r\nX-Trace-Id: {id}\r\nContent-Length: {}", body.len());
-                format!("{head}\r\n\r\n{body}").into_bytes()
-            }
+            (true, _) => origin_response("", &body),
             (_, true) => format!("HD O{id} c{body}\r\n").into_bytes(),
             (_, false) => format!("VA {} O{id} h1\r\n{body}\r\n", body.len()).into_bytes(),
         }
@@ -362,3 +375,17 @@
         Some(ReceivedRequest { id, is_write })
     }
 }
+
+/// The value or the receipt for a request.
+fn body(id: &str, is_write: bool) -> String {
+    if is_write {
+        format!("r-{id}")
+    } else {
+        format!("v-{id}\r\nHD O{id}")
+    }
+}
+
+/// An answer of the origin with these further headers.
+fn origin_response(headers: &str, body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 200 OK\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
--- a/node/src/testing.rs
+++ b/node/src/testing.rs
@@ -12,13 +12,19 @@
 use tokio::io::{AsyncReadExt, DuplexStream, ReadHalf, WriteHalf};
 
 use crate::clock::Clock;
+use crate::connect::Connector;
 use crate::counters::Counters;
 use crate::downstream::{ClientReader, ClientStream};
 use crate::resource_limits::ResourceLimits;
 use crate::upstream::{Upstream, UpstreamLimits};
 
-/// Connection pools with this limit on connections.
+/// Connection pools with this limit on connections, which are established over TCP.
 pub fn upstream(connections: usize) -> Rc<Upstream> {
+    upstream_with(connections, Rc::new(crate::connect::TcpConnector))
+}
+
+/// Connection pools with this limit on connections, which `connector` establishes.
+pub fn upstream_with(connections: usize, connector: Rc<dyn Connector>) -> Rc<Upstream> {
     let second = std::time::Duration::from_secs(1);
     let limits = UpstreamLimits {
         max_connections: connections,
@@ -29,13 +35,7 @@
         may_duplicate: true,
         origin_kind: Some(ORIGIN),
     };
-    Upstream::new(
-        limits,
-        Rc::new(crate::connect::TcpConnector),
-        Clock::start(),
-        Rc::new(Counters::default()),
-        log(),
-    )
+    Upstream::new(limits, connector, Clock::start(), Rc::new(Counters::default()), log())
 }
 
 impl ClientStream for DuplexStream {
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -10,6 +10,8 @@
 mod pool;
 mod read_error;
 mod response;
+mod reuse;
+mod settling;
 mod upload;
 
 use std::cell::{Cell, RefCell};
@@ -20,13 +22,15 @@
 use std::time::Duration;
 
 use juniperladder::{EndpointState, EndpointUpdate, ServerId};
+use juniperladder_dispatch::identifiers::ServerLabel;
 use juniperladder_dispatch::log_throttle::LogThrottle;
 use rustc_hash::FxHashMap;
-use slog::{warn, Logger};
+use slog::{debug, warn, Logger};
 use tokio::sync::{oneshot, Notify};
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
-use crate::clock::Clock;
+use crate::clock::{duration, Clock};
 use crate::connect::Connector;
 use crate::counters::{increment, Counters};
 use crate::dispatcher::{Attempt, AttemptEnd, AttemptId, AttemptTransport, Dispatcher, ListedServer, Upload};
@@ -40,6 +44,10 @@
 /// The fraction of the connection limit above which the connections of timed-out attempts close.
 const CROWDED_NUMERATOR: usize = 3;
 const CROWDED_DENOMINATOR: usize = 4;
+/// The longest that an attempt waits for a connection that settles, and the part of its time (one in this many) that
+/// the wait may take. If every connection needs longer, a new one is opened.
+const MAX_SETTLE_WAIT: Duration = Duration::from_millis(50);
+const SETTLE_WAIT_DIVISOR: u32 = 4;
 
 /// The limits of the connections to servers.
 #[derive(Clone, Debug)]
@@ -277,9 +285,13 @@
         self.report_end(id, end);
     }
 
-    /// Adds an idle connection to its pool, and returns the channel for its next attempt; `None` if the
-    /// connection has to close.
-    fn add_idle(&self, connection: &UpstreamConnection) -> Option<(IdleId, oneshot::Receiver<Attempt>)> {
+    /// Adds an idle connection, which settles at this time, to its pool. Returns the channel for its next attempt;
+    /// `None` if the connection has to close.
+    fn add_idle(
+        &self,
+        connection: &UpstreamConnection,
+        settled_at: Instant,
+    ) -> Option<(IdleId, oneshot::Receiver<Attempt>)> {
         let mut pools = self.pools.borrow_mut();
         // After a server has moved, a connection to its old address is not used, as another process may
         // listen there now.
@@ -287,7 +299,7 @@
         let (attempt_sender, receiver) = oneshot::channel();
         let id = self.last_idle_id.get() + 1;
         self.last_idle_id.set(id);
-        pool.idle.push(IdleConnection { id, attempt_sender });
+        pool.idle.push(IdleConnection { id, settled_at, attempt_sender });
         Some((id, receiver))
     }
 
@@ -297,6 +309,28 @@
         }
     }
 
+    /// Takes the next waiting attempt for an idle connection that has settled.
+    fn take_waiting(&self, connection: &UpstreamConnection, id: IdleId) -> Option<Attempt> {
+        let attempt = self.next_attempt(connection)?;
+        self.remove_idle(connection.server, id);
+        Some(attempt)
+    }
+
+    /// How long a connection to this server has to be silent before it is reused.
+    fn settle_time(&self, server: ServerId) -> Duration {
+        self.pools.borrow().get(&server).map(|pool| pool.settle_time.current()).unwrap_or_default()
+    }
+
+    /// Handles bytes that arrived this long after a complete answer, when no answer was awaited.
+    fn on_late_bytes(&self, connection: &UpstreamConnection, delay: Duration) {
+        increment(&self.counters.late_bytes);
+        debug!(self.log, "bytes after a complete answer"; "server" => %ServerLabel(connection.server),
+            "address" => %connection.address, "delay_ms" => delay.as_millis());
+        if let Some(pool) = self.pools.borrow().get(&connection.server) {
+            pool.settle_time.on_late_bytes(delay);
+        }
+    }
+
     /// Sends the last byte of an upload, which is its attempt; all other bytes were sent before. If their connection
     /// has failed, the attempt ends as not sent: the request was not executed, and the value is not kept to be sent
     /// again.
@@ -358,7 +392,9 @@
         if attempt.request.upload.is_some() {
             return self.finish_upload(pool, attempt);
         }
-        let Some(attempt) = pool.assign_to_idle(attempt) else { return };
+        let time_left = duration(attempt.deadline.saturating_sub(self.clock.now()));
+        let longest_wait = MAX_SETTLE_WAIT.min(time_left / SETTLE_WAIT_DIVISOR);
+        let Some(attempt) = pool.assign_to_idle(attempt, longest_wait) else { return };
         pool.waiting.push_back(attempt);
         self.open_connections_to(server, pool);
         if pool.lacks_connections() {
--- a/node/src/upstream/connection.rs
+++ b/node/src/upstream/connection.rs
@@ -1,11 +1,10 @@
-//! One connection to a server: it is established, carries attempts one after the other, and is idle between
-//! them.
+//! One connection to a server: it is established, and carries single attempts.
 
-use std::future::{poll_fn, Future};
+use std::future::poll_fn;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
-use std::pin::{pin, Pin};
-use std::task::{Context, Poll, Waker};
+use std::pin::Pin;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -13,9 +12,8 @@
 use juniperladder_dispatch::identifiers::ServerLabel;
 use juniperladder_dispatch::streamed_value::{streamed_value, ChunkSender};
 use slog::debug;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite};
-use tokio::task::yield_now;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::time::timeout;
 
 use super::download::{forward_value, ValueBody};
 use super::read_error::ReadError;
@@ -27,10 +25,6 @@
 use crate::dispatcher::{Answer, Attempt, AttemptEnd, Reply};
 use crate::{http, memcache};
 
-/// A write on a connection that the server had already closed is reset within this time; a later break has
-/// another cause.
-const IMMEDIATE_RESET_WINDOW: Duration = Duration::from_millis(10);
-
 /// One connection to a server.
 pub(super) struct UpstreamConnection {
     pub(super) server: ServerId,
@@ -85,6 +79,9 @@
 pub(super) enum AfterAttempt {
     /// The connection carries further attempts.
     KeepOpen,
+    /// The connection carries further attempts once it has been silent for the settle time, as a copy of its last
+    /// answer would not name its request.
+    Settle,
     /// The connection closes.
     Close,
     /// The connection broke before the first byte of an answer.
@@ -92,12 +89,14 @@
 }
 
 impl AfterAttempt {
-    /// The state after a complete response.
-    fn complete(closes_connection: bool) -> AfterAttempt {
-        if closes_connection {
+    /// The state after a complete response, with the input that followed it.
+    fn complete(closes_connection: bool, names_request: bool, following: &[u8]) -> AfterAttempt {
+        if closes_connection || !following.is_empty() {
             AfterAttempt::Close
-        } else {
+        } else if names_request {
             AfterAttempt::KeepOpen
+        } else {
+            AfterAttempt::Settle
         }
     }
 }
@@ -108,7 +107,7 @@
         match self.connect(upstream).await {
             Ok(stream) => {
                 upstream.on_connected(self.server);
-                self.carry_attempts(upstream, stream).await;
+                self.carry_attempts(upstream, stream, None).await;
             }
             Err(error) => upstream.on_connect_failed(self.server, error),
         }
@@ -135,74 +134,6 @@
         Ok(stream)
     }
 
-    /// Carries attempts one after the other until the connection has to close.
-    pub(super) async fn carry_attempts(&self, upstream: &Upstream, mut stream: Box<dyn ServerStream>) {
-        let mut input = BytesMut::new();
-        let mut has_carried = false;
-        loop {
-            let idle_since = Instant::now();
-            let (attempt, is_new_connection) = match upstream.next_attempt(self) {
-                Some(attempt) => (attempt, !has_carried),
-                None => match self.wait_for_attempt(upstream, &mut stream, &mut input).await {
-                    Some(attempt) => (attempt, false),
-                    None => return,
-                },
-            };
-            // Lets the runtime notice a close that arrived right after the last answer.
-            yield_now().await;
-            // Nothing has been written yet, so that the attempt can move to another connection.
-            if !upstream.can_send_on(self) {
-                return upstream.requeue(self.server, attempt);
-            }
-            if !is_open_and_silent(&mut stream, &mut input) {
-                return self.on_ended_before_attempt(upstream, attempt, is_new_connection);
-            }
-            let (idle, begun) = (idle_since.elapsed(), Instant::now());
-            match self.execute(upstream, &mut stream, &mut input, attempt).await {
-                AfterAttempt::KeepOpen => upstream.idle_timeout.on_reused(idle),
-                AfterAttempt::Broken if has_carried && begun.elapsed() < IMMEDIATE_RESET_WINDOW => {
-                    return upstream.idle_timeout.on_broken(idle);
-                }
-                AfterAttempt::Broken | AfterAttempt::Close => return,
-            }
-            has_carried = true;
-        }
-    }
-
-    /// Handles a connection that ended, or received stray bytes, before any byte of this attempt was written.
-    /// On a new connection this counts against the server: one that closes every new connection would
-    /// otherwise be retried without end.
-    fn on_ended_before_attempt(&self, upstream: &Upstream, attempt: Attempt, is_new_connection: bool) {
-        if is_new_connection {
-            upstream.end_attempt(self.server, attempt.id, AttemptEnd::ConnectFailed);
-        } else {
-            upstream.requeue(self.server, attempt);
-        }
-    }
-
-    /// Waits idle for an attempt; `None` if the connection has to close.
-    async fn wait_for_attempt<S: AsyncRead + Unpin>(
-        &self,
-        upstream: &Upstream,
-        stream: &mut S,
-        input: &mut BytesMut,
-    ) -> Option<Attempt> {
-        let (id, mut next) = upstream.add_idle(self)?;
-        let idle_timeout = sleep(upstream.idle_timeout.current());
-        tokio::select! {
-            biased;
-            given = &mut next => return given.ok(),
-            // The connection ended, or received stray bytes, as no answer is awaited here.
-            _ = stream.read_buf(input) => {}
-            () = idle_timeout => {}
-        }
-        upstream.remove_idle(self.server, id);
-        if let Ok(attempt) = next.try_recv() {
-            upstream.requeue(self.server, attempt);
-        }
-        None
-    }
-
     /// Writes an attempt and waits for its answer.
     pub(super) async fn execute<S: AsyncRead + AsyncWrite + Unpin>(
         &self,
@@ -252,8 +183,8 @@
         let answer_timeout = write_timeout + upstream.limits.late_answer_timeout;
         let response = self.wait_for_response(upstream, stream, input, &attempt, answer_timeout).await;
         let (end, after) = match response {
-            Some(Ok(ServerResponse::Complete { reply, closes_connection })) => {
-                (AttemptEnd::Reply(reply), AfterAttempt::complete(closes_connection))
+            Some(Ok(ServerResponse::Complete { reply, closes_connection, names_request })) => {
+                (AttemptEnd::Reply(reply), AfterAttempt::complete(closes_connection, names_request, input))
             }
             Some(Ok(ServerResponse::Streamed { length, body })) => {
                 let (sender, value) = streamed_value(length);
@@ -331,7 +262,7 @@
         match forward_value(stream, input, &mut body, sender, chunk_bytes).await {
             Ok(()) => {
                 increment(&upstream.counters.downloads);
-                AfterAttempt::complete(body.closes_connection())
+                AfterAttempt::complete(body.closes_connection(), body.names_request(), input)
             }
             Err(error) => {
                 increment(&upstream.counters.downloads_broken);
@@ -367,10 +298,3 @@
     }
     true
 }
-
-/// Whether an idle connection is still open and has received nothing.
-fn is_open_and_silent<S: AsyncRead + Unpin>(stream: &mut S, input: &mut BytesMut) -> bool {
-    let mut context = Context::from_waker(Waker::noop());
-    let is_silent = pin!(stream.read_buf(input)).poll(&mut context).is_pending();
-    is_silent && input.is_empty()
-}
--- a/node/src/upstream/download.rs
+++ b/node/src/upstream/download.rs
@@ -45,6 +45,14 @@
             ValueBody::Http(response) => response.closes_connection(),
         }
     }
+
+    /// Whether the response names the request that it answers. A cache server's values always do.
+    pub(super) fn names_request(&self) -> bool {
+        match self {
+            ValueBody::Memcache(_) => true,
+            ValueBody::Http(response) => response.names_request(),
+        }
+    }
 }
 
 impl From<ChunkSendError> for ReadError {
--- a/node/src/upstream/pool.rs
+++ b/node/src/upstream/pool.rs
@@ -3,11 +3,14 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use rustc_hash::FxHashMap;
 use tokio::sync::{oneshot, Notify};
+use tokio::time::Instant;
 
 use super::connection::UpstreamConnection;
+use super::settling::SettleTime;
 use crate::dispatcher::{Attempt, AttemptId};
 
 /// Identifies an idle connection of a pool.
@@ -16,6 +19,8 @@
 /// An idle connection, with the channel for its next attempt.
 pub(super) struct IdleConnection {
     pub(super) id: IdleId,
+    /// When the connection may carry its next attempt, if it stays silent until then.
+    pub(super) settled_at: Instant,
     pub(super) attempt_sender: oneshot::Sender<Attempt>,
 }
 
@@ -44,6 +49,8 @@
     pub(super) connecting: usize,
     /// Attempts carried on connections.
     pub(super) carried: FxHashMap<AttemptId, CarriedAttempt>,
+    /// How long connections are silent before they are reused.
+    pub(super) settle_time: SettleTime,
 }
 
 impl Pool {
@@ -62,10 +69,10 @@
         !self.accepts_attempts && self.connecting == 0 && self.carried.is_empty()
     }
 
-    /// Gives an attempt to the most recently used idle connection, so that surplus connections reach their
-    /// idle timeout. Returns the attempt if there is no idle connection.
-    pub(super) fn assign_to_idle(&mut self, mut attempt: Attempt) -> Option<Attempt> {
-        while let Some(idle) = self.idle.pop() {
+    /// Gives an attempt to an idle connection, on which it may have to wait up to `longest_wait`. Returns the attempt
+    /// if there is none.
+    pub(super) fn assign_to_idle(&mut self, mut attempt: Attempt, longest_wait: Duration) -> Option<Attempt> {
+        while let Some(idle) = self.take_idle(longest_wait) {
             let id = attempt.id;
             match idle.attempt_sender.send(attempt) {
                 Ok(()) => {
@@ -77,4 +84,19 @@
         }
         Some(attempt)
     }
+
+    /// Takes the most recently used idle connection that has settled, so that surplus connections reach their idle
+    /// timeout; otherwise the one that settles first, if it does so within `longest_wait`.
+    fn take_idle(&mut self, longest_wait: Duration) -> Option<IdleConnection> {
+        let now = Instant::now();
+        let settled = self.idle.iter().rposition(|idle| idle.settled_at <= now);
+        let position = settled.or_else(|| self.next_to_settle(now + longest_wait))?;
+        Some(self.idle.remove(position))
+    }
+
+    /// The position of the idle connection that settles first, if it does so by this time.
+    fn next_to_settle(&self, by: Instant) -> Option<usize> {
+        let (position, idle) = self.idle.iter().enumerate().min_by_key(|(_, idle)| idle.settled_at)?;
+        (idle.settled_at <= by).then_some(position)
+    }
 }
--- a/node/src/upstream/response.rs
+++ b/node/src/upstream/response.rs
@@ -17,6 +17,8 @@
         reply: Reply,
         /// Whether the connection closes after it.
         closes_connection: bool,
+        /// Whether the response names the request that it answers.
+        names_request: bool,
     },
     /// The beginning of a value that is streamed.
     Streamed {
@@ -40,7 +42,8 @@
         let has_ended = read_more(stream, input).await? == 0;
         match memcache::read_response(input, request)? {
             Some(memcache::Response::Complete(reply)) => {
-                return Ok(ServerResponse::Complete { reply, closes_connection: false });
+                let names_request = names_cache_request(&reply);
+                return Ok(ServerResponse::Complete { reply, closes_connection: false, names_request });
             }
             Some(memcache::Response::Streamed { length, remaining }) => {
                 return Ok(ServerResponse::Streamed { length, body: ValueBody::Memcache(remaining) });
@@ -51,6 +54,12 @@
     }
 }
 
+/// Whether a cache server's response names its request: values, receipts and misses carry the request's id, which
+/// was compared with it, and error lines carry none.
+fn names_cache_request(reply: &Reply) -> bool {
+    matches!(reply, Reply::Served(_) | Reply::Miss { .. })
+}
+
 /// Reads the origin's response to this request.
 ///
 /// # Errors
@@ -80,8 +89,11 @@
         }
         if response.is_complete {
             check_following_bytes(stream, input).await?;
-            let reply = response.reply(is_write)?;
-            return Ok(ServerResponse::Complete { reply, closes_connection: response.closes_connection() });
+            return Ok(ServerResponse::Complete {
+                reply: response.reply(is_write)?,
+                closes_connection: response.closes_connection(),
+                names_request: response.names_request(),
+            });
         }
         if has_ended {
             return Err(ReadError::Disconnected);
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -1,6 +1,7 @@
 //! Pools and connections, with servers simulated in memory and on loopback.
 
 mod event_loop_delay;
+mod late_copies;
 
 use super::connection::{AfterAttempt, UpstreamConnection};
 use super::*;
@@ -100,7 +101,9 @@
             assert_eq!(counted, [(expected, 1)]);
             assert_eq!(after == AfterAttempt::Broken, has_closed && expected == "resets");
             let is_malformed = upstream.counters.malformed_responses.get() > 0;
-            assert_eq!(after == AfterAttempt::KeepOpen, !is_malformed && ["ok", "misses", "full", "errors"].contains(&expected));
+            // Only an answer that names its request shows at once that the next one on the connection is another.
+            assert_eq!(after == AfterAttempt::KeepOpen, ["ok", "misses"].contains(&expected));
+            assert_eq!(after == AfterAttempt::Settle, !is_malformed && ["full", "errors"].contains(&expected));
             let served = matches!(answer.await, Ok(Answer::Receipt(_)));
             assert_eq!(served, expected == "ok");
         });
@@ -365,9 +368,10 @@
             is_origin: false,
             address: ([127, 0, 0, 1], port).into(),
         };
-        assert!(upstream.add_idle(&connection(1)).is_some());
+        assert!(upstream.add_idle(&connection(1), Instant::now()).is_some());
         assert!(
-            upstream.add_idle(&connection(2)).is_none() && upstream.next_attempt(&connection(2)).is_none()
+            upstream.add_idle(&connection(2), Instant::now()).is_none()
+                && upstream.next_attempt(&connection(2)).is_none()
         );
     });
 }
--- a/node/src/upstream/upload.rs
+++ b/node/src/upstream/upload.rs
@@ -63,8 +63,8 @@
         }
         let input = &mut BytesMut::new();
         let after = self.send(upstream, &mut stream, input, attempt, &last_byte.byte, time_left).await;
-        if after == AfterAttempt::KeepOpen {
-            self.carry_attempts(upstream, stream).await;
+        if matches!(after, AfterAttempt::KeepOpen | AfterAttempt::Settle) {
+            self.carry_attempts(upstream, stream, Some(after)).await;
         }
     }
 
--- a/protocols/src/http/response.rs
+++ b/protocols/src/http/response.rs
@@ -237,6 +237,11 @@
         self.head.as_ref().is_none_or(|head| head.closes_connection)
     }
 
+    /// Whether the response states the id of its request.
+    pub fn names_request(&self) -> bool {
+        self.head.as_ref().is_some_and(|head| head.request_id.is_some())
+    }
+
     /// Converts the origin's complete response to a read or a write into a reply.
     ///
     /// # Errors
--- a/testbed/src/origin.rs
+++ b/testbed/src/origin.rs
@@ -121,7 +121,7 @@
             let logged = &mut testbed.event_log.borrow_mut().attempts[log_index];
             logged.result = AttemptResult::Served;
             logged.answered_at = Some(testbed.now());
-            served(request, body)
+            Ok(served(body))
         }
     }
 }
@@ -180,9 +180,9 @@
     }
 }
 
-fn served(request: &ParsedRequest, body: String) -> Result<Response<Body>, ConnectionBroken> {
-    let response = Response::builder().header("X-Trace-Id", format!("{:016x}", request.id));
-    response.body(Full::new(Bytes::from(body))).map_err(|_| ConnectionBroken)
+/// The answer with this body. It does not name its request, as the protocol asks for no such header.
+fn served(body: String) -> Response<Body> {
+    Response::new(Full::new(Bytes::from(body)))
 }
 
 fn rejected() -> Result<Response<Body>, ConnectionBroken> {
