Let clients read their answers as slowly as they like

UNREAD_ANSWER_TIMEOUT (connection/timing.rs) ended a connection on which no write had succeeded for 5 s. A full socket takes bytes again only when about a third of its buffer is free, more than a megabyte here, so that a client that reads steadily cannot be told from one that reads nothing. Ruled out: the server (it gives everything at once), a deadline (none after the first bytes).

The timeout is gone; no time limits the reading of an answer. A client that has read no part of its answers for 60 s, as far as its socket shows, may be evicted: when a new connection waits for a slot (after idle ones, before new ones and those in the middle of a request), or when the clients' buffers are used up. So slots and buffers stay bounded.

Tests (downstream/tests/unread.rs): pauses of 2, 6 and 120 s between the quarters of a value, and who is evicted when. Three of four failed before ("pauses of 6s: early eof"); the fourth, on the buffers, guards the new rule. No existing test changed.

Tests of the package: 109 passed, 0 failed.

--- a/node/src/downstream/connection.rs
+++ b/node/src/downstream/connection.rs
@@ -110,6 +110,8 @@
     TimedOut,
     /// The slot is needed although part of a request has been received.
     EvictedMidRequest,
+    /// The slot or its buffers are needed, and the client has read no part of its answers for long.
+    EvictedUnread,
 }
 
 impl<'a> DownstreamConnection<'a> {
@@ -247,6 +249,9 @@
             // A connection in the middle of a request is evicted only when no other can be.
             () = self.slot.wait_for_eviction(&self.slot.evicted_mid_request),
                 if !interests.is_idle && !self.slot.is_busy.get() => ConnectionEvent::EvictedMidRequest,
+            () = self.slot.wait_for_eviction(&self.slot.evicted_unread), if self.slot.is_busy.get() => {
+                ConnectionEvent::EvictedUnread
+            }
         })
     }
 
@@ -258,9 +263,7 @@
             ConnectionEvent::Chunk(chunk) => self.write_chunk(chunk)?,
             ConnectionEvent::Received(length) => self.on_received(length),
             ConnectionEvent::Disconnected => self.on_disconnected(),
-            ConnectionEvent::TimedOut if !self.output.is_empty() => {
-                return Err(io::ErrorKind::TimedOut.into());
-            }
+            ConnectionEvent::EvictedUnread => return Err(io::ErrorKind::TimedOut.into()),
             ConnectionEvent::TimedOut | ConnectionEvent::EvictedMidRequest => self.end_mid_request(),
             // UploadUnblocked only wakes the loop; `serve` handles CloseRequested itself.
             ConnectionEvent::UploadUnblocked | ConnectionEvent::CloseRequested(_) => {}
--- a/node/src/downstream/connection/timing.rs
+++ b/node/src/downstream/connection/timing.rs
@@ -15,16 +15,13 @@
 const VALUE_STALL_TIMEOUT: Duration = Duration::from_millis(2200);
 /// How long a value may take in total while its chunks keep arriving.
 const VALUE_TIMEOUT: Duration = Duration::from_secs(15);
-/// How long a client may leave its pending answers without reading any part of them.
-const UNREAD_ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 
 impl DownstreamConnection<'_> {
-    /// When this connection times out in its current state; `None` while its client waits for the dispatcher.
+    /// When this connection times out in its current state; `None` while its client waits for the dispatcher or
+    /// has answers to read. A client reads as slowly as it likes: one that reads a little at a time cannot be told from
+    /// one that does not, as the socket accepts more only once much of its buffer is free.
     pub(super) fn deadline(&self) -> Option<Instant> {
-        if !self.output.is_empty() {
-            return Some(self.last_output_progress + UNREAD_ANSWER_TIMEOUT);
-        }
-        if !self.pending.is_empty() || self.download.is_some() {
+        if !self.has_sent_all_answers() {
             return None;
         }
         let idle_until = self.slot.idle_since.get() + IDLE_TIMEOUT;
@@ -56,6 +53,8 @@
             // The connection waits for the origin side and not for the client.
             self.last_received = now;
         }
+        let unread_since = (!self.output.is_empty()).then_some(self.last_output_progress);
+        self.slot.unread_since.set(unread_since);
         if self.output.is_empty() {
             self.last_output_progress = now;
         }
@@ -76,12 +75,14 @@
         let buffered_bytes = &self.downstream.buffered_bytes;
         buffered_bytes.set(buffered_bytes.get() + bytes - self.counted_bytes);
         self.counted_bytes = bytes;
+        if !self.downstream.has_buffers_left() {
+            self.downstream.evict_stalled();
+        }
     }
 
     /// Whether more may be read. When all client connections together buffer too much, those that buffer more than
-    /// [`GUARANTEED_BUFFER_BYTES`] wait until others finish or time out.
+    /// [`GUARANTEED_BUFFER_BYTES`] wait until others finish, time out or are evicted.
     pub(super) fn can_buffer_more(&self) -> bool {
-        self.counted_bytes <= GUARANTEED_BUFFER_BYTES
-            || self.downstream.buffered_bytes.get() < self.downstream.resource_limits.client_buffer_bytes
+        self.counted_bytes <= GUARANTEED_BUFFER_BYTES || self.downstream.has_buffers_left()
     }
 }
--- a/node/src/downstream/slots.rs
+++ b/node/src/downstream/slots.rs
@@ -1,7 +1,7 @@
 //! The slots of downstream connections: how many are occupied, and which connections are evicted for others.
 //!
-//! Guarantee: a connection with an open request is never evicted, and one in the middle of a request only
-//! when there is no other. New connections, which may be about to send their first request, are evicted only
+//! Guarantee: a connection with an open request is never evicted, but for one whose client has read no part of its
+//! answers for [`STALL_TIMEOUT`], and one in the middle of a request only when there is no other. New connections, which may be about to send their first request, are evicted only
 //! for connections that wait for a slot, and no more of them than wait. An evicted connection is read once more
 //! before it closes, so that no request that has arrived is lost, however long the event loop is delayed.
 
@@ -16,6 +16,9 @@
 /// How long after its accept a connection without a request counts as new: its client may be about to send the
 /// first request.
 const NEW_CONNECTION_GRACE: Duration = Duration::from_millis(500);
+/// How long a client may read no part of its answers before its connection may be evicted. A socket shows that its
+/// client reads only when a large part of its buffer, which may hold megabytes, is free again.
+pub(super) const STALL_TIMEOUT: Duration = Duration::from_secs(60);
 /// The share of the slots (one in this many) that is kept free for new connections by evicting idle ones
 /// early.
 pub(super) const SPARE_SLOT_DIVISOR: usize = 16;
@@ -31,6 +34,8 @@
     pub(super) idle_since: Cell<Instant>,
     /// Whether the connection has an open request or an unwritten answer.
     pub(super) is_busy: Cell<bool>,
+    /// Since when the client has read no part of the output; `None` if there is no output.
+    pub(super) unread_since: Cell<Option<Instant>>,
     /// Whether part of a request has been received.
     pub(super) has_incomplete_request: Cell<bool>,
     /// Whether the connection has ever had a request.
@@ -41,6 +46,8 @@
     pub(super) evicted: Notify,
     /// Notified to end the connection in the middle of a request.
     pub(super) evicted_mid_request: Notify,
+    /// Notified to end the connection although its client has not read its answers.
+    pub(super) evicted_unread: Notify,
 }
 
 impl Slot {
@@ -51,11 +58,13 @@
             backlog_wait,
             idle_since: Cell::new(accepted),
             is_busy: Cell::default(),
+            unread_since: Cell::default(),
             has_incomplete_request: Cell::default(),
             has_had_request: Cell::default(),
             is_eviction_pending: Cell::default(),
             evicted: Notify::new(),
             evicted_mid_request: Notify::new(),
+            evicted_unread: Notify::new(),
         }
     }
 
@@ -70,30 +79,44 @@
         !self.has_had_request.get() && now.duration_since(self.idle_since.get()) < NEW_CONNECTION_GRACE
     }
 
+    /// Whether the client has read no part of its answers for long.
+    fn is_stalled(&self, now: Instant) -> bool {
+        self.unread_since.get().is_some_and(|since| now.duration_since(since) >= STALL_TIMEOUT)
+    }
+
     /// The sort key for evictions: the lowest is evicted first.
     fn eviction_order(&self, now: Instant) -> impl Ord {
+        let is_stalled = self.is_stalled(now);
         (
-            self.has_incomplete_request.get(),
+            self.has_incomplete_request.get() && !is_stalled,
             self.is_new(now),
+            is_stalled,
             self.has_had_request.get(),
-            self.idle_since.get(),
+            self.unread_since.get().unwrap_or(self.idle_since.get()),
         )
     }
 
     /// Whether the connection may be chosen for eviction.
-    fn is_evictable(&self) -> bool {
-        !self.is_busy.get() && !self.is_eviction_pending.get()
+    fn is_evictable(&self, now: Instant) -> bool {
+        (!self.is_busy.get() || self.is_stalled(now)) && !self.is_eviction_pending.get()
+    }
+
+    /// Whether an eviction would lose nothing: the client is neither new nor in the middle of a request, and has read
+    /// its answers.
+    fn is_unneeded(&self, now: Instant) -> bool {
+        !self.is_new(now) && !self.has_incomplete_request.get() && !self.is_busy.get()
     }
 
-    /// Notifies the connection to close. If it receives a request, or part of one, before that, it stays
-    /// open.
+    /// Notifies the connection to close. If it receives a request, or part of one, or its client reads before that,
+    /// it stays open.
     fn evict(&self) {
         self.is_eviction_pending.set(true);
-        if self.has_incomplete_request.get() {
-            self.evicted_mid_request.notify_one();
-        } else {
-            self.evicted.notify_one();
-        }
+        let notification = match (self.is_busy.get(), self.has_incomplete_request.get()) {
+            (true, _) => &self.evicted_unread,
+            (false, true) => &self.evicted_mid_request,
+            (false, false) => &self.evicted,
+        };
+        notification.notify_one();
     }
 
     /// Withdraws a pending eviction, as the connection has received input and stays open. Returns whether one
@@ -168,9 +191,9 @@
     }
 
     /// Evicts up to `count` connections without an open request, for as many that wait. The order is: those that
-    /// never had a request, except new ones; those that had one; new ones; and those in the middle of a request.
-    /// Within each group the longest idle is first. After the first eviction, only connections that have received
-    /// nothing are evicted.
+    /// never had a request, except new ones; those that had one; those whose clients have read no part of their
+    /// answers for [`STALL_TIMEOUT`]; new ones; and those in the middle of a request. Within each group the longest
+    /// idle is first. After the first eviction, only connections that have received nothing are evicted.
     pub(super) fn evict(&self, count: usize) {
         for position in 0..count {
             let is_allowed = |slot: &Slot| position == 0 || slot.has_received_nothing();
@@ -180,18 +203,33 @@
         }
     }
 
-    /// Evicts the first connection in the eviction order if it loses nothing: it is neither new nor in the
-    /// middle of a request.
+    /// Evicts the first connection in the eviction order if it loses nothing.
     pub(super) fn evict_idle(&self) {
         let now = Instant::now();
-        self.evict_first(now, |slot| !slot.is_new(now) && !slot.has_incomplete_request.get());
+        self.evict_first(now, |slot| slot.is_unneeded(now));
+    }
+
+    /// Evicts the connection whose client has read no part of its answers for longest, if that is at least
+    /// [`STALL_TIMEOUT`], since its buffers are needed.
+    pub(super) fn evict_stalled(&self) {
+        let now = Instant::now();
+        let slots = self.slots.borrow();
+        let stalled = slots.iter().filter(|slot| slot.is_stalled(now) && slot.is_evictable(now));
+        if let Some(slot) = stalled.min_by_key(|slot| slot.unread_since.get()) {
+            slot.evict();
+        }
+    }
+
+    /// Whether the client connections together may buffer more.
+    pub(super) fn has_buffers_left(&self) -> bool {
+        self.buffered_bytes.get() < self.resource_limits.client_buffer_bytes
     }
 
     /// Evicts the first connection in the eviction order if `is_allowed` accepts it. Returns whether one was
     /// evicted.
     fn evict_first(&self, now: Instant, is_allowed: impl Fn(&Slot) -> bool) -> bool {
         let slots = self.slots.borrow();
-        let candidates = slots.iter().filter(|slot| slot.is_evictable());
+        let candidates = slots.iter().filter(|slot| slot.is_evictable(now));
         let first = candidates.min_by_key(|slot| slot.eviction_order(now)).filter(|slot| is_allowed(slot));
         if let Some(slot) = first {
             slot.evict();
--- a/node/src/downstream/tests.rs
+++ b/node/src/downstream/tests.rs
@@ -3,6 +3,7 @@
 mod closing;
 mod eviction;
 mod slots;
+mod unread;
 
 use std::io;
 
