Shorten the settle time to 20 ms until a server has sent a late copy

The settle time is 20 ms now, and for a minute after a copy was seen from the server ten times the copy's delay, from 50 to 500 ms.

--- a/node/src/upstream/reuse.rs
+++ b/node/src/upstream/reuse.rs
@@ -82,18 +82,15 @@
         input: &mut BytesMut,
         last: Option<AfterAttempt>,
     ) -> Option<(Attempt, bool)> {
-        if last == Some(AfterAttempt::Settle) {
-            let settled_at = Instant::now() + upstream.settle_time(self.server);
-            let attempt = self.wait_for_attempt(upstream, stream, input, settled_at).await?;
-            return Some((attempt, false));
-        }
-        match upstream.next_attempt(self) {
-            Some(attempt) => Some((attempt, last.is_none())),
-            None => {
-                let attempt = self.wait_for_attempt(upstream, stream, input, Instant::now()).await?;
-                Some((attempt, false))
-            }
-        }
+        let settle_time = if last == Some(AfterAttempt::Settle) {
+            upstream.settle_time(self.server)
+        } else if let Some(attempt) = upstream.next_attempt(self) {
+            return Some((attempt, last.is_none()));
+        } else {
+            Duration::ZERO
+        };
+        let attempt = self.wait_for_attempt(upstream, stream, input, settle_time).await?;
+        Some((attempt, false))
     }
 
     /// Waits for an attempt until the idle timeout, and for longer only if it has one and has not settled. Returns
@@ -103,13 +100,14 @@
         upstream: &Upstream,
         stream: &mut S,
         input: &mut BytesMut,
-        settled_at: Instant,
+        settle_time: Duration,
     ) -> Option<Attempt> {
         let idle_since = Instant::now();
+        let settled_at = idle_since + settle_time;
         let idle_until = idle_since + upstream.idle_timeout.current();
         let (id, mut assignment) = upstream.add_idle(self, settled_at)?;
         let mut assigned = None;
-        let mut is_settled = settled_at <= idle_since;
+        let mut is_settled = settle_time.is_zero();
         loop {
             if is_settled && assigned.is_some() {
                 return assigned;
--- a/node/src/upstream/settling.rs
+++ b/node/src/upstream/settling.rs
@@ -15,14 +15,14 @@
 use tokio::time::Instant;
 
 /// The settle time of a server that has sent no late copies.
-const MIN_SETTLE_TIME: Duration = Duration::from_millis(50);
-/// The longest settle time.
+const MIN_SETTLE_TIME: Duration = Duration::from_millis(20);
+/// The shortest settle time of a server that has sent a late copy, and the longest.
+const MIN_RAISED_SETTLE_TIME: Duration = Duration::from_millis(50);
 const MAX_SETTLE_TIME: Duration = Duration::from_millis(500);
 /// The settle time after a late copy, as a multiple of the copy's delay.
-const SETTLE_TIME_PER_DELAY: u32 = 4;
+const SETTLE_TIME_PER_DELAY: u32 = 10;
 /// How long a raised settle time holds after the last late copy.
 const RETENTION: Duration = Duration::from_secs(60);
-
 /// The adaptive settle time of one server.
 #[derive(Debug, Default)]
 pub(super) struct SettleTime(Cell<Option<RaisedSettleTime>>);
@@ -46,7 +46,8 @@
 
     /// Raises the settle time, as bytes arrived this long after a complete answer.
     pub(super) fn on_late_bytes(&self, delay: Duration) {
-        let settle_time = (delay * SETTLE_TIME_PER_DELAY).clamp(self.current(), MAX_SETTLE_TIME);
+        let settle_time = (delay * SETTLE_TIME_PER_DELAY).clamp(MIN_RAISED_SETTLE_TIME, MAX_SETTLE_TIME);
+        let settle_time = settle_time.max(self.current());
         self.0.set(Some(RaisedSettleTime { settle_time, last_late_bytes: Instant::now() }));
     }
 }
