Check in the simulation that nothing is rejected or repeated that may have run

The simulation checks now that a request of a class that must not be executed twice is not rejected once an attempt may have been executed; before, it checked repeats alone.

--- a/node/src/simulation.rs
+++ b/node/src/simulation.rs
@@ -9,7 +9,8 @@
 //! request by a server or the origin, or says that there is none. The only exception is a value that its
 //! client can see to be incomplete. No byte of a request reaches a server after that answer, after its client
 //! has gone, or after the balancer was notified of that server's end. There are no more attempts than the
-//! settings allow, and after one that may have been executed only those that the class allows.
+//! settings allow, and after one that may have been executed only those that the class allows; a request that must not
+//! be executed twice is not rejected then either.
 
 mod clients;
 mod servers;
@@ -116,6 +117,17 @@
         self.requests.borrow_mut().entry(id.to_owned()).or_default().closed_at.get_or_insert(Instant::now());
     }
 
+    /// Records that a request was answered as rejected, which lets its client send it again.
+    fn on_request_rejected(&self, id: &str) {
+        let requests = self.requests.borrow();
+        let Some(request) = requests.get(id) else { return };
+        let was_executed = request.arrivals.iter().any(|arrival| arrival.may_have_been_executed.get());
+        let is_repeatable = SIMULATED_CLASSES[request.class].idempotency != Idempotency::NotIdempotent;
+        if was_executed && !is_repeatable {
+            self.record_violation(id, "rejected although an attempt may have been executed");
+        }
+    }
+
     /// Records that a server has received the complete request. The returned cell holds whether the
     /// server may have executed it; the server sets it to false if it did not.
     fn on_request_arrived(&self, id: &str, arrived_at: Instant) -> Rc<Cell<bool>> {
--- a/node/src/simulation/clients.rs
+++ b/node/src/simulation/clients.rs
@@ -209,7 +209,10 @@
     match answer {
         Answer::Value(value) if value.starts_with(format!("v-{id}").as_bytes()) => Occurrence::Served,
         Answer::Receipt(receipt) if receipt.as_ref() == format!("r-{id}").as_bytes() => Occurrence::Served,
-        Answer::Rejected(_) => Occurrence::Rejected,
+        Answer::Rejected(_) => {
+            event_log.on_request_rejected(id);
+            Occurrence::Rejected
+        }
         Answer::Failed => Occurrence::Failed,
         other => {
             event_log
