--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -321,6 +321,13 @@
         self.pools.borrow().get(&server).map(|pool| pool.settle_time.current()).unwrap_or_default()
     }
 
+    /// Handles a connection to this server that has settled in silence.
+    fn on_settled(&self, server: ServerId) {
+        if let Some(pool) = self.pools.borrow().get(&server) {
+            pool.settle_time.on_silent();
+        }
+    }
+
     /// Handles bytes that arrived this long after a complete answer, when no answer was awaited.
     fn on_late_bytes(&self, connection: &UpstreamConnection, delay: Duration) {
         increment(&self.counters.late_bytes);
--- a/node/src/upstream/reuse.rs
+++ b/node/src/upstream/reuse.rs
@@ -123,6 +123,7 @@
                 attempt = &mut assignment, if assigned.is_none() => assigned = Some(attempt.ok()?),
                 () = sleep_until(settled_at), if !is_settled => {
                     is_settled = true;
+                    upstream.on_settled(self.server);
                     if assigned.is_none() {
                         assigned = upstream.take_waiting(self, id);
                     }
--- a/node/src/upstream/settling.rs
+++ b/node/src/upstream/settling.rs
@@ -7,7 +7,7 @@
 //! attempt.
 //!
 //! Guarantee: a copy that arrives within the settle time is never taken for an answer. The settle time of a server
-//! grows with the delay of the copies that it is seen to send.
+//! grows with the delay of the copies that it is seen to send, and shrinks once many connections have settled in silence.
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -16,8 +16,11 @@
 
 /// The settle time of a server that has sent no late copies.
 const MIN_SETTLE_TIME: Duration = Duration::from_millis(20);
-/// The shortest settle time of a server that has sent a late copy, and the longest.
-const MIN_RAISED_SETTLE_TIME: Duration = Duration::from_millis(50);
+/// The settle time of a server of which little is known, and the shortest of one that has sent a late copy.
+const CAUTIOUS_SETTLE_TIME: Duration = Duration::from_millis(50);
+/// How often connections to a server have to settle in silence before [`MIN_SETTLE_TIME`] is enough.
+const SILENT_SETTLES_BEFORE_TRUST: u32 = 100;
+/// The longest settle time.
 const MAX_SETTLE_TIME: Duration = Duration::from_millis(500);
 /// The settle time after a late copy, as a multiple of the copy's delay.
 const SETTLE_TIME_PER_DELAY: u32 = 10;
@@ -25,7 +28,11 @@
 const RETENTION: Duration = Duration::from_secs(60);
 /// The adaptive settle time of one server.
 #[derive(Debug, Default)]
-pub(super) struct SettleTime(Cell<Option<RaisedSettleTime>>);
+pub(super) struct SettleTime {
+    raised: Cell<Option<RaisedSettleTime>>,
+    /// How often a connection has settled in silence since the last late bytes.
+    silent_settles: Cell<u32>,
+}
 
 /// A settle time that late bytes raised above the minimum.
 #[derive(Clone, Copy, Debug)]
@@ -38,17 +45,24 @@
 impl SettleTime {
     /// How long a connection has to be silent now.
     pub(super) fn current(&self) -> Duration {
-        match self.0.get() {
+        match self.raised.get() {
             Some(raised) if raised.last_late_bytes.elapsed() < RETENTION => raised.settle_time,
+            _ if self.silent_settles.get() < SILENT_SETTLES_BEFORE_TRUST => CAUTIOUS_SETTLE_TIME,
             _ => MIN_SETTLE_TIME,
         }
     }
 
+    /// Records that a connection has settled in silence.
+    pub(super) fn on_silent(&self) {
+        self.silent_settles.set(self.silent_settles.get().saturating_add(1));
+    }
+
     /// Raises the settle time, as bytes arrived this long after a complete answer.
     pub(super) fn on_late_bytes(&self, delay: Duration) {
-        let settle_time = (delay * SETTLE_TIME_PER_DELAY).clamp(MIN_RAISED_SETTLE_TIME, MAX_SETTLE_TIME);
+        let settle_time = (delay * SETTLE_TIME_PER_DELAY).clamp(CAUTIOUS_SETTLE_TIME, MAX_SETTLE_TIME);
         let settle_time = settle_time.max(self.current());
-        self.0.set(Some(RaisedSettleTime { settle_time, last_late_bytes: Instant::now() }));
+        self.raised.set(Some(RaisedSettleTime { settle_time, last_late_bytes: Instant::now() }));
+        self.silent_settles.set(0);
     }
 }
 
--- a/node/src/upstream/tests/late_copies.rs
+++ b/node/src/upstream/tests/late_copies.rs
@@ -127,8 +127,8 @@
 /// Plays many delays of the copy and of the second request: the latter has to get its own answer, and must be executed
 /// once.
 fn check_copies(script: Script, attempts: u32) {
-    for copy_delay in [0, 1, 4, 10, 19] {
-        for request_delay in [0, 1, 3, 9, 18, 30, 60] {
+    for copy_delay in [0, 1, 4, 10, 20, 35, 49] {
+        for request_delay in [0, 1, 3, 9, 19, 34, 48, 60, 90] {
             let (copy_delay, request_delay) =
                 (Duration::from_millis(copy_delay), Duration::from_millis(request_delay));
             let played = testing::run_paused(answer_after_copy(script, attempts, copy_delay, request_delay));
@@ -192,7 +192,7 @@
 /// and otherwise after the settle time.
 #[test]
 fn a_silent_connection_is_reused() {
-    let settle_time = Duration::from_millis(20);
+    let settle_time = Duration::from_millis(50);
     let cases = [
         (0, "VA 1 O1\r\nv\r\n", Duration::ZERO),
         (0, "EN O1\r\n", Duration::ZERO),
@@ -218,11 +218,11 @@
 /// A server that has sent one late copy is trusted less: later copies are recognized at longer delays as well.
 #[test]
 fn later_copies_are_recognized_after_the_first() {
-    for later_delay in [21, 35, 49] {
+    for later_delay in [60, 200, 300] {
         testing::run_paused(async {
             let Site { dispatcher, mut opened, .. } = site(testing::ORIGIN, 1);
             let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
-            for copy_delay in [3, later_delay] {
+            for copy_delay in [35, later_delay] {
                 let (_, first) = dispatcher.accept(request("first")).unwrap();
                 let mut stream = next_connection(&mut opened).await;
                 assert!(read_request(&mut stream).await.is_some());
