--- a/node/src/upstream/settling.rs
+++ b/node/src/upstream/settling.rs
@@ -19,7 +19,7 @@
 /// The settle time of a server of which little is known, and the shortest of one that has sent a late copy.
 const CAUTIOUS_SETTLE_TIME: Duration = Duration::from_millis(50);
 /// How often connections to a server have to settle in silence before [`MIN_SETTLE_TIME`] is enough.
-const SILENT_SETTLES_BEFORE_TRUST: u32 = 100;
+const SILENT_SETTLES_BEFORE_TRUST: u32 = 30;
 /// The longest settle time.
 const MAX_SETTLE_TIME: Duration = Duration::from_millis(500);
 /// The settle time after a late copy, as a multiple of the copy's delay.
