--- a/node/src/downstream/slots.rs
+++ b/node/src/downstream/slots.rs
@@ -1,9 +1,10 @@
 //! The slots of downstream connections: how many are occupied, and which connections are evicted for others.
 //!
 //! Guarantee: a connection with an open request is never evicted, but for one whose client has read no part of its
-//! answers for [`STALL_TIMEOUT`], and one in the middle of a request only when there is no other. New connections, which may be about to send their first request, are evicted only
-//! for connections that wait for a slot, and no more of them than wait. An evicted connection is read once more
-//! before it closes, so that no request that has arrived is lost, however long the event loop is delayed.
+//! answers for [`STALL_TIMEOUT`], and one in the middle of a request only when there is no other. New connections,
+//! which may be about to send their first request, are evicted only for connections that wait for a slot, and no more
+//! of them than wait. An evicted connection is read once more before it closes, so that no request that has arrived is
+//! lost, however long the event loop is delayed.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -119,8 +120,8 @@
         notification.notify_one();
     }
 
-    /// Withdraws a pending eviction, as the connection has received input and stays open. Returns whether one
-    /// was pending.
+    /// Withdraws a pending eviction, as the connection has received input, or its client has read, and it stays open.
+    /// Returns whether one was pending.
     pub(super) fn withdraw_eviction(&self) -> bool {
         self.is_eviction_pending.replace(false)
     }
--- a/node/src/upstream/settling.rs
+++ b/node/src/upstream/settling.rs
@@ -26,6 +26,7 @@
 const SETTLE_TIME_PER_DELAY: u32 = 10;
 /// How long a raised settle time holds after the last late copy.
 const RETENTION: Duration = Duration::from_secs(60);
+
 /// The adaptive settle time of one server.
 #[derive(Debug, Default)]
 pub(super) struct SettleTime {
--- a/node/src/upstream/tests/late_copies.rs
+++ b/node/src/upstream/tests/late_copies.rs
@@ -256,7 +256,7 @@
         first.await.unwrap();
         yield_until_idle().await;
         let mut urgent = testing::request("2", None);
-        urgent.timeout = Some(Micros(60_000));
+        urgent.timeout = Some(Micros(100_000));
         let (_, _second) = dispatcher.accept(urgent).unwrap();
         yield_until_idle().await;
         assert!(opened.try_recv().is_ok());
