--- a/node/src/daemon.rs
+++ b/node/src/daemon.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, MissedTickBehavior};
 
 use crate::admin::{Admin, AdminConnections};
+use crate::buffer_pool::BufferPool;
 use crate::clock::{self, Clock};
 use crate::config::Config;
 use crate::connect::TcpConnector;
@@ -65,9 +66,10 @@
 impl Daemon {
     /// Builds every component and starts its tasks.
     async fn start(mut config: Config, log: Logger) -> Result<(Daemon, Rc<Reloader>), StartError> {
-        let resource_limits = ResourceLimits::from_configured(config.resource_limits);
+        let resource_limits = ResourceLimits::from_configured(config.resource_limits, process_count(&config));
+        let buffers = BufferPool::new(resource_limits.pool_bytes);
         let longest_deadline = longest_deadline(&config);
-        let dispatcher = build_dispatcher(&config, &resource_limits, longest_deadline, &log);
+        let dispatcher = build_dispatcher(&config, &resource_limits, &buffers, longest_deadline, &log);
         let peers = join_peers(&config, &dispatcher, &log)?;
         let known_version = config.last_known_endpoints.version;
         let list_reader = EndpointListReader::new(std::mem::take(&mut config.site_names));
@@ -81,6 +83,7 @@
             config.labels.clone(),
             Rc::clone(&shutdown),
             resource_limits,
+            buffers.clone(),
             log.clone(),
         );
         let daemon =
@@ -211,10 +214,21 @@
     clock::duration(deadlines.max().unwrap_or_default())
 }
 
+/// How many processes of this balancer may run at once: where operators can call, a successor is started beside the process
+/// that it replaces.
+fn process_count(config: &Config) -> usize {
+    if config.admin_address.is_some() {
+        2
+    } else {
+        1
+    }
+}
+
 /// Builds the dispatcher, and the upstream that carries its attempts to the servers.
 fn build_dispatcher(
     config: &Config,
     resource_limits: &ResourceLimits,
+    buffers: &BufferPool,
     longest_deadline: Duration,
     log: &Logger,
 ) -> Rc<Dispatcher> {
@@ -223,6 +237,7 @@
     let limits = UpstreamLimits {
         max_connections: resource_limits.server_connections,
         chunk_bytes: resource_limits.chunk_bytes,
+        buffers: buffers.clone(),
         connect_timeout: config.connect_timeout,
         server_idle_timeout: config.server_idle_timeout,
         late_answer_timeout: longest_deadline,
--- a/node/src/downstream.rs
+++ b/node/src/downstream.rs
@@ -7,6 +7,7 @@
 mod backlog;
 mod connection;
 mod lingering;
+mod output;
 mod slots;
 mod stream;
 mod upload;
@@ -20,6 +21,7 @@
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, timeout, Duration, Instant};
 
+use crate::buffer_pool::BufferPool;
 use crate::counters::increment;
 use crate::dispatcher::Dispatcher;
 use crate::graceful_shutdown::GracefulShutdown;
@@ -59,8 +61,8 @@
     labels: Labels,
     shutdown: Rc<GracefulShutdown>,
     resource_limits: ResourceLimits,
-    /// Bytes buffered for all clients together.
-    buffered_bytes: Cell<usize>,
+    /// The buffers that all connections share.
+    buffers: BufferPool,
     slots: RefCell<Vec<Rc<Slot>>>,
     /// The number of operators' connections, which share the descriptors.
     admin_connections: Rc<Cell<usize>>,
@@ -81,12 +83,13 @@
 }
 
 impl Downstream {
-    /// Creates the downstream side with these labels and limits.
+    /// Creates the downstream side with these labels, limits and shared buffers.
     pub fn new(
         dispatcher: Rc<Dispatcher>,
         labels: Labels,
         shutdown: Rc<GracefulShutdown>,
         resource_limits: ResourceLimits,
+        buffers: BufferPool,
         log: Logger,
     ) -> Rc<Downstream> {
         Rc::new(Downstream {
@@ -94,7 +97,7 @@
             labels,
             shutdown,
             resource_limits,
-            buffered_bytes: Cell::default(),
+            buffers,
             slots: RefCell::default(),
             admin_connections: Rc::default(),
             lingering: Cell::default(),
--- a/node/src/downstream/connection.rs
+++ b/node/src/downstream/connection.rs
@@ -5,6 +5,7 @@
 //! it may hold its slot without an open request.
 
 mod answers;
+mod input;
 mod requests;
 mod timing;
 
@@ -12,14 +13,16 @@
 use std::io;
 use std::task::Poll;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use slog::debug;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::{sleep_until, timeout, Instant};
 
+use super::output::OutputQueue;
 use super::slots::Slot;
 use super::stream::{wait_for_disconnect, ClientReader, ClientStream};
 use super::{Downstream, FinalRead, FINAL_READ_TIMEOUT, LINGER_TIMEOUT};
+use crate::buffer_pool::Reservation;
 use crate::dispatcher::Answer;
 use crate::downstream::upload::{self, StreamedUpload};
 use crate::memcache::RequestReader;
@@ -30,10 +33,8 @@
 /// Invalid requests after which a connection ends: its client does not speak the protocol, or reads no
 /// answers.
 pub(super) const MAX_INVALID_REQUESTS: usize = 64;
-/// Bytes reserved for each read.
-pub(super) const READ_BYTES: usize = 2048;
-/// Bytes that a connection may buffer regardless of all others: enough for a typical request.
-pub(super) const GUARANTEED_BUFFER_BYTES: usize = 8 * 1024;
+/// Bytes that one call reads at most: each call clears the memory that it may fill.
+const MAX_READ_BYTES: usize = 32 << 10;
 
 /// One downstream connection.
 pub(super) struct DownstreamConnection<'a> {
@@ -41,13 +42,13 @@
     slot: &'a Slot,
     request_reader: RequestReader,
     input: BytesMut,
-    output: BytesMut,
+    /// Pays for the input, if it is larger than [`READ_BYTES`](crate::resource_limits::READ_BYTES).
+    input_reservation: Option<Reservation>,
+    /// Pays for the next request, if another is open.
+    request_reservation: Option<Reservation>,
+    output: OutputQueue,
     /// The answers that the client waits for, in order.
     pending: VecDeque<PendingAnswer>,
-    /// Bytes of the values of the open requests.
-    request_bytes: usize,
-    /// The bytes of this connection that are included in [`Downstream::buffered_bytes`].
-    counted_bytes: usize,
     /// The number of invalid requests received.
     invalid_requests: usize,
     /// Since when an incomplete request has been arriving; `None` if there is none.
@@ -78,6 +79,8 @@
     can_answer: bool,
     /// Whether more input may be read.
     can_read: bool,
+    /// The bytes that have to be reserved before more input may be read.
+    missing_input_bytes: Option<usize>,
     /// Whether a disconnect has to be detected without reading.
     must_watch_disconnect: bool,
     /// Whether the upload waits for the origin side.
@@ -100,6 +103,8 @@
     Chunk(Option<Bytes>),
     /// The upload is no longer blocked.
     UploadUnblocked,
+    /// The buffer for more input is reserved.
+    InputReserved(Reservation),
     /// This many bytes were received; 0 is the end of the input.
     Received(usize),
     /// The client disconnected while nothing was read.
@@ -122,10 +127,10 @@
             slot,
             request_reader: RequestReader::default(),
             input: BytesMut::new(),
-            output: BytesMut::new(),
+            input_reservation: None,
+            request_reservation: None,
+            output: OutputQueue::default(),
             pending: VecDeque::new(),
-            request_bytes: 0,
-            counted_bytes: 0,
             invalid_requests: 0,
             incomplete_since: None,
             last_received: now,
@@ -145,8 +150,8 @@
         let (mut reader, mut writer) = stream.halves();
         loop {
             self.take_requests();
+            self.release_buffers();
             self.update_times();
-            self.update_buffered_bytes();
             if (self.has_stopped_requests || self.is_final_phase) && self.has_sent_all_answers() {
                 writer.shutdown().await?;
                 return Ok(Some(reader));
@@ -156,7 +161,6 @@
                 self.on_disconnected();
                 continue;
             }
-            self.reserve_input(&interests);
             match self.next_event::<S>(&mut reader, &mut writer, &interests).await? {
                 ConnectionEvent::CloseRequested(final_read) => {
                     if self.read_before_close(&mut reader, final_read).await? {
@@ -188,8 +192,8 @@
         self.upload.as_ref().is_some_and(StreamedUpload::is_blocked)
     }
 
-    fn interests(&self) -> Interests {
-        let limits = &self.downstream.resource_limits;
+    /// What to wait for. Allocates the buffer for more input if that may be read.
+    fn interests(&mut self) -> Interests {
         let is_upload_blocked = self.is_upload_blocked();
         // Reading is allowed only once all complete requests have been taken, so that an end of input is never seen
         // before a request sent ahead of it.
@@ -197,12 +201,18 @@
             && !self.is_final_phase
             && !is_upload_blocked
             && self.pending.len() < MAX_PENDING_ANSWERS
-            && self.can_buffer_more();
-        let can_answer = self.output.len() < limits.unread_answer_bytes;
-        let can_read = has_room_for_requests && can_answer;
+            && self.can_hold_request();
+        let can_answer = self.output.len() < self.downstream.resource_limits.unread_answer_bytes;
+        let missing_input_bytes =
+            if has_room_for_requests && can_answer { self.prepare_input() } else { None };
+        if missing_input_bytes.is_some() {
+            self.downstream.evict_stalled();
+        }
+        let can_read = has_room_for_requests && can_answer && missing_input_bytes.is_none();
         Interests {
             can_answer,
             can_read,
+            missing_input_bytes,
             must_watch_disconnect: !(can_read || self.has_stopped_requests || self.has_client_left),
             is_upload_blocked,
             is_idle: self.is_idle(),
@@ -210,13 +220,6 @@
         }
     }
 
-    fn reserve_input(&mut self, interests: &Interests) {
-        if interests.can_read {
-            let chunk_bytes = self.downstream.resource_limits.chunk_bytes;
-            self.input.reserve(if self.upload.is_some() { chunk_bytes } else { READ_BYTES });
-        }
-    }
-
     /// Waits for the next event. The final phase of the shutdown has priority, so that a client that never
     /// stops sending cannot delay it.
     async fn next_event<S: ClientStream>(
@@ -241,6 +244,8 @@
             }
             chunk = next_chunk(&self.download), if self.output.len() < chunk_bytes => ConnectionEvent::Chunk(chunk),
             () = upload::wait_until_unblocked(&self.upload), if interests.is_upload_blocked => ConnectionEvent::UploadUnblocked,
+            reservation = input::reserve(&downstream.buffers, interests.missing_input_bytes),
+                if interests.missing_input_bytes.is_some() => ConnectionEvent::InputReserved(reservation),
             received = receive(reader, &mut self.input, watch), if interests.can_read || watch => received?,
             final_read = downstream.wait_for_close(self.slot, interests.deadline), if interests.is_idle => {
                 ConnectionEvent::CloseRequested(final_read)
@@ -261,6 +266,7 @@
             ConnectionEvent::Answered(pending, answer) => self.write_answer(pending, answer),
             ConnectionEvent::Written => self.on_written(),
             ConnectionEvent::Chunk(chunk) => self.write_chunk(chunk)?,
+            ConnectionEvent::InputReserved(reservation) => self.on_input_reserved(reservation),
             ConnectionEvent::Received(length) => self.on_received(length),
             ConnectionEvent::Disconnected => self.on_disconnected(),
             ConnectionEvent::EvictedUnread => return Err(io::ErrorKind::TimedOut.into()),
@@ -314,6 +320,12 @@
         self.last_written.is_some_and(|written| written.elapsed() < LINGER_TIMEOUT)
     }
 
+    /// Handles the reservation of the input's buffer. The time without it does not count as a stall of the client.
+    fn on_input_reserved(&mut self, reservation: Reservation) {
+        self.input_reservation = Some(reservation);
+        self.last_received = Instant::now();
+    }
+
     /// Handles a read of `length` bytes; 0 is the end of the input.
     fn on_received(&mut self, length: usize) {
         if length == 0 {
@@ -351,8 +363,6 @@
 impl Drop for DownstreamConnection<'_> {
     /// Reports the client of each pending request as gone, as the connection has ended.
     fn drop(&mut self) {
-        let buffered_bytes = &self.downstream.buffered_bytes;
-        buffered_bytes.set(buffered_bytes.get() - self.counted_bytes);
         for pending in &self.pending {
             if let PendingAnswer::Request(request) = pending {
                 self.downstream.dispatcher.on_client_gone(request.id);
@@ -379,5 +389,6 @@
         wait_for_disconnect(reader).await;
         return Ok(ConnectionEvent::Disconnected);
     }
-    reader.read_buf(input).await.map(ConnectionEvent::Received)
+    let room = (input.capacity() - input.len()).clamp(1, MAX_READ_BYTES);
+    reader.read_buf(&mut input.limit(room)).await.map(ConnectionEvent::Received)
 }
--- a/node/src/downstream/connection/answers.rs
+++ b/node/src/downstream/connection/answers.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::DownstreamConnection;
+use crate::buffer_pool::Reservation;
 use crate::dispatcher::{Answer, ClientRequestId};
 use crate::memcache;
 
@@ -31,8 +32,8 @@
     pub(super) client_id: Bytes,
     /// The channel that delivers the answer.
     pub(super) answer: oneshot::Receiver<Answer>,
-    /// The length of the request's value in bytes.
-    pub(super) value_bytes: usize,
+    /// Pays for the request's state if it was not the first open one, and for a long line.
+    pub(super) _reservations: [Option<Reservation>; 2],
 }
 
 /// A streamed value that is being sent to the client.
@@ -46,17 +47,24 @@
     pub(super) fn write_answer(&mut self, pending: PendingAnswer, answer: Answer) {
         let request = match pending {
             PendingAnswer::Line(line) => {
-                self.output.put_slice(line.as_bytes());
-                self.output.put_slice(b"\r\n");
+                self.output.lines().put_slice(line.as_bytes());
+                self.output.lines().put_slice(memcache::LINE_END);
                 return;
             }
             PendingAnswer::Request(request) => request,
         };
-        self.request_bytes -= request.value_bytes;
-        memcache::write_answer(&mut self.output, &request.client_id, &answer);
-        if let Answer::Streamed(value) = answer {
-            let remaining_bytes = value.length();
-            self.download = Some(Download { value, remaining_bytes });
+        match answer {
+            Answer::Value(value) => {
+                memcache::write_value_head(self.output.lines(), &request.client_id, value.len());
+                self.output.push(value);
+                self.output.lines().put_slice(memcache::LINE_END);
+            }
+            Answer::Streamed(value) => {
+                let remaining_bytes = value.length();
+                memcache::write_value_head(self.output.lines(), &request.client_id, remaining_bytes);
+                self.download = Some(Download { value, remaining_bytes });
+            }
+            answer => memcache::write_answer(self.output.lines(), &request.client_id, &answer),
         }
     }
 
@@ -69,11 +77,11 @@
         let Some(download) = &mut self.download else { return Ok(()) };
         let chunk = chunk.ok_or(io::ErrorKind::UnexpectedEof)?;
         download.remaining_bytes = download.remaining_bytes.saturating_sub(chunk.len());
-        self.output.put_slice(&chunk);
+        self.output.push(chunk);
         if download.remaining_bytes == 0 {
             download.value.on_complete();
             self.download = None;
-            self.output.put_slice(b"\r\n");
+            self.output.lines().put_slice(memcache::LINE_END);
         }
         Ok(())
     }
--- a/node/src/downstream/connection/requests.rs
+++ b/node/src/downstream/connection/requests.rs
@@ -24,11 +24,12 @@
         }
     }
 
-    fn can_take_request(&self) -> bool {
+    fn can_take_request(&mut self) -> bool {
         !self.has_stopped_requests
             && !self.is_upload_blocked()
             && self.pending.len() < MAX_PENDING_ANSWERS
             && self.output.len() < self.downstream.resource_limits.unread_answer_bytes
+            && self.can_hold_request()
     }
 
     fn on_incoming(&mut self, incoming: Incoming) {
@@ -60,7 +61,8 @@
             return self.reject_invalid(VALUE_TOO_LARGE);
         }
         let request = self.classify(request, class);
-        self.upload = request.map(|request| StreamedUpload::new(request, length));
+        self.upload =
+            request.map(|request| StreamedUpload::new(request, length, self.downstream.buffers.clone()));
         if let Some(upload) = self.upload.as_mut().filter(|_| self.has_client_left) {
             upload.discard();
         }
@@ -68,6 +70,7 @@
 
     /// Forwards a chunk of an upload. If the request line was rejected, the value is skipped.
     fn on_upload_chunk(&mut self, chunk: Bytes, is_last: bool) {
+        let chunk = self.hold_reservation_for(chunk);
         if let Some(upload) = &mut self.upload {
             upload.on_chunk(&self.downstream.dispatcher, chunk, is_last);
         }
@@ -94,17 +97,17 @@
     }
 
     /// Dispatches a request whose last byte has been received.
-    fn dispatch_request(&mut self, request: ClientRequest) {
+    fn dispatch_request(&mut self, mut request: ClientRequest) {
         self.incomplete_since = None;
+        request.value = request.value.map(|value| self.hold_reservation_for(value));
         if self.has_client_left {
             return self.answer_abandoned();
         }
         let client_id = request.id.clone();
-        let value_bytes = request.value.as_ref().map_or(0, Bytes::len);
         let accepted = self.downstream.dispatcher.accept_delayed(request, self.longest_unread_wait());
         let Some((id, answer)) = accepted else { return self.reject_invalid("CLIENT_ERROR id in use") };
-        self.request_bytes += value_bytes;
-        let pending = PendingRequest { id, client_id, answer, value_bytes };
+        let reservations = [self.request_reservation.take(), self.take_input_reservation()];
+        let pending = PendingRequest { id, client_id, answer, _reservations: reservations };
         self.pending.push_back(PendingAnswer::Request(pending));
         self.slot.is_busy.set(true);
         if !self.slot.has_had_request.replace(true) {
--- a/node/src/downstream/connection/timing.rs
+++ b/node/src/downstream/connection/timing.rs
@@ -1,9 +1,8 @@
-//! The deadlines of a connection, and how much it may buffer.
+//! The deadlines of a connection.
 
 use tokio::time::{Duration, Instant};
 
-use super::{DownstreamConnection, GUARANTEED_BUFFER_BYTES};
-use crate::downstream::upload::StreamedUpload;
+use super::DownstreamConnection;
 
 /// How long a connection may be without an open request: one that is silent, kept open for good or in the
 /// middle of a request holds a descriptor that others need. A partial request does not restart the timeout.
@@ -67,22 +66,4 @@
             self.downstream.connection_closed.notify_one();
         }
     }
-
-    /// Updates the total of all client connections by the bytes that this one buffers.
-    pub(super) fn update_buffered_bytes(&mut self) {
-        let upload_bytes = self.upload.as_ref().map_or(0, StreamedUpload::buffered_bytes);
-        let bytes = self.input.len() + self.output.len() + self.request_bytes + upload_bytes;
-        let buffered_bytes = &self.downstream.buffered_bytes;
-        buffered_bytes.set(buffered_bytes.get() + bytes - self.counted_bytes);
-        self.counted_bytes = bytes;
-        if !self.downstream.has_buffers_left() {
-            self.downstream.evict_stalled();
-        }
-    }
-
-    /// Whether more may be read. When all client connections together buffer too much, those that buffer more than
-    /// [`GUARANTEED_BUFFER_BYTES`] wait until others finish, time out or are evicted.
-    pub(super) fn can_buffer_more(&self) -> bool {
-        self.counted_bytes <= GUARANTEED_BUFFER_BYTES || self.downstream.has_buffers_left()
-    }
 }
--- a/node/src/downstream/slots.rs
+++ b/node/src/downstream/slots.rs
@@ -221,11 +221,6 @@
         }
     }
 
-    /// Whether the client connections together may buffer more.
-    pub(super) fn has_buffers_left(&self) -> bool {
-        self.buffered_bytes.get() < self.resource_limits.client_buffer_bytes
-    }
-
     /// Evicts the first connection in the eviction order if `is_allowed` accepts it. Returns whether one was
     /// evicted.
     fn evict_first(&self, now: Instant, is_allowed: impl Fn(&Slot) -> bool) -> bool {
--- a/node/src/downstream/tests.rs
+++ b/node/src/downstream/tests.rs
@@ -7,9 +7,7 @@
 
 use std::io;
 
-use super::connection::{
-    DownstreamConnection, GUARANTEED_BUFFER_BYTES, MAX_INVALID_REQUESTS, MAX_PENDING_ANSWERS, READ_BYTES,
-};
+use super::connection::{DownstreamConnection, MAX_INVALID_REQUESTS, MAX_PENDING_ANSWERS};
 use super::*;
 use crate::dispatcher::{Answer, AttemptEnd, Reply};
 use crate::testing::{self, yield_until_idle, RecordingTransport};
@@ -18,6 +16,9 @@
 use proptest::prelude::*;
 use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt};
 
+/// A pool with room for one value of the maximum length that is held whole, and a part of another.
+const FEW_BUFFER_BYTES: usize = 1 << 17;
+
 /// A step of a test case.
 #[derive(Clone, Debug)]
 enum Step {
@@ -39,11 +40,15 @@
 }
 
 pub(super) fn downstream(recorder: &Rc<RecordingTransport>) -> Rc<Downstream> {
+    downstream_with(recorder, testing::buffers())
+}
+
+pub(super) fn downstream_with(recorder: &Rc<RecordingTransport>, buffers: BufferPool) -> Rc<Downstream> {
     let dispatcher =
         testing::dispatcher(testing::settings(1, Idempotency::NotIdempotent), recorder.clone(), 1);
     let resource_limits = testing::resource_limits(1 << 10);
     let labels = Labels { classes: vec!["read".into()], tenants: vec!["acme".into(), "beta".into()] };
-    Downstream::new(dispatcher, labels, Rc::default(), resource_limits, testing::log())
+    Downstream::new(dispatcher, labels, Rc::default(), resource_limits, buffers, testing::log())
 }
 
 async fn serve(downstream: Rc<Downstream>, stream: impl ClientStream) -> io::Result<()> {
@@ -127,7 +132,7 @@
 fn incomplete_values_hold_a_bounded_part_of_the_memory() {
     testing::run_paused(async {
         let recorder = Rc::new(RecordingTransport::default());
-        let downstream = downstream(&recorder);
+        let downstream = downstream_with(&recorder, BufferPool::new(FEW_BUFFER_BYTES));
         let mut clients = Vec::new();
         for _ in 0..8 {
             let (stream, mut client) = duplex(1 << 20);
@@ -137,14 +142,8 @@
             clients.push(client);
         }
         yield_until_idle().await;
-        let buffered_bytes = downstream.buffered_bytes.get();
-        assert!(
-            buffered_bytes
-                <= downstream.resource_limits.client_buffer_bytes
-                    + 8 * (GUARANTEED_BUFFER_BYTES + 2 * READ_BYTES)
-                    + 60_000,
-            "{buffered_bytes}"
-        );
+        let buffered_bytes = downstream.buffers.reserved_bytes();
+        assert!((1..=FEW_BUFFER_BYTES).contains(&buffered_bytes), "{buffered_bytes}");
         let (stream, mut client) = duplex(1 << 10);
         spawn_local(serve(Rc::clone(&downstream), stream));
         client.write_all(b"mn\r\n").await.unwrap();
@@ -157,7 +156,7 @@
             assert_eq!(received, "CLIENT_ERROR command not finished in time\r\n");
         }
         yield_until_idle().await;
-        assert_eq!(downstream.buffered_bytes.get(), 0);
+        assert_eq!(downstream.buffers.reserved_bytes(), 0);
     });
 }
 
--- a/node/src/downstream/tests/unread.rs
+++ b/node/src/downstream/tests/unread.rs
@@ -143,7 +143,7 @@
 fn a_stalled_client_is_evicted_when_its_buffers_are_needed() {
     testing::run_paused(async {
         let recorder = Rc::new(RecordingTransport::default());
-        let downstream = downstream(&recorder);
+        let downstream = downstream_with(&recorder, BufferPool::new(FEW_BUFFER_BYTES));
         let (_client, sender) = ask_for_long_value(&downstream, &recorder, 1).await;
         spawn_local(send_value(sender));
         sleep(STALL_TIMEOUT).await;
@@ -156,7 +156,6 @@
             yield_until_idle().await;
             writers.push(client);
         }
-        assert!(!downstream.has_buffers_left() || downstream.slots.borrow().len() == 3);
         assert_eq!(downstream.slots.borrow().len(), 3, "the stalled client holds its slot");
     });
 }
--- a/node/src/downstream/upload.rs
+++ b/node/src/downstream/upload.rs
@@ -8,15 +8,21 @@
 use juniperladder_dispatch::request::{upload_handle, UploadHandle};
 use juniperladder_dispatch::streamed_value::ChunkSender;
 
+use crate::buffer_pool::{BufferKind, BufferPool, Reservation};
 use crate::dispatcher::{ClientRequest, Dispatcher};
+use crate::resource_limits::LARGE_CHUNK_BYTES;
 
 /// Bytes of a value to receive before a connection to the origin is opened for it.
 const BYTES_BEFORE_CONNECTION: usize = 16 * 1024;
+/// The size of the buffer for the first bytes of a value: those and the chunk with which they are complete.
+const BUFFER_BYTES: usize = BYTES_BEFORE_CONNECTION + LARGE_CHUNK_BYTES;
 
 /// What happens to the chunks of the value.
 enum UploadState {
+    /// No chunk has arrived.
+    Empty,
     /// The chunks are buffered, as too few have arrived to open a connection.
-    Buffering(BytesMut),
+    Buffering(BytesMut, Reservation),
     /// The chunks are sent on a connection to the origin.
     Sending(UploadHandle, ChunkSender),
     /// The chunks are discarded: the origin side accepts no more of them, or the client has left.
@@ -28,15 +34,16 @@
     request: Box<ClientRequest>,
     /// The length of the value in bytes.
     length: usize,
+    buffers: BufferPool,
     state: UploadState,
 }
 
 impl StreamedUpload {
     /// Creates the upload of a request whose line has been received and whose value has `length` bytes.
-    pub fn new(mut request: Box<ClientRequest>, length: usize) -> StreamedUpload {
+    pub fn new(mut request: Box<ClientRequest>, length: usize, buffers: BufferPool) -> StreamedUpload {
         // Marks the request as a write; its value is streamed separately.
         request.value = Some(Bytes::new());
-        StreamedUpload { request, length, state: UploadState::Buffering(BytesMut::new()) }
+        StreamedUpload { request, length, buffers, state: UploadState::Empty }
     }
 
     /// Discards the value, as its client has left. The value is still read to its end.
@@ -44,14 +51,6 @@
         self.state = UploadState::Discarding;
     }
 
-    /// How many bytes of the value are buffered here.
-    pub fn buffered_bytes(&self) -> usize {
-        match &self.state {
-            UploadState::Buffering(bytes) => bytes.len(),
-            UploadState::Sending(..) | UploadState::Discarding => 0,
-        }
-    }
-
     /// Whether the next chunk has to wait for the origin side.
     pub fn is_blocked(&self) -> bool {
         matches!(&self.state, UploadState::Sending(_, sender) if !sender.is_ready())
@@ -60,22 +59,43 @@
     /// Buffers or sends a chunk of the value. If the origin side accepts no more chunks, the value is discarded and
     /// the request is answered at its end.
     pub fn on_chunk(&mut self, dispatcher: &Dispatcher, chunk: Bytes, is_last: bool) {
-        let chunk = match &mut self.state {
-            UploadState::Buffering(buffered) => {
-                buffered.put_slice(&chunk);
-                if !is_last && buffered.len() < BYTES_BEFORE_CONNECTION {
-                    return;
-                }
-                let buffered = buffered.split().freeze();
-                self.state = match dispatcher.begin_upload(&self.request, self.length) {
-                    Some((handle, sender)) => UploadState::Sending(handle, sender),
-                    None => UploadState::Discarding,
-                };
-                buffered
+        let state = std::mem::replace(&mut self.state, UploadState::Discarding);
+        match self.buffer_chunk(state, &chunk) {
+            UploadState::Empty => self.begin(dispatcher, chunk),
+            UploadState::Buffering(buffered, reservation)
+                if is_last || buffered.len() >= BYTES_BEFORE_CONNECTION =>
+            {
+                self.begin(dispatcher, reservation.hold_for(buffered.freeze()));
             }
-            UploadState::Sending(..) | UploadState::Discarding => chunk,
+            state @ UploadState::Buffering(..) => self.state = state,
+            state @ (UploadState::Sending(..) | UploadState::Discarding) => {
+                self.state = state;
+                self.send(chunk);
+            }
+        }
+    }
+
+    /// Adds a chunk to the buffer, which is allocated for the first one. The state stays [`UploadState::Empty`] if there is
+    /// no room for a buffer.
+    fn buffer_chunk(&self, state: UploadState, chunk: &Bytes) -> UploadState {
+        let (mut buffered, reservation) = match state {
+            UploadState::Buffering(buffered, reservation) => (buffered, reservation),
+            UploadState::Empty => match self.buffers.try_reserve(BufferKind::LargeChunk, BUFFER_BYTES) {
+                Some(reservation) => (BytesMut::with_capacity(BUFFER_BYTES), reservation),
+                None => return state,
+            },
+            UploadState::Sending(..) | UploadState::Discarding => return state,
         };
-        self.send(chunk);
+        buffered.put_slice(chunk);
+        UploadState::Buffering(buffered, reservation)
+    }
+
+    /// Opens a connection to the origin for the value, and sends the first bytes of it.
+    fn begin(&mut self, dispatcher: &Dispatcher, first_chunk: Bytes) {
+        if let Some((handle, sender)) = dispatcher.begin_upload(&self.request, self.length) {
+            self.state = UploadState::Sending(handle, sender);
+            self.send(first_chunk);
+        }
     }
 
     fn send(&mut self, chunk: Bytes) {
@@ -92,7 +112,9 @@
             UploadState::Sending(handle, sender) => (handle, sender.last_byte()),
             // The request is still dispatched, with a disconnected handle, so that its attempt fails as not
             // sent and the client gets an answer.
-            UploadState::Buffering(_) | UploadState::Discarding => (upload_handle(ServerId(0)).0, None),
+            UploadState::Empty | UploadState::Buffering(..) | UploadState::Discarding => {
+                (upload_handle(ServerId(0)).0, None)
+            }
         };
         let upload = Some(handle.with_last_byte(last_byte.unwrap_or_default()));
         ClientRequest { upload, ..*self.request }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`daemon`] builds and starts all components.
 
 pub mod admin;
+pub mod buffer_pool;
 pub mod cluster_config;
 pub mod config;
 pub mod connect;
--- a/node/src/simulation.rs
+++ b/node/src/simulation.rs
@@ -25,6 +25,7 @@
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, sleep_until, Instant};
 
+use crate::buffer_pool::BufferPool;
 use crate::connect::Connector;
 use crate::counters::Counters;
 use crate::dispatcher::{AttemptTransport, Dispatcher, ListedServer};
@@ -190,9 +191,11 @@
     fn new(seed: u64) -> Simulation {
         let event_log = Rc::new(EventLog::default());
         let servers = Rc::new(Servers::new(Rng::with_seed(seed), Rc::clone(&event_log)));
+        let buffers = BufferPool::new(1 << 17);
         let limits = UpstreamLimits {
             max_connections: 24,
             chunk_bytes: 1024,
+            buffers: buffers.clone(),
             connect_timeout: Duration::from_millis(150),
             server_idle_timeout: Duration::from_secs(2),
             late_answer_timeout: Duration::from_millis(900),
@@ -215,12 +218,18 @@
             idle_client_connections: 12,
             server_connections: 24,
             admin_connections: 8,
-            client_buffer_bytes: 1 << 17,
+            pool_bytes: buffers.bytes(),
             unread_answer_bytes: 1 << 16,
             chunk_bytes: 1 << 12,
         };
-        let downstream =
-            Downstream::new(Rc::clone(&dispatcher), labels, Rc::clone(&shutdown), resource_limits, log());
+        let downstream = Downstream::new(
+            Rc::clone(&dispatcher),
+            labels,
+            Rc::clone(&shutdown),
+            resource_limits,
+            buffers,
+            log(),
+        );
         // The pools live as long as the dispatcher, which holds them.
         Simulation { dispatcher, downstream, shutdown, servers, event_log }
     }
--- a/node/src/socket.rs
+++ b/node/src/socket.rs
@@ -5,7 +5,7 @@
 //! an empty or full socket, so data could be left unread. Here a connection counts as exhausted only when a call returns
 //! `EWOULDBLOCK`, and an interrupted call is repeated. This costs one more system call per readiness event.
 
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 
@@ -66,8 +66,11 @@
     pub fn read_available(&self, input: &mut BytesMut) -> Poll<io::Result<usize>> {
         let socket = SockRef::from(self.0.as_tcp_stream());
         let mut buffer = [0; DIRECT_READ_BYTES];
+        // Never more than the input's buffer has room for, which would have to grow.
+        let room = Some(input.capacity() - input.len()).filter(|room| *room > 0);
+        let buffer = &mut buffer[..room.map_or(DIRECT_READ_BYTES, |room| room.min(DIRECT_READ_BYTES))];
         loop {
-            match (&*socket).read(&mut buffer) {
+            match (&*socket).read(buffer) {
                 Ok(length) => {
                     input.extend_from_slice(&buffer[..length]);
                     return Poll::Ready(Ok(length));
@@ -95,6 +98,21 @@
         poll_write(self.0.as_tcp_stream(), context, bytes)
     }
 
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        match parts {
+            [part] => poll_write(self.0.as_tcp_stream(), context, part),
+            parts => poll_write_vectored(self.0.as_tcp_stream(), context, parts),
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
@@ -134,6 +152,21 @@
     }
 }
 
+fn poll_write_vectored(
+    stream: &TcpStream,
+    context: &mut Context<'_>,
+    parts: &[IoSlice<'_>],
+) -> Poll<io::Result<usize>> {
+    loop {
+        ready!(stream.poll_write_ready(context))?;
+        match stream.try_write_vectored(parts) {
+            Ok(length) => return Poll::Ready(Ok(length)),
+            Err(error) if is_retryable(&error) => {}
+            Err(error) => return Poll::Ready(Err(error)),
+        }
+    }
+}
+
 /// Whether the caller's loop continues after this error: a call that would block has cleared the readiness, so that the
 /// next iteration waits; an interrupted call had no effect.
 fn is_retryable(error: &io::Error) -> bool {
--- a/node/src/testing.rs
+++ b/node/src/testing.rs
@@ -11,6 +11,7 @@
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, DuplexStream, ReadHalf, WriteHalf};
 
+use crate::buffer_pool::BufferPool;
 use crate::clock::Clock;
 use crate::connect::Connector;
 use crate::counters::Counters;
@@ -29,6 +30,7 @@
     let limits = UpstreamLimits {
         max_connections: connections,
         chunk_bytes: 1024,
+        buffers: buffers(),
         connect_timeout: second / 4,
         server_idle_timeout: second * 5,
         late_answer_timeout: second * 3,
@@ -59,6 +61,14 @@
     }
 }
 
+/// The size of the buffer pool of a small balancer.
+const POOL_BYTES: usize = 1 << 21;
+
+/// The buffer pool of a small balancer.
+pub fn buffers() -> BufferPool {
+    BufferPool::new(POOL_BYTES)
+}
+
 /// The resource limits of a small balancer.
 pub fn resource_limits(chunk_bytes: usize) -> ResourceLimits {
     ResourceLimits {
@@ -66,7 +76,7 @@
         idle_client_connections: 4,
         server_connections: 8,
         admin_connections: 8,
-        client_buffer_bytes: 1 << 17,
+        pool_bytes: POOL_BYTES,
         unread_answer_bytes: 1 << 16,
         chunk_bytes,
     }
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -13,6 +13,7 @@
 mod reuse;
 mod settling;
 mod upload;
+mod whole_value;
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -30,6 +31,7 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
+use crate::buffer_pool::BufferPool;
 use crate::clock::{duration, Clock};
 use crate::connect::Connector;
 use crate::counters::{increment, Counters};
@@ -39,8 +41,6 @@
 use pool::{CarriedAttempt, IdleConnection, IdleId, Pool};
 use read_error::MalformedResponse;
 
-/// Bytes reserved for each read.
-const READ_BYTES: usize = 4096;
 /// The fraction of the connection limit above which the connections of timed-out attempts close.
 const CROWDED_NUMERATOR: usize = 3;
 const CROWDED_DENOMINATOR: usize = 4;
@@ -54,8 +54,10 @@
 pub struct UpstreamLimits {
     /// The maximum number of connections to all servers together.
     pub max_connections: usize,
-    /// How many bytes of a streamed value are read from its server at once.
+    /// How many bytes of a streamed value are read from its server at once when the buffer pool is used up.
     pub chunk_bytes: usize,
+    /// The buffers that all connections share.
+    pub buffers: BufferPool,
     /// How long establishing a connection may take.
     pub connect_timeout: Duration,
     /// The idle time after which servers close a connection.
--- a/node/src/upstream/connection.rs
+++ b/node/src/upstream/connection.rs
@@ -1,13 +1,13 @@
 //! One connection to a server: it is established, and carries single attempts.
 
 use std::future::poll_fn;
-use std::io::{self, ErrorKind};
+use std::io::{self, ErrorKind, IoSlice};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::Poll;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Buf, Bytes, BytesMut};
 use juniperladder::{Micros, ServerId};
 use juniperladder_dispatch::identifiers::ServerLabel;
 use juniperladder_dispatch::streamed_value::{streamed_value, ChunkSender};
@@ -15,16 +15,20 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::time::timeout;
 
-use super::download::{forward_value, ValueBody};
+use super::download::{forward_value, ChunkBuffers, ValueBody};
 use super::read_error::ReadError;
 use super::response::{read_cache_response, read_origin_response, ServerResponse};
-use super::Upstream;
+use super::{Upstream, UpstreamLimits};
 use crate::clock::duration;
 use crate::connect::ServerStream;
 use crate::counters::increment;
-use crate::dispatcher::{Answer, Attempt, AttemptEnd, Reply};
+use crate::dispatcher::{Answer, Attempt, AttemptEnd, ClientRequest, Reply};
+use crate::resource_limits::MAX_COPIED_VALUE_BYTES;
 use crate::{http, memcache};
 
+/// The parts in which a request is written: its head, its value and the line end.
+const MAX_REQUEST_PARTS: usize = 3;
+
 /// One connection to a server.
 pub(super) struct UpstreamConnection {
     pub(super) server: ServerId,
@@ -150,13 +154,28 @@
             upstream.end_attempt(self.server, attempt.id, end);
             return AfterAttempt::KeepOpen;
         }
-        let mut output = BytesMut::new();
+        let output = self.format_request(&attempt.request, time_left);
+        self.send(upstream, stream, input, attempt, output, time_left).await
+    }
+
+    /// The bytes of a request. A long value is not copied.
+    fn format_request(&self, request: &ClientRequest, time_left: Micros) -> impl Buf {
+        let value_length = request.value.as_ref().map(Bytes::len);
+        let mut head = BytesMut::new();
         if self.is_origin {
-            http::write_request(&mut output, &attempt.request, &self.address.to_string(), time_left);
+            let host = self.address.to_string();
+            http::write_request_head(&mut head, request, &host, time_left, value_length);
         } else {
-            memcache::write_request(&mut output, &attempt.request, time_left);
+            memcache::write_request_line(&mut head, request, time_left);
         }
-        self.send(upstream, stream, input, attempt, &output, time_left).await
+        let value_end = if self.is_origin || value_length.is_none() { &[] } else { memcache::LINE_END };
+        let value = request.value.clone().unwrap_or_default();
+        if value.len() > MAX_COPIED_VALUE_BYTES {
+            return head.chain(value).chain(value_end);
+        }
+        head.extend_from_slice(&value);
+        head.extend_from_slice(value_end);
+        head.chain(Bytes::new()).chain(&[])
     }
 
     /// Writes the remaining bytes of an attempt, and waits for its answer.
@@ -166,7 +185,7 @@
         stream: &mut S,
         input: &mut BytesMut,
         attempt: Attempt,
-        output: &[u8],
+        output: impl Buf,
         time_left: Micros,
     ) -> AfterAttempt {
         let id = attempt.id;
@@ -214,21 +233,22 @@
         let close_requested = upstream.on_attempt_written(self.server, attempt.id);
         tokio::select! {
             biased;
-            response = timeout(answer_timeout, self.read_response(stream, input, attempt)) => response.ok(),
+            response = timeout(answer_timeout, self.read_response(upstream, stream, input, attempt)) => response.ok(),
             () = close_requested.notified() => None,
         }
     }
 
     async fn read_response<S: AsyncRead + Unpin>(
         &self,
+        upstream: &Upstream,
         stream: &mut S,
         input: &mut BytesMut,
         attempt: &Attempt,
     ) -> Result<ServerResponse, ReadError> {
         if self.is_origin {
-            read_origin_response(stream, input, &attempt.request).await
+            read_origin_response(stream, input, &attempt.request, &upstream.limits.buffers).await
         } else {
-            read_cache_response(stream, input, &attempt.request).await
+            read_cache_response(stream, input, &attempt.request, &upstream.limits.buffers).await
         }
     }
 
@@ -258,8 +278,9 @@
         mut body: ValueBody,
         sender: ChunkSender,
     ) -> AfterAttempt {
-        let chunk_bytes = upstream.limits.chunk_bytes;
-        match forward_value(stream, input, &mut body, sender, chunk_bytes).await {
+        let UpstreamLimits { chunk_bytes, buffers, .. } = &upstream.limits;
+        let buffers = ChunkBuffers { small_chunk_bytes: *chunk_bytes, pool: buffers.clone() };
+        match forward_value(stream, input, &mut body, sender, &buffers).await {
             Ok(()) => {
                 increment(&upstream.counters.downloads);
                 AfterAttempt::complete(body.closes_connection(), body.names_request(), input)
@@ -280,19 +301,20 @@
 async fn write_unless_cancelled<S: AsyncWrite + Unpin>(
     upstream: &Upstream,
     stream: &mut S,
-    output: &[u8],
+    mut output: impl Buf,
     attempt: &Attempt,
 ) -> bool {
-    let mut remaining = output;
-    while !remaining.is_empty() {
+    while output.has_remaining() {
         let written = poll_fn(|context| {
             if upstream.is_cancelled(attempt) {
                 return Poll::Ready(Ok(0));
             }
-            Pin::new(&mut *stream).poll_write(context, remaining)
+            let mut parts = [IoSlice::new(&[]); MAX_REQUEST_PARTS];
+            let part_count = output.chunks_vectored(&mut parts);
+            Pin::new(&mut *stream).poll_write_vectored(context, &parts[..part_count])
         });
         match written.await {
-            Ok(length @ 1..) => remaining = &remaining[length..],
+            Ok(length @ 1..) => output.advance(length),
             _ => return false,
         }
     }
--- a/node/src/upstream/download.rs
+++ b/node/src/upstream/download.rs
@@ -11,7 +11,8 @@
 use tokio::time::timeout;
 
 use super::read_error::{MalformedResponse, ReadError};
-use super::READ_BYTES;
+use crate::buffer_pool::{BufferKind, BufferPool, Reservation};
+use crate::resource_limits::{LARGE_CHUNK_BYTES, SERVER_READ_BYTES};
 use crate::{http, memcache};
 
 /// Maximum time for which a streamed value may make no progress. A server may stall for a while, but one that
@@ -61,7 +62,29 @@
     }
 }
 
-/// Forwards a streamed value until its end, in chunks of up to `chunk_bytes`.
+/// The buffers for the chunks of a streamed value.
+#[derive(Clone, Debug)]
+pub(super) struct ChunkBuffers {
+    /// The size of a chunk when the pool is used up.
+    pub(super) small_chunk_bytes: usize,
+    /// The pool for chunks of [`LARGE_CHUNK_BYTES`].
+    pub(super) pool: BufferPool,
+}
+
+impl ChunkBuffers {
+    /// Moves the input to a buffer for the next chunk. Returns the number of bytes to read, and the reservation of a large
+    /// chunk.
+    fn allocate(&self, input: &mut BytesMut) -> (usize, Option<Reservation>) {
+        let reservation = self.pool.try_reserve(BufferKind::LargeChunk, LARGE_CHUNK_BYTES);
+        let chunk_bytes = if reservation.is_some() { LARGE_CHUNK_BYTES } else { self.small_chunk_bytes };
+        let mut buffer = BytesMut::with_capacity(chunk_bytes + input.len());
+        buffer.extend_from_slice(input);
+        *input = buffer;
+        (chunk_bytes, reservation)
+    }
+}
+
+/// Forwards a streamed value until its end, in chunks of bounded size.
 ///
 /// # Errors
 /// The value was interrupted: the connection of the server or of the client ended, the server sent nothing for
@@ -72,10 +95,15 @@
     input: &mut BytesMut,
     body: &mut ValueBody,
     mut sender: ChunkSender,
-    chunk_bytes: usize,
+    buffers: &ChunkBuffers,
 ) -> Result<(), ReadError> {
+    let mut reservation: Option<Reservation> = None;
     loop {
         let (chunk, is_complete) = body.take(input)?;
+        let chunk = match reservation.take() {
+            Some(reservation) => reservation.hold_for(chunk),
+            None => chunk,
+        };
         sender.send(chunk).await?;
         if is_complete {
             if matches!(body, ValueBody::Http(_)) {
@@ -83,7 +111,8 @@
             }
             return Ok(sender.finish().await?);
         }
-        input.reserve(chunk_bytes);
+        let chunk_bytes;
+        (chunk_bytes, reservation) = buffers.allocate(input);
         let mut limited = (&mut *input).limit(chunk_bytes);
         let read = tokio::select! {
             read = timeout(STALL_TIMEOUT, stream.read_buf(&mut limited)) => read,
@@ -105,7 +134,7 @@
     stream: &mut S,
     input: &mut BytesMut,
 ) -> Result<(), ReadError> {
-    input.reserve(READ_BYTES);
+    input.reserve(SERVER_READ_BYTES);
     // Reads what has already arrived, without waiting for more.
     tokio::select! {
         biased;
--- a/node/src/upstream/download/tests.rs
+++ b/node/src/upstream/download/tests.rs
@@ -9,6 +9,11 @@
 const CHUNK_BYTES: usize = 8 << 10;
 const PIPE_BYTES: usize = 4 << 10;
 
+/// Buffers for chunks of [`CHUNK_BYTES`], as the pool has no room for larger ones.
+fn chunk_buffers() -> ChunkBuffers {
+    ChunkBuffers { small_chunk_bytes: CHUNK_BYTES, pool: BufferPool::new(0) }
+}
+
 fn value_byte(at: usize) -> u8 {
     (at % 251) as u8
 }
@@ -17,7 +22,7 @@
 fn bodies() -> [(ValueBody, &'static [u8]); 2] {
     let mut line = BytesMut::from(format!("VA {VALUE_BYTES} O7 h1\r\n").as_bytes());
     let Ok(Some(Response::Streamed { length: VALUE_BYTES, remaining })) =
-        read_response(&mut line, &request("7", None))
+        read_response(&mut line, &request("7", None), 0)
     else {
         panic!()
     };
@@ -50,7 +55,7 @@
                 std::future::pending::<()>().await;
             });
             let forwarded = spawn_local(async move {
-                forward_value(&mut stream, &mut BytesMut::new(), &mut body, sender, CHUNK_BYTES).await
+                forward_value(&mut stream, &mut BytesMut::new(), &mut body, sender, &chunk_buffers()).await
             });
             yield_until_idle().await;
             assert!(
@@ -96,7 +101,8 @@
                     }
                 });
                 let forwarded = spawn_local(async move {
-                    forward_value(&mut stream, &mut BytesMut::new(), &mut body, sender, CHUNK_BYTES).await
+                    forward_value(&mut stream, &mut BytesMut::new(), &mut body, sender, &chunk_buffers())
+                        .await
                 });
                 let mut bytes_received = 0;
                 while let Some(chunk) = receiver.next().await {
--- a/node/src/upstream/reuse.rs
+++ b/node/src/upstream/reuse.rs
@@ -59,6 +59,8 @@
                 AfterAttempt::Broken | AfterAttempt::Close => return,
             }
             last = Some(after);
+            // An idle connection holds no buffer.
+            input = BytesMut::new();
         }
     }
 
--- a/node/src/upstream/upload.rs
+++ b/node/src/upstream/upload.rs
@@ -61,8 +61,10 @@
         if time_left.0 == 0 || !upstream.can_send_on(self) {
             return upstream.end_attempt(self.server, attempt.id, AttemptEnd::NotSent);
         }
-        let input = &mut BytesMut::new();
-        let after = self.send(upstream, &mut stream, input, attempt, &last_byte.byte, time_left).await;
+        let after = {
+            let input = &mut BytesMut::new();
+            self.send(upstream, &mut stream, input, attempt, last_byte.byte, time_left).await
+        };
         if matches!(after, AfterAttempt::KeepOpen | AfterAttempt::Settle) {
             self.carry_attempts(upstream, stream, Some(after)).await;
         }
--- a/node/src/upstream/upload/tests.rs
+++ b/node/src/upstream/upload/tests.rs
@@ -22,7 +22,8 @@
     dispatcher.on_endpoints_changed(EndpointUpdate::Snapshot, &[listed]);
     let resource_limits = testing::resource_limits(1 << 12);
     let labels = Labels { classes: vec!["read".into()], tenants: vec![] };
-    let downstream = Downstream::new(dispatcher, labels, Rc::default(), resource_limits, log());
+    let downstream =
+        Downstream::new(dispatcher, labels, Rc::default(), resource_limits, testing::buffers(), log());
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
     let client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
     tokio::task::spawn_local(downstream.accept(listener));
--- a/node/tests/two_deployments.rs
+++ b/node/tests/two_deployments.rs
@@ -5,6 +5,7 @@
 use juniperladder::Micros;
 use juniperladder_dispatch::dispatcher::{Attempt, AttemptEnd, Dispatcher};
 use juniperladder_dispatch::testing::{self, RecordingTransport};
+use juniperladder_node::buffer_pool::BufferPool;
 use juniperladder_node::config::Config;
 use juniperladder_node::downstream::Downstream;
 use juniperladder_node::resource_limits::ResourceLimits;
@@ -41,12 +42,13 @@
         let dispatcher = testing::dispatcher(config.settings, recorder.clone(), 3);
         let timer_dispatcher = Rc::clone(&dispatcher);
         spawn_local(async move { timer_dispatcher.run_timers().await });
-        let resource_limits = ResourceLimits::from_configured(config.resource_limits);
+        let resource_limits = ResourceLimits::from_configured(config.resource_limits, 1);
         let downstream = Downstream::new(
             Rc::clone(&dispatcher),
             config.labels,
             Rc::default(),
             resource_limits,
+            BufferPool::new(resource_limits.pool_bytes),
             testing::log(),
         );
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
--- a/protocols/src/http/response.rs
+++ b/protocols/src/http/response.rs
@@ -1,6 +1,7 @@
 //! Parses responses incrementally.
 
-use bytes::{Bytes, BytesMut};
+use bytes::buf::Limit;
+use bytes::{BufMut, Bytes, BytesMut};
 use juniperladder_dispatch::values::{Answer, Reply};
 use thiserror::Error;
 use winnow::ascii::{digit1, hex_digit1, space0};
@@ -159,6 +160,8 @@
     pub body: BytesMut,
     /// Whether the response is complete.
     pub is_complete: bool,
+    /// Whether `body` has an allocation of its own, and not a part of the input's.
+    has_own_body_buffer: bool,
     /// Bytes of the body, or of the current chunk, not yet received.
     remaining_bytes: usize,
     chunk_state: ChunkState,
@@ -224,6 +227,50 @@
         }
     }
 
+    /// The length of the body in bytes, if the head states it.
+    pub fn stated_length(&self) -> Option<usize> {
+        match self.head.as_ref()?.framing {
+            Framing::Length(length) => Some(length),
+            Framing::Chunked | Framing::UntilClose => None,
+        }
+    }
+
+    /// The stated length of the body, if it is a value that may be streamed.
+    pub fn value_length(&self) -> Option<usize> {
+        match self.head.as_ref()? {
+            Head { status: 200, framing: Framing::Length(length), .. } => {
+                (*length <= MAX_VALUE_BYTES).then_some(*length)
+            }
+            _ => None,
+        }
+    }
+
+    /// The part of the body that is received or known to follow, in bytes.
+    pub fn known_body_bytes(&self) -> usize {
+        self.body.len() + self.remaining_bytes
+    }
+
+    /// Moves the received part of the body to an allocation of this capacity.
+    pub fn allocate_body(&mut self, capacity: usize) {
+        let mut body = BytesMut::with_capacity(capacity);
+        body.extend_from_slice(&self.body);
+        self.body = body;
+        self.has_own_body_buffer = true;
+    }
+
+    /// The place for the following bytes of the body or of the current chunk, of which [`Response::on_body_received`] has
+    /// to be told.
+    pub fn body_space(&mut self) -> Limit<&mut BytesMut> {
+        (&mut self.body).limit(self.remaining_bytes)
+    }
+
+    /// Handles bytes of the body that were received directly into [`Response::body_space`].
+    pub fn on_body_received(&mut self, length: usize) {
+        self.remaining_bytes -= length;
+        let framing = self.head.as_ref().map(|head| head.framing);
+        self.is_complete = matches!(framing, Some(Framing::Length(_))) && self.remaining_bytes == 0;
+    }
+
     /// Whether the received or the stated length of the body exceeds [`MAX_BUFFERED_VALUE_BYTES`]. A body that is too
     /// large must not be read to its end.
     pub fn is_too_large(&self) -> bool {
@@ -246,7 +293,7 @@
     ///
     /// # Errors
     /// The receipt of a write is malformed.
-    pub fn reply(&self, is_write: bool) -> Result<Reply, ResponseError> {
+    pub fn reply(&mut self, is_write: bool) -> Result<Reply, ResponseError> {
         let Some(head) = &self.head else { return Ok(Reply::Error) };
         Ok(match head.status {
             200 if is_write => {
@@ -254,12 +301,22 @@
                     parse_receipt(&self.body).ok_or(ResponseError::MalformedReceipt(self.body.len()))?;
                 Reply::Served(Answer::Receipt(receipt))
             }
-            200 => Reply::Served(Answer::Value(Bytes::copy_from_slice(&self.body))),
+            200 => Reply::Served(Answer::Value(self.take_value())),
             503 | 504 if head.not_executed => Reply::Rejected,
             _ => Reply::Error,
         })
     }
 
+    /// Takes the complete body. Without a buffer of its own it is copied, so that it does not keep the input's memory.
+    fn take_value(&mut self) -> Bytes {
+        let body = std::mem::take(&mut self.body);
+        if self.has_own_body_buffer {
+            body.freeze()
+        } else {
+            Bytes::copy_from_slice(&body)
+        }
+    }
+
     /// Consumes the received part of the body or of the current chunk.
     fn read_body(&mut self, input: &mut BytesMut) {
         let part = input.split_to(self.remaining_bytes.min(input.len()));
--- a/protocols/src/http/tests.rs
+++ b/protocols/src/http/tests.rs
@@ -69,7 +69,7 @@
 fn a_receipt_that_is_not_one_token_of_valid_length_is_rejected() {
     for body in ["", "r1 r2", "r1\r\n", "r1\nHD O8 cr2", "r1\u{7f}", "r1\u{e9}", &"r".repeat(5000)] {
         let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-        let response = read(text.as_bytes(), 99).unwrap();
+        let mut response = read(text.as_bytes(), 99).unwrap();
         assert!(response.is_complete && response.reply(true).is_err(), "{body:?}");
         assert!(matches!(response.reply(false), Ok(Reply::Served(Answer::Value(_)))), "{body:?}");
     }
--- a/protocols/src/memcache.rs
+++ b/protocols/src/memcache.rs
@@ -12,16 +12,16 @@
 mod request_writer;
 mod response_reader;
 
-pub use answer_writer::{write_answer, write_reply};
+pub use answer_writer::{write_answer, write_reply, write_value_head};
 pub use line::parse_decimal;
 pub use request_reader::{Incoming, RequestReader};
-pub use request_writer::{write_properties, write_request};
+pub use request_writer::{write_properties, write_request, write_request_line};
 pub use response_reader::{
     parse_receipt, read_answer, read_reply, read_response, RemainingValue, Response, ResponseError,
 };
 
 /// Maximum length of a line in bytes; a key, an id and a few properties are far shorter.
-const MAX_LINE_BYTES: usize = 4096;
+pub const MAX_LINE_BYTES: usize = 4096;
 /// Maximum length in bytes of a value that is buffered before it is forwarded.
 pub const MAX_BUFFERED_VALUE_BYTES: usize = 64 * 1024;
 /// Maximum length of a value in bytes; a value longer than [`MAX_BUFFERED_VALUE_BYTES`] is streamed.
@@ -37,7 +37,7 @@
 /// The answer to a write whose value exceeds [`MAX_VALUE_BYTES`].
 pub const VALUE_TOO_LARGE: &str = "SERVER_ERROR object too large for cache";
 /// Terminates each line written, and each value.
-const LINE_END: &[u8] = b"\r\n";
+pub const LINE_END: &[u8] = b"\r\n";
 
 #[cfg(test)]
 mod tests;
--- a/protocols/src/memcache/answer_writer.rs
+++ b/protocols/src/memcache/answer_writer.rs
@@ -12,11 +12,10 @@
 pub fn write_answer(output: &mut BytesMut, id: &[u8], answer: &Answer) {
     match answer {
         Answer::Value(value) => {
-            write_value_line(output, id, value.len());
-            output.put_slice(LINE_END);
+            write_value_head(output, id, value.len());
             output.put_slice(value);
         }
-        Answer::Streamed(value) => write_value_line(output, id, value.length()),
+        Answer::Streamed(value) => return write_value_head(output, id, value.length()),
         Answer::Receipt(receipt) => write_receipt(output, id, receipt),
         Answer::Rejected(Micros(0)) => output.put_slice(BUSY.as_bytes()),
         Answer::Rejected(retry_after) => {
@@ -27,6 +26,12 @@
     output.put_slice(LINE_END);
 }
 
+/// Writes the line before a value of this length; the caller sends the value and [`LINE_END`] after it.
+pub fn write_value_head(output: &mut BytesMut, id: &[u8], length: usize) {
+    write_value_line(output, id, length);
+    output.put_slice(LINE_END);
+}
+
 /// Writes a cache server's reply, which [`super::read_reply`] reads. `hit` states whether a read was a hit, if the
 /// server reports that; `load` is an optional load report at the end of the line.
 pub fn write_reply(output: &mut BytesMut, id: &[u8], reply: &Reply, hit: Option<bool>, load: Option<&str>) {
--- a/protocols/src/memcache/request_reader.rs
+++ b/protocols/src/memcache/request_reader.rs
@@ -83,6 +83,17 @@
         self.pending_write.is_some() || self.upload.is_some() || self.skipped_bytes > 0
     }
 
+    /// The number of bytes that the input has to hold before the value that is being received can be taken, with its line
+    /// end; none if no value is, or one that is streamed.
+    pub fn awaited_value_bytes(&self) -> Option<usize> {
+        self.pending_write.as_ref().map(|write| write.length + LINE_END.len())
+    }
+
+    /// The number of bytes that are still to be received of a streamed value, with its line end; none if there is none.
+    pub fn remaining_upload_bytes(&self) -> Option<usize> {
+        self.upload.as_ref().map(|remaining| remaining.bytes() + LINE_END.len())
+    }
+
     /// Removes the next item from the input; none while it is incomplete.
     pub fn next(&mut self, input: &mut BytesMut) -> Option<Incoming> {
         self.skip(input);
--- a/protocols/src/memcache/request_writer.rs
+++ b/protocols/src/memcache/request_writer.rs
@@ -9,6 +9,15 @@
 
 /// Writes a request to a cache server, with the time left until its deadline.
 pub fn write_request(output: &mut BytesMut, request: &ClientRequest, time_left: Micros) {
+    write_request_line(output, request, time_left);
+    if let Some(value) = &request.value {
+        output.put_slice(value);
+        output.put_slice(LINE_END);
+    }
+}
+
+/// Writes the line of a request to a cache server; the value of a write and [`LINE_END`] have to follow.
+pub fn write_request_line(output: &mut BytesMut, request: &ClientRequest, time_left: Micros) {
     output.put_slice(if request.value.is_some() { b"ms " } else { b"mg " });
     output.put_slice(&request.key);
     match &request.value {
@@ -22,10 +31,6 @@
         write_properties(output, request, time_left);
     }
     output.put_slice(LINE_END);
-    if let Some(value) = &request.value {
-        output.put_slice(value);
-        output.put_slice(LINE_END);
-    }
 }
 
 /// Writes the request's properties as received, except `d`, which becomes the time left in milliseconds,
--- a/protocols/src/memcache/response_reader.rs
+++ b/protocols/src/memcache/response_reader.rs
@@ -38,7 +38,7 @@
 pub enum Response {
     /// The complete reply.
     Complete(Reply),
-    /// The line of a streamed value, whose bytes follow.
+    /// The line of a value whose bytes follow.
     Streamed {
         /// The length of the value in bytes.
         length: usize,
@@ -57,6 +57,11 @@
         RemainingValue(length)
     }
 
+    /// The number of bytes not yet received.
+    pub(super) fn bytes(&self) -> usize {
+        self.0
+    }
+
     /// Removes the received part of the value from the input, and returns it with whether the value and its line end are
     /// complete.
     ///
@@ -89,26 +94,28 @@
 /// # Errors
 /// The reply is malformed, or has a value that has to be streamed.
 pub fn read_reply(input: &mut BytesMut, request: &ClientRequest) -> Result<Option<Reply>, ResponseError> {
-    match read_response(input, request)? {
+    match read_response(input, request, MAX_BUFFERED_VALUE_BYTES)? {
         Some(Response::Complete(reply)) => Ok(Some(reply)),
         Some(Response::Streamed { length, .. }) => Err(ResponseError::ValueNotBufferable(length)),
         None => Ok(None),
     }
 }
 
-/// Removes a cache server's response to this request from the input, or only its line if the value is streamed; none
-/// while it is incomplete.
+/// Removes a cache server's response to this request from the input, or only its line if the value is longer than
+/// `max_copied_bytes`; none while it is incomplete. A value that is not longer is copied, so that it does not keep the
+/// input's memory.
 ///
 /// # Errors
 /// The response is malformed.
 pub fn read_response(
     input: &mut BytesMut,
     request: &ClientRequest,
+    max_copied_bytes: usize,
 ) -> Result<Option<Response>, ResponseError> {
     let Some(bounds) = first_line(input) else { return incomplete_line(input) };
     let reply = match parse_line(&input[..bounds.text], request)? {
         Line::Reply(reply) => reply,
-        Line::Value(length) => return read_value(input, &bounds, length),
+        Line::Value(length) => return read_value(input, &bounds, length, max_copied_bytes),
     };
     input.advance(bounds.total);
     Ok(Some(Response::Complete(reply)))
@@ -180,14 +187,15 @@
     }))
 }
 
-/// Removes this line and the value after it from the input, or the line alone if the value is streamed. None while the
-/// value is incomplete.
+/// Removes this line and the value after it from the input, or the line alone if the value is longer than
+/// `max_copied_bytes`. None while the value is incomplete.
 fn read_value(
     input: &mut BytesMut,
     line: &LineBounds,
     length: usize,
+    max_copied_bytes: usize,
 ) -> Result<Option<Response>, ResponseError> {
-    if length > MAX_BUFFERED_VALUE_BYTES {
+    if length > max_copied_bytes {
         input.advance(line.total);
         return Ok(Some(Response::Streamed { length, remaining: RemainingValue(length) }));
     }
@@ -198,9 +206,8 @@
     if !input[value_end..].starts_with(LINE_END) {
         return Err(ResponseError::MissingValueEnd);
     }
-    input.advance(line.total);
-    let value = input.split_to(length).freeze();
-    input.advance(LINE_END.len());
+    let value = Bytes::copy_from_slice(&input[line.total..value_end]);
+    input.advance(value_end + LINE_END.len());
     Ok(Some(Response::Complete(Reply::Served(Answer::Value(value)))))
 }
 
