Log the process's memory and the buffer pool, and pay for the endpoint list in it

Beside the counters, every 5 s, a line "memory" now gives what the kernel counts, now and at the peak, and the reserved and the whole size of the pool.

--- a/node/src/daemon.rs
+++ b/node/src/daemon.rs
@@ -30,6 +30,7 @@
 use crate::listener::listen;
 use crate::override_store::OverrideStore;
 use crate::peers::Peers;
+use crate::process_memory::ProcessMemory;
 use crate::reload::Reloader;
 use crate::resource_limits::ResourceLimits;
 use crate::signals::Signals;
@@ -59,6 +60,7 @@
     peers: Option<Rc<Peers>>,
     shutdown: Rc<GracefulShutdown>,
     resource_limits: ResourceLimits,
+    buffers: BufferPool,
     longest_deadline: Duration,
     log: Logger,
 }
@@ -86,8 +88,16 @@
             buffers.clone(),
             log.clone(),
         );
-        let daemon =
-            Daemon { dispatcher, downstream, peers, shutdown, resource_limits, longest_deadline, log };
+        let daemon = Daemon {
+            dispatcher,
+            downstream,
+            peers,
+            shutdown,
+            resource_limits,
+            buffers,
+            longest_deadline,
+            log,
+        };
         let address = listener.local_addr().unwrap_or(config.client_address);
         daemon.log_start(&config, address, known_servers.len(), known_version);
         daemon.start_timers();
@@ -205,6 +215,9 @@
 
     fn log_counters(&self) {
         info!(self.log, "counters"; "all" => self.dispatcher.counters().to_string());
+        let Some(memory) = ProcessMemory::read() else { return };
+        info!(self.log, "memory"; "resident_kb" => memory.resident_kb, "peak_kb" => memory.peak_kb,
+            "buffers_reserved_kb" => self.buffers.reserved_bytes() >> 10, "buffers_kb" => self.buffers.bytes() >> 10);
     }
 }
 
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -19,6 +19,7 @@
 mod logging;
 mod override_store;
 pub mod peers;
+pub mod process_memory;
 mod reload;
 pub mod resource_limits;
 mod signals;
--- a/node/src/resource_limits.rs
+++ b/node/src/resource_limits.rs
@@ -70,6 +70,8 @@
 /// The state of an open request in all components: dispatcher, decisions, timers and its attempt, its line, and a value
 /// that is short enough to be copied.
 pub const OPEN_REQUEST_BYTES: usize = 6 << 10;
+/// The state of a listed server in all components, drawn from the pool.
+pub const LISTED_SERVER_BYTES: usize = 3 << 9;
 /// The state of a connection besides its buffers: its task, its socket's registration, its slot or place in the pool of
 /// connections.
 const CONNECTION_STATE_BYTES: usize = 4 << 10;
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -31,11 +31,12 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
-use crate::buffer_pool::BufferPool;
+use crate::buffer_pool::{BufferKind, BufferPool, Reservation};
 use crate::clock::{duration, Clock};
 use crate::connect::Connector;
 use crate::counters::{increment, Counters};
 use crate::dispatcher::{Attempt, AttemptEnd, AttemptId, AttemptTransport, Dispatcher, ListedServer, Upload};
+use crate::resource_limits::LISTED_SERVER_BYTES;
 use connection::{ConnectError, UpstreamConnection};
 use idle_timeout::IdleTimeout;
 use pool::{CarriedAttempt, IdleConnection, IdleId, Pool};
@@ -84,6 +85,8 @@
     connections: Rc<Cell<usize>>,
     /// The number of connections that carry an upload.
     uploads: Rc<Cell<usize>>,
+    /// Pays for the state of the listed servers.
+    list_reservation: Cell<Option<Reservation>>,
     idle_timeout: IdleTimeout,
     last_idle_id: Cell<IdleId>,
     log_throttle: LogThrottle,
@@ -126,6 +129,7 @@
             counters,
             connections: Rc::default(),
             uploads: Rc::default(),
+            list_reservation: Cell::default(),
             last_idle_id: Cell::new(0),
             log_throttle: LogThrottle::default(),
             log,
@@ -137,6 +141,18 @@
         *self.dispatcher.borrow_mut() = Rc::downgrade(dispatcher);
     }
 
+    /// Reserves memory for the state of this many listed servers, at most half of the pool. If there is too little left, the
+    /// servers are used all the same, and as much as before stays reserved until the list changes again.
+    fn reserve_for_list(&self, servers: usize) {
+        let bytes = (servers * LISTED_SERVER_BYTES).min(self.limits.buffers.bytes() / 2);
+        let previous = self.list_reservation.take();
+        if previous.as_ref().is_some_and(|reservation| reservation.bytes() == bytes) {
+            return self.list_reservation.set(previous);
+        }
+        let reservation = self.limits.buffers.try_reserve(BufferKind::Request, bytes);
+        self.list_reservation.set(reservation.or(previous));
+    }
+
     fn report_end(&self, id: AttemptId, end: AttemptEnd) {
         if let Some(dispatcher) = self.dispatcher.borrow().upgrade() {
             dispatcher.on_attempt_ended(id, end);
@@ -389,6 +405,7 @@
             self.cancel_waiting(&mut pool.waiting, |_| true);
         }
         pools.retain(|_, pool| !pool.is_unused());
+        self.reserve_for_list(pools.len());
     }
 
     fn begin_attempt(&self, attempt: Attempt) {
