--- a/node/src/downstream/connection.rs
+++ b/node/src/downstream/connection.rs
@@ -168,9 +168,7 @@
                         return Ok(Some(reader).filter(|_| self.has_written_recently()));
                     }
                 }
-                ConnectionEvent::TimedOut | ConnectionEvent::EvictedMidRequest
-                    if interests.can_read && self.output.is_empty() =>
-                {
+                ConnectionEvent::TimedOut | ConnectionEvent::EvictedMidRequest if interests.can_read => {
                     if !self.read_arrived(&mut reader)? {
                         self.end_mid_request();
                     }
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -23,13 +23,11 @@
 use std::time::Duration;
 
 use juniperladder::{EndpointState, EndpointUpdate, ServerId};
-use juniperladder_dispatch::identifiers::ServerLabel;
 use juniperladder_dispatch::log_throttle::LogThrottle;
 use rustc_hash::FxHashMap;
-use slog::{debug, warn, Logger};
-use tokio::sync::{oneshot, Notify};
+use slog::{warn, Logger};
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::Instant;
 
 use crate::buffer_pool::{BufferKind, BufferPool, Reservation};
 use crate::clock::{duration, Clock};
@@ -39,7 +37,7 @@
 use crate::resource_limits::LISTED_SERVER_BYTES;
 use connection::{ConnectError, UpstreamConnection};
 use idle_timeout::IdleTimeout;
-use pool::{CarriedAttempt, IdleConnection, IdleId, Pool};
+use pool::{CarriedAttempt, IdleId, Pool};
 use read_error::MalformedResponse;
 
 /// The fraction of the connection limit above which the connections of timed-out attempts close.
@@ -303,59 +301,6 @@
         self.report_end(id, end);
     }
 
-    /// Adds an idle connection, which settles at this time, to its pool. Returns the channel for its next attempt;
-    /// `None` if the connection has to close.
-    fn add_idle(
-        &self,
-        connection: &UpstreamConnection,
-        settled_at: Instant,
-    ) -> Option<(IdleId, oneshot::Receiver<Attempt>)> {
-        let mut pools = self.pools.borrow_mut();
-        // After a server has moved, a connection to its old address is not used, as another process may
-        // listen there now.
-        let pool = pools.get_mut(&connection.server).filter(|pool| pool.is_reached_by(connection))?;
-        let (attempt_sender, receiver) = oneshot::channel();
-        let id = self.last_idle_id.get() + 1;
-        self.last_idle_id.set(id);
-        pool.idle.push(IdleConnection { id, settled_at, attempt_sender });
-        Some((id, receiver))
-    }
-
-    fn remove_idle(&self, server: ServerId, id: IdleId) {
-        if let Some(pool) = self.pools.borrow_mut().get_mut(&server) {
-            pool.idle.retain(|idle| idle.id != id);
-        }
-    }
-
-    /// Takes the next waiting attempt for an idle connection that has settled.
-    fn take_waiting(&self, connection: &UpstreamConnection, id: IdleId) -> Option<Attempt> {
-        let attempt = self.next_attempt(connection)?;
-        self.remove_idle(connection.server, id);
-        Some(attempt)
-    }
-
-    /// How long a connection to this server has to be silent before it is reused.
-    fn settle_time(&self, server: ServerId) -> Duration {
-        self.pools.borrow().get(&server).map(|pool| pool.settle_time.current()).unwrap_or_default()
-    }
-
-    /// Handles a connection to this server that has settled in silence.
-    fn on_settled(&self, server: ServerId) {
-        if let Some(pool) = self.pools.borrow().get(&server) {
-            pool.settle_time.on_silent();
-        }
-    }
-
-    /// Handles bytes that arrived this long after a complete answer, when no answer was awaited.
-    fn on_late_bytes(&self, connection: &UpstreamConnection, delay: Duration) {
-        increment(&self.counters.late_bytes);
-        debug!(self.log, "bytes after a complete answer"; "server" => %ServerLabel(connection.server),
-            "address" => %connection.address, "delay_ms" => delay.as_millis());
-        if let Some(pool) = self.pools.borrow().get(&connection.server) {
-            pool.settle_time.on_late_bytes(delay);
-        }
-    }
-
     /// Sends the last byte of an upload, which is its attempt; all other bytes were sent before. If their connection
     /// has failed, the attempt ends as not sent: the request was not executed, and the value is not kept to be sent
     /// again.
--- a/node/src/upstream/reuse.rs
+++ b/node/src/upstream/reuse.rs
@@ -10,13 +10,19 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use juniperladder::ServerId;
+use juniperladder_dispatch::identifiers::ServerLabel;
+use slog::debug;
 use tokio::io::{AsyncRead, AsyncReadExt};
+use tokio::sync::oneshot;
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, Instant};
 
 use super::connection::{AfterAttempt, UpstreamConnection};
+use super::pool::{IdleConnection, IdleId};
 use super::Upstream;
 use crate::connect::ServerStream;
+use crate::counters::increment;
 use crate::dispatcher::{Attempt, AttemptEnd};
 
 /// A write on a connection that the server had already closed is reset within this time; a later break has
@@ -141,6 +147,61 @@
     }
 }
 
+impl Upstream {
+    /// Adds an idle connection, which settles at this time, to its pool. Returns the channel for its next attempt;
+    /// `None` if the connection has to close.
+    pub(super) fn add_idle(
+        &self,
+        connection: &UpstreamConnection,
+        settled_at: Instant,
+    ) -> Option<(IdleId, oneshot::Receiver<Attempt>)> {
+        let mut pools = self.pools.borrow_mut();
+        // After a server has moved, a connection to its old address is not used, as another process may
+        // listen there now.
+        let pool = pools.get_mut(&connection.server).filter(|pool| pool.is_reached_by(connection))?;
+        let (attempt_sender, receiver) = oneshot::channel();
+        let id = self.last_idle_id.get() + 1;
+        self.last_idle_id.set(id);
+        pool.idle.push(IdleConnection { id, settled_at, attempt_sender });
+        Some((id, receiver))
+    }
+
+    fn remove_idle(&self, server: ServerId, id: IdleId) {
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&server) {
+            pool.idle.retain(|idle| idle.id != id);
+        }
+    }
+
+    /// Takes the next waiting attempt for an idle connection that has settled.
+    fn take_waiting(&self, connection: &UpstreamConnection, id: IdleId) -> Option<Attempt> {
+        let attempt = self.next_attempt(connection)?;
+        self.remove_idle(connection.server, id);
+        Some(attempt)
+    }
+
+    /// How long a connection to this server has to be silent before it is reused.
+    fn settle_time(&self, server: ServerId) -> Duration {
+        self.pools.borrow().get(&server).map(|pool| pool.settle_time.current()).unwrap_or_default()
+    }
+
+    /// Handles a connection to this server that has settled in silence.
+    fn on_settled(&self, server: ServerId) {
+        if let Some(pool) = self.pools.borrow().get(&server) {
+            pool.settle_time.on_silent();
+        }
+    }
+
+    /// Handles bytes that arrived this long after a complete answer, when no answer was awaited.
+    fn on_late_bytes(&self, connection: &UpstreamConnection, delay: Duration) {
+        increment(&self.counters.late_bytes);
+        debug!(self.log, "bytes after a complete answer"; "server" => %ServerLabel(connection.server),
+            "address" => %connection.address, "delay_ms" => delay.as_millis());
+        if let Some(pool) = self.pools.borrow().get(&connection.server) {
+            pool.settle_time.on_late_bytes(delay);
+        }
+    }
+}
+
 /// Whether an idle connection is still open and has received nothing.
 fn is_open_and_silent<S: AsyncRead + Unpin>(stream: &mut S, input: &mut BytesMut) -> bool {
     let mut context = Context::from_waker(Waker::noop());
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -12,7 +12,7 @@
 use juniperladder::Idempotency;
 use proptest::prelude::*;
 use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 /// What a server does with one attempt.
 #[derive(Clone, Debug)]
