Let a chunk size near the maximum not overflow the known length of an origin's body

It saturates now. The case in an_origins_response_is_complete_or_malformed panicked before ("attempt to add with overflow").

--- a/protocols/src/http/response.rs
+++ b/protocols/src/http/response.rs
@@ -247,7 +247,7 @@
 
     /// The part of the body that is received or known to follow, in bytes.
     pub fn known_body_bytes(&self) -> usize {
-        self.body.len() + self.remaining_bytes
+        self.body.len().saturating_add(self.remaining_bytes)
     }
 
     /// Moves the received part of the body to an allocation of this capacity.
