Keep what was read of a value that breaks off, so that its connection does not count as idle

A break in the middle of it looked like one before the first byte of an answer; within 10 ms of the write that is taken for a server that closes idle connections, and the idle timeout of all its connections shrinks. The partial value goes back to the input. The check in bytes_after_a_whole_value_are_kept_or_malformed fails without it.

--- a/node/src/upstream/whole_value.rs
+++ b/node/src/upstream/whole_value.rs
@@ -25,7 +25,7 @@
 }
 
 /// Reads the rest of a cache server's value of this length, the beginning of which is in the input. Bytes that follow the
-/// value are left in the input.
+/// value are left in the input, and so is a value that breaks off.
 ///
 /// # Errors
 /// The connection ended before the value was complete, or no line end follows it.
@@ -40,7 +40,11 @@
     value.extend_from_slice(&input.split_to(input.len().min(total)));
     while value.len() < total {
         let space = (total + FOLLOWING_BYTES - value.len()).min(MAX_READ_BYTES);
-        read_some(stream, &mut (&mut value).limit(space)).await?;
+        if let Err(error) = read_some(stream, &mut (&mut value).limit(space)).await {
+            // The input shows that the connection broke in the middle of an answer.
+            *input = value;
+            return Err(error);
+        }
     }
     input.extend_from_slice(&value[total..]);
     if value[length..total] != *LINE_END {
--- a/node/src/upstream/whole_value/tests.rs
+++ b/node/src/upstream/whole_value/tests.rs
@@ -111,8 +111,11 @@
         assert_eq!(input, &b"EN O8"[..]);
         let (response, _) = read(cache_answer(b"xx"), 1 << 20, false, &pool).await;
         assert!(matches!(response, Err(ReadError::Malformed(_))));
-        let (response, _) = read(cache_answer(b"\r"), 1 << 20, false, &pool).await;
+        let (response, input) = read(cache_answer(b"\r"), 1 << 20, false, &pool).await;
         assert!(matches!(response, Err(ReadError::Disconnected)));
+        // Otherwise the connection counts as closed for its idle time, before the first byte of an answer.
+        assert!(!input.is_empty());
+        drop(input);
         assert_eq!(pool.reserved_bytes(), 0);
     });
 }
