--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -1,8 +1,11 @@
-//! A planned end while a cache server still gives a long value. The value has to be passed on.
+//! A client reads a long value slowly and sends its next request before it has read all of it. The value, which the cache
+//! server gave whole, has to reach the client whole.
 
 #[path = "../standins-2/mod.rs"]
 mod standins;
 
+use std::io::{ErrorKind, Read};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use standins::balancer::Class;
@@ -11,56 +14,69 @@
 use standins::record::Record;
 use standins::Verdict;
 
-const VALUE_BYTES: usize = 4 << 20;
-/// The cache server gives 64 KiB at once, and the whole value in 6.4 s.
-const CACHE: &[&str] = &["pause", "100"];
-const SIGNAL_AFTER: Duration = Duration::from_secs(1);
-/// SIGKILL comes no sooner than 3.7 s after SIGTERM; here it comes when the value has long been given.
-const KILL_AFTER: Duration = Duration::from_secs(10);
+const VALUE_BYTES: usize = 1 << 20;
+/// The client reads so much at once.
+const PIECE_BYTES: usize = 16 << 10;
+/// Before each piece. The whole value takes 6.4 s.
+const PAUSE: Duration = Duration::from_millis(100);
+/// The second request is sent when only so many bytes of the value are left.
+const LEFT_AT_SECOND_REQUEST: usize = 512 << 10;
 const WAIT_MS: u64 = 1200;
 
-const CLASSES: &[Class] = &[
-    Class { name: "read", effect: "pure", aim_ms: 750, give_up_ms: 1500, window_ms: 0 },
-    Class { name: "change", effect: "token", aim_ms: 1200, give_up_ms: 3000, window_ms: 6000 },
-];
+const CLASSES: &[Class] =
+    &[Class { name: "read", effect: "pure", aim_ms: 750, give_up_ms: 1500, window_ms: 0 }];
 
 fn case(record: &Record, has_trouble: bool) -> Result<Verdict, String> {
-    let plan = FleetPlan { classes: CLASSES, memory_mb: 192, sockets: 1024, cache: CACHE, origin: &[] };
-    let mut fleet = Fleet::start(&plan, record)?;
+    let plan = FleetPlan { classes: CLASSES, memory_mb: 192, sockets: 1024, cache: &[], origin: &[] };
+    let fleet = Fleet::start(&plan, record)?;
     let mut connection = Connection::open(&fleet.balancer.address).map_err(|error| error.to_string())?;
-    let request = read(&format!("value-{VALUE_BYTES}-1"), "aa0001", "read", WAIT_MS);
-    connection.send(&request).map_err(|error| error.to_string())?;
+    let first = read(&format!("value-{VALUE_BYTES}-1"), "aa0001", "read", WAIT_MS);
+    connection.send(&first).map_err(|error| error.to_string())?;
     let sent = Instant::now();
     record.line(&format!("read aa0001 of {VALUE_BYTES} bytes sent"));
-    let early = connection.read_answer(sent + SIGNAL_AFTER);
-    if early.is_ok() {
-        return Err("the value came before the signal".into());
-    }
-    record.line(&format!("{} bytes have come", connection.unread()));
-    let signalled = Instant::now();
-    if has_trouble {
-        fleet.balancer.process.signal("TERM", record);
-    }
-    let answer = connection.read_answer(signalled + KILL_AFTER);
-    let waited = signalled.elapsed().as_millis();
-    let is_lost = match answer {
-        Ok(answer) => {
-            record.line(&format!("aa0001: {}, its value is whole, {waited} ms after the signal's time", answer.line));
-            false
+    let head = format!("VA {VALUE_BYTES} Oaa0001\r\n");
+    let whole = head.len() + VALUE_BYTES + 2;
+    let mut received = Vec::with_capacity(whole);
+    let mut has_sent_second = false;
+    let mut piece = vec![0; PIECE_BYTES];
+    while received.len() < whole {
+        if has_trouble {
+            thread::sleep(PAUSE);
         }
-        Err(none) => {
-            record.line(&format!("aa0001 LOST: {none:?}, {} bytes came, {waited} ms after SIGTERM", connection.unread()));
-            true
+        if !has_sent_second && whole - received.len() <= LEFT_AT_SECOND_REQUEST {
+            has_sent_second = true;
+            let second = read("value-100-2", "aa0002", "read", WAIT_MS);
+            let result = connection.send(&second);
+            record.line(&format!(
+                "read aa0002 sent after {} ms, with {} bytes of aa0001 read: {result:?}",
+                sent.elapsed().as_millis(),
+                received.len()
+            ));
         }
-    };
-    if has_trouble {
-        let ended = fleet.balancer.process.wait_until(signalled + KILL_AFTER);
-        record.line(&format!("the balancer ended: {ended:?}, {} ms after SIGTERM", signalled.elapsed().as_millis()));
-        if ended.is_none() {
-            fleet.balancer.process.signal("KILL", record);
+        let room = PIECE_BYTES.min(whole - received.len());
+        match connection.stream.read(&mut piece[..room]) {
+            Ok(0) => {
+                record.line("the connection ended");
+                break;
+            }
+            Ok(length) => received.extend_from_slice(&piece[..length]),
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) => {
+                record.line(&format!("the connection broke: {error}"));
+                break;
+            }
         }
     }
-    Ok(if is_lost { Verdict::Broken } else { Verdict::Held })
+    record.line(&format!("{} of {whole} bytes came in {} ms", received.len(), sent.elapsed().as_millis()));
+    let is_whole = received.len() == whole && received.starts_with(head.as_bytes());
+    if !is_whole {
+        record.line("read aa0001 LOST: its value is not whole");
+        return Ok(Verdict::Broken);
+    }
+    // The second request may cross a close between requests: then the client sends it once more.
+    let second = connection.read_answer(Instant::now() + Duration::from_millis(WAIT_MS + 550));
+    record.line(&format!("aa0002: {:?}", second.map(|answer| answer.line)));
+    Ok(Verdict::Held)
 }
 
 fn main() {
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,81 +1,85 @@
-//! A client reads a long value slowly and sends its next request before it has read all of it. The value, which the cache
-//! server gave whole, has to reach the client whole.
+//! The origin stands still for five seconds while a value of 4 MiB is written to it. The write, which its client has sent
+//! whole, has to get its final answer all the same.
 
 #[path = "../standins-2/mod.rs"]
 mod standins;
 
-use std::io::{ErrorKind, Read};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use standins::balancer::Class;
-use standins::client::{read, Connection};
+use standins::client::{write, Connection};
 use standins::fleet::{Fleet, FleetPlan};
 use standins::record::Record;
 use standins::Verdict;
 
-const VALUE_BYTES: usize = 1 << 20;
-/// The client reads so much at once.
-const PIECE_BYTES: usize = 16 << 10;
-/// Before each piece. The whole value takes 6.4 s.
-const PAUSE: Duration = Duration::from_millis(100);
-/// The second request is sent when only so many bytes of the value are left.
-const LEFT_AT_SECOND_REQUEST: usize = 512 << 10;
-const WAIT_MS: u64 = 1200;
+const ROUNDS: usize = 3;
+const VALUE_BYTES: usize = 4 << 20;
+/// How long the origin stands still in each round.
+const STANDSTILL: Duration = Duration::from_secs(5);
+/// What the origin's system takes of a connection that is not read.
+const ORIGIN: &[&str] = &["receive-buffer", "4096"];
+/// 80% of the class's time.
+const WAIT_MS: u64 = 600;
+/// Half a second after its time an unanswered request is lost; each time limit grows by 50 ms.
+const GRACE: Duration = Duration::from_millis(550);
+/// For how long a late answer is still waited for, to record when it came.
+const LATE_WAIT: Duration = Duration::from_secs(10);
 
-const CLASSES: &[Class] = &[Class { name: "read", effect: "pure", aim_ms: 750, give_up_ms: 1500, window_ms: 0 }];
+const CLASSES: &[Class] = &[
+    Class { name: "look-up", effect: "pure", aim_ms: 120, give_up_ms: 250, window_ms: 0 },
+    Class { name: "notice", effect: "side_effect", aim_ms: 150, give_up_ms: 750, window_ms: 0 },
+];
 
-fn case(record: &Record, has_trouble: bool) -> Result<Verdict, String> {
-    let plan = FleetPlan { classes: CLASSES, memory_mb: 192, sockets: 1024, cache: &[], origin: &[] };
-    let fleet = Fleet::start(&plan, record)?;
+/// Writes one value. Returns whether the write was lost.
+fn play_round(fleet: &Fleet, round: usize, record: &Record, has_trouble: bool) -> Result<bool, String> {
+    let id = format!("aa{round:04}");
     let mut connection = Connection::open(&fleet.balancer.address).map_err(|error| error.to_string())?;
-    let first = read(&format!("value-{VALUE_BYTES}-1"), "aa0001", "read", WAIT_MS);
-    connection.send(&first).map_err(|error| error.to_string())?;
+    let begun = Instant::now();
+    if has_trouble {
+        fleet.origin.process.signal("STOP", record);
+    }
+    let bytes = write(&format!("key{round}"), &id, "notice", WAIT_MS, VALUE_BYTES);
+    connection.send(&bytes).map_err(|error| error.to_string())?;
     let sent = Instant::now();
-    record.line(&format!("read aa0001 of {VALUE_BYTES} bytes sent"));
-    let head = format!("VA {VALUE_BYTES} Oaa0001\r\n");
-    let whole = head.len() + VALUE_BYTES + 2;
-    let mut received = Vec::with_capacity(whole);
-    let mut has_sent_second = false;
-    let mut piece = vec![0; PIECE_BYTES];
-    while received.len() < whole {
-        if has_trouble {
-            thread::sleep(PAUSE);
-        }
-        if !has_sent_second && whole - received.len() <= LEFT_AT_SECOND_REQUEST {
-            has_sent_second = true;
-            let second = read("value-100-2", "aa0002", "read", WAIT_MS);
-            let result = connection.send(&second);
+    let duration = (sent - begun).as_millis();
+    record
+        .line(&format!("write {id} of {VALUE_BYTES} bytes sent whole in {duration} ms, waits {WAIT_MS} ms"));
+    let answer = connection.read_answer(sent + Duration::from_millis(WAIT_MS) + GRACE);
+    let is_lost = answer.is_err();
+    match answer {
+        Ok(answer) => {
             record.line(&format!(
-                "read aa0002 sent after {} ms, with {} bytes of aa0001 read: {result:?}",
-                sent.elapsed().as_millis(),
-                received.len()
+                "write {id} answered after {} ms: {}",
+                (answer.at - sent).as_millis(),
+                answer.line
             ));
         }
-        let room = PIECE_BYTES.min(whole - received.len());
-        match connection.stream.read(&mut piece[..room]) {
-            Ok(0) => {
-                record.line("the connection ended");
-                break;
-            }
-            Ok(length) => received.extend_from_slice(&piece[..length]),
-            Err(error) if error.kind() == ErrorKind::Interrupted => {}
-            Err(error) => {
-                record.line(&format!("the connection broke: {error}"));
-                break;
-            }
+        Err(none) => {
+            record.line(&format!("write {id} LOST: {none:?} after {} ms", sent.elapsed().as_millis()))
         }
     }
-    record.line(&format!("{} of {whole} bytes came in {} ms", received.len(), sent.elapsed().as_millis()));
-    let is_whole = received.len() == whole && received.starts_with(head.as_bytes());
-    if !is_whole {
-        record.line("read aa0001 LOST: its value is not whole");
-        return Ok(Verdict::Broken);
+    if has_trouble {
+        thread::sleep((begun + STANDSTILL).saturating_duration_since(Instant::now()));
+        fleet.origin.process.signal("CONT", record);
+    }
+    if is_lost {
+        let late = connection.read_answer(Instant::now() + LATE_WAIT).map(|answer| answer.line);
+        record.line(&format!("write {id}: after {} ms {late:?}", sent.elapsed().as_millis()));
+    }
+    Ok(is_lost)
+}
+
+fn case(record: &Record, has_trouble: bool) -> Result<Verdict, String> {
+    let plan = FleetPlan { classes: CLASSES, memory_mb: 192, sockets: 1024, cache: &[], origin: ORIGIN };
+    let fleet = Fleet::start(&plan, record)?;
+    let mut lost = 0;
+    for round in 0..ROUNDS {
+        lost += usize::from(play_round(&fleet, round, record, has_trouble)?);
+        thread::sleep(Duration::from_secs(2));
     }
-    // The second request may cross a close between requests: then the client sends it once more.
-    let second = connection.read_answer(Instant::now() + Duration::from_millis(WAIT_MS + 550));
-    record.line(&format!("aa0002: {:?}", second.map(|answer| answer.line)));
-    Ok(Verdict::Held)
+    record.line(&format!("writes sent whole: {ROUNDS}, lost: {lost}"));
+    Ok(if lost > 0 { Verdict::Broken } else { Verdict::Held })
 }
 
 fn main() {
--- a/review/standins-2/balancer.rs
+++ b/review/standins-2/balancer.rs
@@ -32,8 +32,6 @@
     pub max_attempts: u32,
     pub entries: Vec<String>,
     pub discovery: String,
-    /// Whether operators can call.
-    pub has_operators: bool,
 }
 
 impl Deployment<'_> {
@@ -68,10 +66,9 @@
         )
     }
 
-    fn config(&self, name: &str, listen: &str, operators: Option<&str>) -> String {
-        let operators = operators.map(|address| format!(r#""mgmt":"{address}","#)).unwrap_or_default();
+    fn config(&self, name: &str, listen: &str) -> String {
         format!(
-            r#"{{"name":"{name}","listen":"{listen}",{operators}"discovery":"{}","seed":"8c1f30d27a5be964",
+            r#"{{"name":"{name}","listen":"{listen}","discovery":"{}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},
             "known":{{"generation":1,"reset":true,"instances":[{}]}},
             "settings":{}}}"#,
@@ -88,47 +85,37 @@
 pub struct Balancer {
     pub process: Process,
     pub address: String,
-    pub operators: Option<String>,
 }
 
 impl Balancer {
-    /// Starts a balancer on a free port and waits until it is ready.
+    /// Starts a balancer on a free port, and waits until it is ready.
     pub fn start(name: &str, deployment: &Deployment<'_>, record: &Record) -> Result<Balancer, String> {
         let address = process::free_address()?;
-        Balancer::start_at(name, name, &address, deployment, record)
-    }
-
-    /// Starts a balancer at this address, and waits until it is ready. `label` distinguishes the processes of one balancer.
-    pub fn start_at(
-        name: &str,
-        label: &str,
-        address: &str,
-        deployment: &Deployment<'_>,
-        record: &Record,
-    ) -> Result<Balancer, String> {
-        let operators = if deployment.has_operators { Some(process::free_address()?) } else { None };
         let scratch = process::scratch();
-        let config = scratch.join(format!("{label}.json"));
-        std::fs::write(&config, deployment.config(name, address, operators.as_deref()))
-            .map_err(|error| error.to_string())?;
+        let config = scratch.join(format!("{name}.json"));
+        std::fs::write(&config, deployment.config(name, &address)).map_err(|error| error.to_string())?;
         let temporary = scratch.join(format!("tmp-{name}"));
         std::fs::create_dir_all(&temporary).map_err(|error| error.to_string())?;
-        let log = scratch.join(format!("{label}.log"));
+        let log = scratch.join(format!("{name}.log"));
         let run = deploy_command("run")?;
         let mut command = Command::new("/bin/sh");
-        command.arg("-c").arg(&run).current_dir(process::root()).env("NODE_CONFIG", &config).env("NODE_NAME", name);
-        command.env("NODE_LISTEN", address).env("NODE_DISCOVERY", &deployment.discovery).env("TMPDIR", &temporary);
-        match &operators {
-            Some(operators) => command.env("NODE_MGMT", operators),
-            None => command.env_remove("NODE_MGMT"),
-        };
-        command.env_remove("NODE_OPERATOR");
+        command
+            .arg("-c")
+            .arg(&run)
+            .current_dir(process::root())
+            .env("NODE_CONFIG", &config)
+            .env("NODE_NAME", name);
+        command
+            .env("NODE_LISTEN", &address)
+            .env("NODE_DISCOVERY", &deployment.discovery)
+            .env("TMPDIR", &temporary);
+        command.env_remove("NODE_MGMT").env_remove("NODE_OPERATOR");
         command.stdin(Stdio::null()).stdout(process::output_file(&log)?).stderr(process::output_file(&log)?);
-        let process = Process::spawn(label, &mut command)?;
-        record.line(&format!("{label} started at {address}: {run}"));
-        let mut balancer = Balancer { process, address: address.to_owned(), operators };
+        let process = Process::spawn(name, &mut command)?;
+        record.line(&format!("{name} started at {address}: {run}"));
+        let mut balancer = Balancer { process, address };
         balancer.wait_until_ready()?;
-        record.line(&format!("{label} is ready"));
+        record.line(&format!("{name} is ready"));
         Ok(balancer)
     }
 
@@ -153,7 +140,8 @@
 
 /// A command of the deploy file.
 fn deploy_command(name: &str) -> Result<String, String> {
-    let text = std::fs::read_to_string(process::root().join("deploy/balancer.toml")).map_err(|e| e.to_string())?;
+    let text =
+        std::fs::read_to_string(process::root().join("deploy/balancer.toml")).map_err(|e| e.to_string())?;
     let prefix = format!("{name} = \"");
     let line = text.lines().find(|line| line.starts_with(&prefix)).ok_or(format!("no command {name}"))?;
     line[prefix.len()..].split('"').next().map(str::to_owned).ok_or(format!("no command {name}"))
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -26,13 +26,15 @@
     pub fn start(plan: &FleetPlan<'_>, record: &Record) -> Result<Fleet, String> {
         let cache_arguments: Vec<&str> = std::iter::once("cache").chain(plan.cache.iter().copied()).collect();
         let cache = StandIn::start("cache", &cache_arguments, record)?;
-        let origin_arguments: Vec<&str> = std::iter::once("origin").chain(plan.origin.iter().copied()).collect();
+        let origin_arguments: Vec<&str> =
+            std::iter::once("origin").chain(plan.origin.iter().copied()).collect();
         let origin = StandIn::start("origin", &origin_arguments, record)?;
         let entries = vec![
             list_entry("s-00000001", &cache.address, "node", "in_service"),
             list_entry("s-0000000f", &origin.address, "origin", "in_service"),
         ];
-        let arguments: Vec<&str> = std::iter::once("discovery").chain(entries.iter().map(String::as_str)).collect();
+        let arguments: Vec<&str> =
+            std::iter::once("discovery").chain(entries.iter().map(String::as_str)).collect();
         let discovery = StandIn::start("discovery", &arguments, record)?;
         let deployment = Deployment {
             classes: plan.classes,
@@ -41,7 +43,6 @@
             max_attempts: 3,
             entries,
             discovery: discovery.address.clone(),
-            has_operators: false,
         };
         let balancer = Balancer::start("b1", &deployment, record)?;
         Ok(Fleet { balancer, cache, origin, discovery })
--- a/review/standins-2/memcache_server.rs
+++ b/review/standins-2/memcache_server.rs
@@ -1,8 +1,7 @@
 //! A cache server.
 //!
 //! The key tells what it holds: `value-N-REST` is a value of N bytes, any other key is a miss. With the argument
-//! `reset-after BYTES`, the connection ends in the middle of the first value that is longer than that; with `pause MS`, each
-//! piece of a value comes so long after the one before.
+//! `reset-after BYTES`, the connection ends in the middle of the first value that is longer than that.
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpStream;
@@ -20,7 +19,6 @@
 struct Giving {
     reset_after: Option<usize>,
     has_reset: AtomicBool,
-    pause: Duration,
 }
 
 fn serve_requests(stream: TcpStream, giving: &Giving) -> std::io::Result<()> {
@@ -63,7 +61,6 @@
             let bytes = PIECE_BYTES.min(until - sent);
             writer.write_all(&piece[..bytes])?;
             sent += bytes;
-            thread::sleep(giving.pause);
         }
         if until < length {
             // Long enough for what was written to be read before the connection ends.
@@ -78,12 +75,10 @@
 }
 
 pub fn serve(arguments: &[String]) -> ! {
-    let giving = match arguments {
-        [name, bytes, ..] if name == "reset-after" => Giving { reset_after: bytes.parse().ok(), ..Giving::default() },
-        [name, ms, ..] if name == "pause" => {
-            Giving { pause: Duration::from_millis(ms.parse().unwrap_or(0)), ..Giving::default() }
-        }
-        _ => Giving::default(),
+    let reset_after = match arguments {
+        [name, bytes] if name == "reset-after" => bytes.parse().ok(),
+        _ => None,
     };
+    let giving = Giving { reset_after, ..Giving::default() };
     super::roles::serve(move |stream| serve_requests(stream, &giving))
 }
--- a/review/standins-2/mod.rs
+++ b/review/standins-2/mod.rs
@@ -1,12 +1,14 @@
 //! What the cases of the second review share: stand-ins for clients, cache servers, the origin and discovery, and the
 //! processes of the balancer. Only the standard library is used. Stand-ins run as processes of their own: a case starts its
 //! own program again with the name of a role.
+// No case uses all of it.
 #![allow(dead_code)]
 
 pub mod balancer;
 pub mod client;
 pub mod fleet;
 pub mod memcache_server;
+pub mod origin;
 pub mod process;
 pub mod record;
 pub mod roles;
--- a/review/standins-2/process.rs
+++ b/review/standins-2/process.rs
@@ -121,7 +121,11 @@
 
 /// A file for the output of a process.
 pub fn output_file(path: &Path) -> Result<File, String> {
-    File::options().create(true).append(true).open(path).map_err(|error| format!("{}: {error}", path.display()))
+    File::options()
+        .create(true)
+        .append(true)
+        .open(path)
+        .map_err(|error| format!("{}: {error}", path.display()))
 }
 
 /// A port of the loopback address that is free now.
--- a/review/standins-2/roles.rs
+++ b/review/standins-2/roles.rs
@@ -1,11 +1,13 @@
 //! The stand-ins that run as processes of their own.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::thread;
 use std::time::Duration;
 
+use super::origin::read_head;
+
 /// Plays the role with this name; does not return.
 pub fn play(role: &str, arguments: &[String]) -> ! {
     thread::spawn(|| {
@@ -15,13 +17,7 @@
     });
     match role {
         "cache" => super::memcache_server::serve(arguments),
-        "origin" => {
-            let receive_buffer = match arguments {
-                [name, bytes, ..] if name == "receive-buffer" => bytes.parse().ok(),
-                _ => None,
-            };
-            serve_with(receive_buffer, origin)
-        }
+        "origin" => super::origin::serve(arguments),
         "discovery" => {
             let list = arguments.join(",");
             serve(move |stream| discovery(stream, &list))
@@ -35,9 +31,6 @@
 
 /// Prints a line for the record.
 pub fn tell(text: &str) {
-    if std::env::args().any(|argument| argument == "quiet") {
-        return;
-    }
     let mut output = std::io::stdout().lock();
     let _ = writeln!(output, "{text}");
     let _ = output.flush();
@@ -60,7 +53,7 @@
     serve_with(None, handle)
 }
 
-fn serve_with(
+pub fn serve_with(
     receive_buffer: Option<i32>,
     handle: impl Fn(TcpStream) -> std::io::Result<()> + Send + Sync + 'static,
 ) -> ! {
@@ -80,59 +73,6 @@
     }
 }
 
-/// The head of an HTTP request: its first line, and its headers as they came.
-struct Head {
-    first_line: String,
-    headers: Vec<String>,
-}
-
-impl Head {
-    fn header(&self, name: &str) -> &str {
-        let prefix = format!("{}:", name.to_ascii_lowercase());
-        let header = self.headers.iter().find(|header| header.to_ascii_lowercase().starts_with(&prefix));
-        header.map_or("", |header| header[prefix.len()..].trim())
-    }
-}
-
-fn read_head(reader: &mut impl BufRead) -> std::io::Result<Option<Head>> {
-    let mut lines = Vec::new();
-    loop {
-        let mut line = String::new();
-        if reader.read_line(&mut line)? == 0 {
-            return Ok(None);
-        }
-        let line = line.trim_end().to_owned();
-        if line.is_empty() {
-            break;
-        }
-        lines.push(line);
-    }
-    if lines.is_empty() {
-        return Ok(None);
-    }
-    Ok(Some(Head { first_line: lines.remove(0), headers: lines }))
-}
-
-/// The origin: a value of 100 bytes for each read, a receipt for each write, after 20 ms of work.
-fn origin(stream: TcpStream) -> std::io::Result<()> {
-    let mut reader = BufReader::new(stream.try_clone()?);
-    let mut writer = stream;
-    while let Some(head) = read_head(&mut reader)? {
-        let id = head.header("X-Trace-Id").to_owned();
-        let length: usize = head.header("Content-Length").parse().unwrap_or(0);
-        let mut body = vec![0; length];
-        reader.read_exact(&mut body)?;
-        tell(&format!("runs {} id {id} body {length} props {}", head.first_line, head.header("X-Props")));
-        thread::sleep(Duration::from_millis(20));
-        let body = if head.first_line.starts_with("PUT") { format!("r{id}") } else { "v".repeat(100) };
-        let answer =
-            format!("HTTP/1.1 200 OK\r\nX-Trace-Id: {id}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-        writer.write_all(answer.as_bytes())?;
-        tell(&format!("answered id {id}"));
-    }
-    Ok(())
-}
-
 /// Discovery, whose list never changes.
 fn discovery(stream: TcpStream, list: &str) -> std::io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
