Reject a response whose framing is ambiguous

A head from which two readers could derive different ends of the body is malformed now, so that the attempt has failed; a length that is stated twice alike is accepted. Framing and headers have modules of their own.

--- a/protocols/src/http.rs
+++ b/protocols/src/http.rs
@@ -3,6 +3,8 @@
 //! Guarantee: no input from a peer makes the codec panic, and the size of a response head is bounded. The body is not
 //! bounded: the caller has to drain it or close the connection.
 
+mod framing;
+mod headers;
 mod request_writer;
 mod response;
 
--- a/protocols/src/http/response.rs
+++ b/protocols/src/http/response.rs
@@ -4,12 +4,14 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use juniperladder_dispatch::values::{Answer, Reply};
 use thiserror::Error;
-use winnow::ascii::{digit1, hex_digit1, space0};
-use winnow::combinator::{opt, preceded, repeat, separated_pair, terminated};
+use winnow::ascii::{digit1, space0};
+use winnow::combinator::{preceded, repeat, separated_pair, terminated};
 use winnow::prelude::*;
 use winnow::token::{take_till, take_while};
 
-use crate::memcache::{parse_decimal, parse_receipt, MAX_BUFFERED_VALUE_BYTES, MAX_VALUE_BYTES};
+use super::framing::{chunk_size, framing, line_end, Framing};
+use super::headers::Headers;
+use crate::memcache::{parse_receipt, MAX_BUFFERED_VALUE_BYTES, MAX_VALUE_BYTES};
 
 /// Maximum length in bytes of a response head and of a line in a chunked body.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -41,17 +43,6 @@
     MalformedReceipt(usize),
 }
 
-/// How a response's body is delimited.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    /// By its length in bytes, stated in the head.
-    Length(usize),
-    /// By chunk sizes.
-    Chunked,
-    /// By the end of the connection.
-    UntilClose,
-}
-
 /// The relevant parts of a response head.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Head {
@@ -66,30 +57,6 @@
     framing: Framing,
 }
 
-/// The headers of a response, as names and values.
-struct Headers<'a>(Vec<(&'a [u8], &'a [u8])>);
-
-impl<'a> Headers<'a> {
-    /// The value of the first header of this name.
-    fn value(&self, name: &str) -> Option<&'a [u8]> {
-        let header = self.0.iter().find(|(header_name, _)| header_name.eq_ignore_ascii_case(name.as_bytes()));
-        header.map(|(_, value)| value.trim_ascii())
-    }
-
-    /// Whether a header of this name has this item in its comma-separated list.
-    fn lists(&self, name: &str, item: &str) -> bool {
-        self.0.iter().any(|(header_name, value)| {
-            let mut items = value.split(|byte| *byte == b',');
-            header_name.eq_ignore_ascii_case(name.as_bytes())
-                && items.any(|listed| listed.trim_ascii().eq_ignore_ascii_case(item.as_bytes()))
-        })
-    }
-}
-
-fn line_end(input: &mut &[u8]) -> winnow::Result<()> {
-    (opt(b'\r'), b'\n').void().parse_next(input)
-}
-
 /// Parses the status line into the minor version and the digits of the status.
 fn status_line<'a>(input: &mut &'a [u8]) -> winnow::Result<(&'a [u8], &'a [u8])> {
     let version = preceded(b"HTTP/1.", digit1);
@@ -107,12 +74,13 @@
 
 fn head(input: &mut &[u8]) -> winnow::Result<Head> {
     let (minor_version, status) = status_line(input)?;
-    let headers = Headers(terminated(repeat(0.., header), line_end).parse_next(input)?);
+    let headers = Headers::new(terminated(repeat(0.., header), line_end).parse_next(input)?);
     let framing = framing(status, &headers).ok_or_else(winnow::error::ContextError::new)?;
+    let request_id = headers.single_value("x-trace-id").ok_or_else(winnow::error::ContextError::new)?;
     Ok(Head {
         status: status.iter().fold(0, |sum, digit| sum * 10 + u16::from(digit - b'0')),
         not_executed: headers.lists("x-never-ran", "1"),
-        request_id: headers.value("x-trace-id").map(Bytes::copy_from_slice),
+        request_id: request_id.map(Bytes::copy_from_slice),
         closes_connection: headers.lists("connection", "close")
             || minor_version == b"0"
             || framing == Framing::UntilClose,
@@ -120,25 +88,6 @@
     })
 }
 
-/// The framing of the body; none if its length is malformed.
-fn framing(status: &[u8], headers: &Headers<'_>) -> Option<Framing> {
-    if headers.lists("transfer-encoding", "chunked") {
-        return Some(Framing::Chunked);
-    }
-    match headers.value("content-length") {
-        Some(length) => {
-            let length = parse_decimal(length).and_then(|length| usize::try_from(length).ok());
-            length.map(Framing::Length)
-        }
-        None if status == b"204" || status == b"304" => Some(Framing::Length(0)),
-        None => Some(Framing::UntilClose),
-    }
-}
-
-fn chunk_size<'a>(input: &mut &'a [u8]) -> winnow::Result<&'a [u8]> {
-    terminated(hex_digit1, (take_till(0.., (b'\r', b'\n')), line_end)).parse_next(input)
-}
-
 /// What follows in a chunked body after the bytes of the current chunk.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum ChunkState {
@@ -347,7 +296,7 @@
             ChunkState::ChunkEnd => self.chunk_state = ChunkState::Size,
             ChunkState::Trailer => self.is_complete = is_blank,
             ChunkState::Size => {
-                let size = parse_chunk_size(line).ok_or(ResponseError::MalformedChunkSize)?;
+                let size = chunk_size(line).ok_or(ResponseError::MalformedChunkSize)?;
                 self.remaining_bytes = size;
                 self.chunk_state = if size > 0 { ChunkState::ChunkEnd } else { ChunkState::Trailer };
             }
@@ -356,11 +305,6 @@
     }
 }
 
-fn parse_chunk_size(line: &[u8]) -> Option<usize> {
-    let digits = chunk_size.parse(line).ok()?;
-    usize::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()
-}
-
 /// Whether these bytes, possibly none, may be the beginning of a response.
 pub fn may_begin_response(input: &[u8]) -> bool {
     const VERSION_PREFIX: &[u8] = b"HTTP/1.";
--- a/protocols/src/http/tests.rs
+++ b/protocols/src/http/tests.rs
@@ -50,6 +50,38 @@
     }
 }
 
+/// Guards against a part of a value that is served as the whole: two readers of these heads would see different bodies.
+#[test]
+fn a_response_with_ambiguous_framing_is_rejected() {
+    for headers in [
+        "Content-Length: 3\r\nContent-Length: 5",
+        "Content-Length: 3, 5",
+        "Content-Length: 5\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: gzip",
+        "Content-Length: 5\r\nX-Trace-Id: a\r\nX-Trace-Id: b",
+    ] {
+        let text = format!("HTTP/1.1 200 OK\r\n{headers}\r\n\r\nhello");
+        assert!(matches!(read(text.as_bytes(), 99), Err(ResponseError::MalformedHead(_))), "{headers}");
+    }
+    for chunk_line in ["5 3", "5x", "5,3", "0x5", "+5", " 5"] {
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunk_line}\r\nhello\r\n0\r\n\r\n"
+        );
+        assert_eq!(read(text.as_bytes(), 99).unwrap_err(), ResponseError::MalformedChunkSize, "{chunk_line}");
+    }
+}
+
+#[test]
+fn a_length_that_is_stated_twice_alike_is_accepted() {
+    for headers in ["Content-Length: 5\r\nContent-Length: 5", "Content-Length: 5, 5"] {
+        let response = read(format!("HTTP/1.1 200 OK\r\n{headers}\r\n\r\nhello").as_bytes(), 99).unwrap();
+        assert!(response.is_complete && response.body == b"hello"[..], "{headers}");
+    }
+}
+
 #[test]
 fn the_origins_status_maps_to_the_reply() {
     let reply_for_write_request = |text: &[u8]| read(text, 99).unwrap().reply(true).unwrap();
