Resume a streamed value that breaks off, and answer the requests behind it

Cause: the protocol shows a broken value by the end of the connection alone; requests behind a read are dispatched before its value is known to be long, and write_chunk in node/src/downstream/connection/answers.rs gave up at once.

A value that breaks off is requested once more through the decision core: only in a class that may be repeated, within its deadline and all of its attempts. What the client has is compared by length and hash and left out. A request that comes while a value is streamed stays unread until the value is complete. A connection that ends mid-value is shut down and read for a moment, so that earlier answers are not reset.

Tests of node, dispatch and cli pass.

--- a/dispatch/src/counters.rs
+++ b/dispatch/src/counters.rs
@@ -90,6 +90,8 @@
     downloads => "long",
     /// Streamed values to clients that broke off before their end.
     downloads_broken => "long_broken",
+    /// Streamed values that broke off and were requested once more.
+    downloads_resumed => "long_resumed",
     /// Streamed values from clients whose forwarding to the origin has begun.
     uploads => "uploads",
     /// Responses that were malformed or had another request's id.
--- a/dispatch/src/dispatcher.rs
+++ b/dispatch/src/dispatcher.rs
@@ -9,6 +9,7 @@
 mod endpoints;
 mod metrics;
 mod overrides;
+mod resumption;
 mod state;
 mod timers;
 
@@ -55,6 +56,10 @@
     clock: Clock,
     /// The longest time-out of a request, by class.
     class_timeouts: Vec<Micros>,
+    /// The maximum number of attempts for a request.
+    max_attempts: u32,
+    /// Whether requests may be executed more than once, by class.
+    is_idempotent: Vec<bool>,
     /// How long servers drop duplicates of a request, by class; none for a class whose duplicates they do not drop.
     deduplication_windows: Vec<Option<Micros>>,
     counters: Rc<Counters>,
@@ -83,6 +88,9 @@
         log: Logger,
     ) -> Rc<Dispatcher> {
         let class_timeouts = settings.classes.iter().map(|class| class.deadline).collect();
+        let max_attempts = settings.limits.max_attempts;
+        let is_idempotent = |class: &Class| class.idempotency == Idempotency::Idempotent;
+        let is_idempotent = settings.classes.iter().map(is_idempotent).collect();
         let deduplication_windows = settings.classes.iter().map(deduplication_window).collect();
         let origin_kind = settings.mode.origin_kind();
         let request_metrics = RequestMetrics::new(settings.classes.len());
@@ -105,6 +113,8 @@
             origin_kind,
             clock,
             class_timeouts,
+            max_attempts,
+            is_idempotent,
             deduplication_windows,
             counters,
             request_metrics,
@@ -154,17 +164,32 @@
         &self,
         request: ClientRequest,
         longest_wait: Micros,
+    ) -> Option<(ClientRequestId, oneshot::Receiver<Answer>)> {
+        let now = self.clock.now();
+        let deadline = self.deadline_of(&request, now, longest_wait);
+        let accepted = self.open_request(Rc::new(request), now, deadline, None);
+        if accepted.is_some() {
+            increment(&self.counters.requests);
+        }
+        accepted
+    }
+
+    /// Opens a request and reports it to the decision core. Returns none if another request with the same id is open.
+    fn open_request(
+        &self,
+        request: Rc<ClientRequest>,
+        now: Micros,
+        deadline: Micros,
+        earlier_attempts: Option<u32>,
     ) -> Option<(ClientRequestId, oneshot::Receiver<Answer>)> {
         let mut state = self.state.borrow_mut();
         if !state.client_ids.insert(request.id.clone()) {
             return None;
         }
-        increment(&self.counters.requests);
-        let now = self.clock.now();
         let id = ClientRequestId(state.next_id());
-        let deadline = self.deadline_of(&request, now, longest_wait);
         debug!(self.log, "request taken"; "request" => id.0, "client_id" => %ClientText(&request.id),
-            "class" => request.class, "time_left_ms" => to_ms(deadline.saturating_sub(now)));
+            "class" => request.class, "time_left_ms" => to_ms(deadline.saturating_sub(now)),
+            "earlier_attempts" => earlier_attempts);
         let event = Event::Request(Request {
             id: id.to_request_id(),
             deadline,
@@ -177,10 +202,11 @@
         });
         let (answer, receiver) = oneshot::channel();
         let open = OpenRequest {
-            request: Rc::new(request),
+            request,
             answer,
             deadline,
             attempts: 0,
+            earlier_attempts,
             attempts_in_flight: 0,
             is_half_closed: false,
             retry_write_deadline: NO_DEADLINE,
@@ -288,7 +314,12 @@
             debug!(self.log, "request answered"; "request" => id.0,
                 "client_id" => %ClientText(&open.request.id), "answer" => answer.label(),
                 "attempts" => open.attempts, "attempts_in_flight" => open.attempts_in_flight);
-            let answer = self.count_answer(open.request.class, answer);
+            let answer = match answer {
+                Answer::Streamed(value) => Answer::Streamed(value.for_read(open.streamed_read())),
+                answer => answer,
+            };
+            let answer =
+                if open.is_resumption() { answer } else { self.count_answer(open.request.class, answer) };
             // Fails if the client's connection has just ended; the answer is then discarded.
             let _ = open.answer.send(answer);
         }
--- a/dispatch/src/dispatcher/attempts.rs
+++ b/dispatch/src/dispatcher/attempts.rs
@@ -183,6 +183,10 @@
         timeout: Micros,
     ) {
         let Some(open) = state.requests.get_mut(&request_id) else { return };
+        if open.is_resumption() && open.total_attempts() >= self.max_attempts {
+            // The decision core does not count the attempts before the value broke off.
+            return state.add_timer(now, Timer::Request(request_id));
+        }
         let deadline = match timeout {
             Micros(0) => open.deadline,
             timeout => now.saturating_add(timeout).min(open.deadline),
--- a/dispatch/src/dispatcher/state.rs
+++ b/dispatch/src/dispatcher/state.rs
@@ -13,7 +13,7 @@
 use crate::attempt_transport::AttemptTransport;
 use crate::identifiers::AttemptId;
 use crate::overrides::OperatorOverrides;
-use crate::request::{CancellationFlag, ClientRequest, ClientRequestId};
+use crate::request::{CancellationFlag, ClientRequest, ClientRequestId, StreamedRead};
 use crate::start_times::StartTimes;
 use crate::values::Answer;
 
@@ -28,6 +28,8 @@
     pub(super) deadline: Micros,
     /// The number of attempts begun.
     pub(super) attempts: u32,
+    /// The number of attempts begun before, if this request resumes a value that broke off.
+    pub(super) earlier_attempts: Option<u32>,
     pub(super) attempts_in_flight: u32,
     /// Whether the client has closed its sending side. It may be gone or still wait for the answer. The decision core
     /// then counts the request as abandoned, so that no new attempt begins.
@@ -89,6 +91,24 @@
     pub(super) start_times: StartTimes,
 }
 
+impl OpenRequest {
+    /// Whether the request resumes a value that broke off, and so was counted before.
+    pub(super) fn is_resumption(&self) -> bool {
+        self.earlier_attempts.is_some()
+    }
+
+    /// What is needed to read the value once more if it breaks off while it is streamed.
+    pub(super) fn streamed_read(&self) -> StreamedRead {
+        let request = Rc::clone(&self.request);
+        StreamedRead { request, deadline: self.deadline, attempts: self.total_attempts() }
+    }
+
+    /// The number of attempts begun for the client's request.
+    pub(super) fn total_attempts(&self) -> u32 {
+        self.attempts + self.earlier_attempts.unwrap_or_default()
+    }
+}
+
 impl DispatcherState {
     /// Assigns the next number for a request or an attempt.
     pub(super) fn next_id(&mut self) -> u64 {
--- a/dispatch/src/dispatcher/timers.rs
+++ b/dispatch/src/dispatcher/timers.rs
@@ -75,8 +75,10 @@
         for attempt in attempts {
             self.on_attempt_timeout(state, attempt);
         }
-        if state.requests.contains_key(&id) {
-            increment(&self.counters.overdue);
+        if let Some(open) = state.requests.get(&id) {
+            if !open.is_resumption() {
+                increment(&self.counters.overdue);
+            }
             self.answer(state, id, Answer::Failed);
             self.handle(state, now, Event::RequestAbandoned(id.to_request_id()));
         }
--- a/dispatch/src/request.rs
+++ b/dispatch/src/request.rs
@@ -51,6 +51,15 @@
     pub properties: Vec<(Bytes, Bytes)>,
 }
 
+/// A read whose answer is a streamed value, as far as it is needed to read the value once more if it breaks off.
+#[derive(Debug)]
+pub(crate) struct StreamedRead {
+    pub(crate) request: Rc<ClientRequest>,
+    pub(crate) deadline: Micros,
+    /// The number of attempts begun for it.
+    pub(crate) attempts: u32,
+}
+
 /// One attempt at a request at one server.
 #[derive(Clone, Debug)]
 pub struct Attempt {
--- a/dispatch/src/streamed_value.rs
+++ b/dispatch/src/streamed_value.rs
@@ -12,6 +12,7 @@
 use thiserror::Error;
 use tokio::sync::mpsc;
 
+use crate::request::StreamedRead;
 use crate::request_metrics::{DownloadInProgress, RequestMetrics};
 
 /// Number of chunks that the channel between sender and receiver holds.
@@ -24,6 +25,8 @@
     chunks: Rc<RefCell<mpsc::Receiver<Bytes>>>,
     /// Counts the value as in transit to its client; none until the value is the answer to a client.
     download: Option<Rc<DownloadInProgress>>,
+    /// The request that the value answers; none until the value is the answer to a client.
+    read: Option<Rc<StreamedRead>>,
 }
 
 /// The sending side of a streamed value.
@@ -45,7 +48,8 @@
 pub fn streamed_value(length: usize) -> (ChunkSender, ChunkReceiver) {
     let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY_CHUNKS);
     let sender = ChunkSender { chunks: sender, remaining_bytes: length, last_byte: Bytes::new() };
-    let receiver = ChunkReceiver { length, chunks: Rc::new(RefCell::new(receiver)), download: None };
+    let receiver =
+        ChunkReceiver { length, chunks: Rc::new(RefCell::new(receiver)), download: None, read: None };
     (sender, receiver)
 }
 
@@ -65,6 +69,16 @@
         ChunkReceiver { download: Some(Rc::new(DownloadInProgress::begin(metrics, class))), ..self }
     }
 
+    /// Names the request that the value answers.
+    pub(crate) fn for_read(self, read: StreamedRead) -> ChunkReceiver {
+        ChunkReceiver { read: Some(Rc::new(read)), ..self }
+    }
+
+    /// The request that the value answers.
+    pub(crate) fn read(&self) -> Option<&StreamedRead> {
+        self.read.as_deref()
+    }
+
     /// Records that the client has received the complete value.
     pub fn on_complete(&self) {
         if let Some(download) = &self.download {
--- a/node/src/downstream.rs
+++ b/node/src/downstream.rs
@@ -6,6 +6,7 @@
 
 mod backlog;
 mod connection;
+mod download;
 mod lingering;
 mod output;
 mod slots;
--- a/node/src/downstream/connection.rs
+++ b/node/src/downstream/connection.rs
@@ -13,7 +13,7 @@
 use std::io;
 use std::task::Poll;
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{BufMut, BytesMut};
 use slog::debug;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::{sleep_until, timeout, Instant};
@@ -23,10 +23,11 @@
 use super::stream::{wait_for_disconnect, ClientReader, ClientStream};
 use super::{Downstream, FinalRead, FINAL_READ_TIMEOUT, LINGER_TIMEOUT};
 use crate::buffer_pool::Reservation;
-use crate::dispatcher::Answer;
+use crate::dispatcher::{Answer, ClientRequestId};
+use crate::downstream::download::{self, Download, DownloadEvent};
 use crate::downstream::upload::{self, StreamedUpload};
 use crate::memcache::RequestReader;
-use answers::{next_answer, next_chunk, Download, PendingAnswer};
+use answers::{next_answer, PendingAnswer};
 
 /// Requests that one connection may have open: enough for any pipeline, and a bound for a runaway client.
 pub(super) const MAX_PENDING_ANSWERS: usize = 128;
@@ -99,8 +100,8 @@
     Answered(PendingAnswer, Answer),
     /// Part of the output was written.
     Written,
-    /// A chunk of the download; `None` if the download was interrupted.
-    Chunk(Option<Bytes>),
+    /// The next event of the download.
+    Download(DownloadEvent),
     /// The upload is no longer blocked.
     UploadUnblocked,
     /// The buffer for more input is reserved.
@@ -198,6 +199,7 @@
         let has_room_for_requests = !self.has_stopped_requests
             && !self.is_final_phase
             && !is_upload_blocked
+            && self.download.is_none()
             && self.pending.len() < MAX_PENDING_ANSWERS
             && self.can_hold_request();
         let can_answer = self.output.len() < self.downstream.resource_limits.unread_answer_bytes;
@@ -240,7 +242,9 @@
                 written?;
                 ConnectionEvent::Written
             }
-            chunk = next_chunk(&self.download), if self.output.len() < chunk_bytes => ConnectionEvent::Chunk(chunk),
+            event = download::next_event(&mut self.download), if self.output.len() < chunk_bytes => {
+                ConnectionEvent::Download(event)
+            }
             () = upload::wait_until_unblocked(&self.upload), if interests.is_upload_blocked => ConnectionEvent::UploadUnblocked,
             reservation = input::reserve(&downstream.buffers, interests.missing_input_bytes),
                 if interests.missing_input_bytes.is_some() => ConnectionEvent::InputReserved(reservation),
@@ -263,7 +267,7 @@
             ConnectionEvent::ReadingStopped => self.is_final_phase = true,
             ConnectionEvent::Answered(pending, answer) => self.write_answer(pending, answer),
             ConnectionEvent::Written => self.on_written(),
-            ConnectionEvent::Chunk(chunk) => self.write_chunk(chunk)?,
+            ConnectionEvent::Download(event) => self.on_download_event(event),
             ConnectionEvent::InputReserved(reservation) => self.on_input_reserved(reservation),
             ConnectionEvent::Received(length) => self.on_received(length),
             ConnectionEvent::Disconnected => self.on_disconnected(),
@@ -348,12 +352,26 @@
         self.report_half_close();
     }
 
+    /// The requests that the dispatcher has not answered.
+    fn open_requests(&self) -> impl Iterator<Item = ClientRequestId> + '_ {
+        let pending = self.pending.iter().filter_map(|pending| match pending {
+            PendingAnswer::Request(request) => Some(request.id),
+            PendingAnswer::Line(_) => None,
+        });
+        pending.chain(self.download.as_ref().and_then(Download::resumption))
+    }
+
     /// Reports the half-close for all open requests, so that no new attempt begins for them.
     fn report_half_close(&self) {
-        for pending in &self.pending {
-            if let PendingAnswer::Request(request) = pending {
-                self.downstream.dispatcher.on_client_half_closed(request.id);
-            }
+        for id in self.open_requests() {
+            self.downstream.dispatcher.on_client_half_closed(id);
+        }
+    }
+
+    /// Reports the client of each open request as gone.
+    fn report_clients_gone(&self) {
+        for id in self.open_requests() {
+            self.downstream.dispatcher.on_client_gone(id);
         }
     }
 }
@@ -361,11 +379,7 @@
 impl Drop for DownstreamConnection<'_> {
     /// Reports the client of each pending request as gone, as the connection has ended.
     fn drop(&mut self) {
-        for pending in &self.pending {
-            if let PendingAnswer::Request(request) = pending {
-                self.downstream.dispatcher.on_client_gone(request.id);
-            }
-        }
+        self.report_clients_gone();
     }
 }
 
--- a/node/src/downstream/connection/answers.rs
+++ b/node/src/downstream/connection/answers.rs
@@ -2,16 +2,15 @@
 //! written after one of them.
 
 use std::collections::VecDeque;
-use std::io;
 
 use bytes::{BufMut, Bytes};
-use juniperladder_dispatch::streamed_value::ChunkReceiver;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use super::DownstreamConnection;
 use crate::buffer_pool::Reservation;
 use crate::dispatcher::{Answer, ClientRequestId};
+use crate::downstream::download::{Download, DownloadBroken, DownloadEvent};
 use crate::memcache;
 
 /// An answer that the client waits for.
@@ -36,12 +35,6 @@
     pub(super) _reservations: [Option<Reservation>; 2],
 }
 
-/// A streamed value that is being sent to the client.
-pub(super) struct Download {
-    value: ChunkReceiver,
-    remaining_bytes: usize,
-}
-
 impl DownstreamConnection<'_> {
     /// Appends an answer to the output.
     pub(super) fn write_answer(&mut self, pending: PendingAnswer, answer: Answer) {
@@ -60,30 +53,32 @@
                 self.output.lines().put_slice(memcache::LINE_END);
             }
             Answer::Streamed(value) => {
-                let remaining_bytes = value.length();
-                memcache::write_value_head(self.output.lines(), &request.client_id, remaining_bytes);
-                self.download = Some(Download { value, remaining_bytes });
+                memcache::write_value_head(self.output.lines(), &request.client_id, value.length());
+                self.download = Some(Download::new(value));
             }
             answer => memcache::write_answer(self.output.lines(), &request.client_id, &answer),
         }
     }
 
-    /// Appends a chunk of the download to the output.
-    ///
-    /// # Errors
-    /// The download was interrupted. It cannot be resumed: only the end of the connection shows the client
-    /// that its value is incomplete.
-    pub(super) fn write_chunk(&mut self, chunk: Option<Bytes>) -> io::Result<()> {
-        let Some(download) = &mut self.download else { return Ok(()) };
-        let chunk = chunk.ok_or(io::ErrorKind::UnexpectedEof)?;
-        download.remaining_bytes = download.remaining_bytes.saturating_sub(chunk.len());
-        self.output.push(chunk);
-        if download.remaining_bytes == 0 {
-            download.value.on_complete();
-            self.download = None;
+    /// Handles an event of the download, and appends the next bytes of its value to the output.
+    pub(super) fn on_download_event(&mut self, event: DownloadEvent) {
+        let Some(download) = &mut self.download else { return };
+        match download.on_event(event, &self.downstream.dispatcher) {
+            Ok(bytes) => self.output.push(bytes),
+            Err(DownloadBroken) => return self.end_mid_value(),
+        }
+        if let Some(download) = self.download.take_if(|download| download.is_complete()) {
+            download.on_complete();
             self.output.lines().put_slice(memcache::LINE_END);
         }
-        Ok(())
+    }
+
+    /// Ends the connection after what has been received of a value: only that shows the client that its value is incomplete.
+    fn end_mid_value(&mut self) {
+        self.download = None;
+        self.report_clients_gone();
+        self.pending.clear();
+        self.has_stopped_requests = true;
     }
 
     /// Records that part of the output was written.
@@ -94,14 +89,6 @@
     }
 }
 
-/// Waits for the next chunk of the download; without a download, waits forever.
-pub(super) async fn next_chunk(download: &Option<Download>) -> Option<Bytes> {
-    match download {
-        Some(download) => download.value.next().await,
-        None => std::future::pending().await,
-    }
-}
-
 /// Waits for the first pending answer; the others wait behind it.
 pub(super) async fn next_answer(pending: &mut VecDeque<PendingAnswer>) -> (PendingAnswer, Answer) {
     let answer = match pending.front_mut() {
--- a/node/src/downstream/connection/requests.rs
+++ b/node/src/downstream/connection/requests.rs
@@ -24,9 +24,12 @@
         }
     }
 
+    /// Whether the next request may be taken. One behind a value that is being streamed is not, as the end of the connection,
+    /// should the value break off, would lose its answer.
     fn can_take_request(&mut self) -> bool {
         !self.has_stopped_requests
             && !self.is_upload_blocked()
+            && self.download.is_none()
             && self.pending.len() < MAX_PENDING_ANSWERS
             && self.output.len() < self.downstream.resource_limits.unread_answer_bytes
             && self.can_hold_request()
--- a/node/src/downstream/tests.rs
+++ b/node/src/downstream/tests.rs
@@ -1,5 +1,6 @@
 //! The downstream side, with clients simulated in memory and on loopback.
 
+mod broken_values;
 mod closing;
 mod eviction;
 mod short_of_buffers;
@@ -13,7 +14,7 @@
 use crate::dispatcher::{Answer, AttemptEnd, Reply};
 use crate::testing::{self, yield_until_idle, RecordingTransport};
 use bytes::Bytes;
-use juniperladder::Idempotency;
+use juniperladder::{Idempotency, Settings};
 use proptest::prelude::*;
 use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt};
 
@@ -45,8 +46,15 @@
 }
 
 pub(super) fn downstream_with(recorder: &Rc<RecordingTransport>, buffers: BufferPool) -> Rc<Downstream> {
-    let dispatcher =
-        testing::dispatcher(testing::settings(1, Idempotency::NotIdempotent), recorder.clone(), 1);
+    downstream_of(testing::settings(1, Idempotency::NotIdempotent), recorder, buffers)
+}
+
+pub(super) fn downstream_of(
+    settings: Settings,
+    recorder: &Rc<RecordingTransport>,
+    buffers: BufferPool,
+) -> Rc<Downstream> {
+    let dispatcher = testing::dispatcher(settings, recorder.clone(), 1);
     let resource_limits = testing::resource_limits(1 << 10);
     let labels = Labels { classes: vec!["read".into()], tenants: vec!["acme".into(), "beta".into()] };
     Downstream::new(dispatcher, labels, Rc::default(), resource_limits, buffers, testing::log())
