Close a connection only once the system has sent its answers

Cause: has_sent_all_answers counted an answer as sent once the system had taken it, so that the connection was idle, closed, and no longer read; the client's next command then reset it.

Before a connection closes the system is asked whether it holds unsent bytes (a limit of unsent bytes of one, and poll); while it does the connection is read and answered, and keeps its slot. After its time for answers the process waits up to 30 s for values that clients still receive.

--- a/node/src/daemon.rs
+++ b/node/src/daemon.rs
@@ -207,6 +207,8 @@
         self.dispatcher.set_final_deadline(clock.now().saturating_add(clock::micros(time_for_answers)));
         self.shutdown.run(signal_handled_at, time_for_answers + graceful_shutdown::EXIT_DELAY).await;
         self.dispatcher.wait_until_idle().await;
+        // Values that servers still give, and clients still read: whoever must not wait for them kills the process.
+        self.downstream.wait_until_delivered(graceful_shutdown::MAX_DELIVERY_TIME).await;
         if let Some(peers) = &self.peers {
             peers.leave();
         }
--- a/node/src/downstream.rs
+++ b/node/src/downstream.rs
@@ -44,6 +44,8 @@
 const EVICTION_TIMEOUT: Duration = Duration::from_millis(10);
 /// How long connections in the backlog wait for slots, in total, once the listener is about to close.
 const FINAL_ACCEPT_TIMEOUT: Duration = Duration::from_millis(100);
+/// How often the shutdown checks whether all answers have been sent.
+const DELIVERY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Client descriptors that slots leave free: an accepted connection that still waits for its slot holds one.
 const DESCRIPTORS_WITHOUT_SLOT: usize = 1;
 
@@ -206,6 +208,14 @@
         self.slots.borrow().len() + self.lingering.get() + admin
     }
 
+    /// Waits until no client has answers to receive, at most for `time_limit`.
+    pub async fn wait_until_delivered(&self, time_limit: Duration) {
+        let ends = Instant::now() + time_limit;
+        while Instant::now() < ends && self.slots.borrow().iter().any(|slot| slot.is_busy.get()) {
+            sleep(DELIVERY_CHECK_INTERVAL).await;
+        }
+    }
+
     /// The counter of operators' connections, which share the descriptors.
     pub fn admin_connections(&self) -> Rc<Cell<usize>> {
         Rc::clone(&self.admin_connections)
--- a/node/src/downstream/connection.rs
+++ b/node/src/downstream/connection.rs
@@ -5,6 +5,7 @@
 //! it may hold its slot without an open request.
 
 mod answers;
+mod delivery;
 mod input;
 mod requests;
 mod timing;
@@ -21,7 +22,7 @@
 use super::output::OutputQueue;
 use super::slots::Slot;
 use super::stream::{wait_for_disconnect, ClientReader, ClientStream};
-use super::{Downstream, FinalRead, FINAL_READ_TIMEOUT, LINGER_TIMEOUT};
+use super::{Downstream, FinalRead, FINAL_READ_TIMEOUT};
 use crate::buffer_pool::Reservation;
 use crate::dispatcher::{Answer, ClientRequestId};
 use crate::downstream::download::{self, Download, DownloadEvent};
@@ -64,6 +65,8 @@
     download: Option<Download>,
     /// The streamed value that is being received from the client.
     upload: Option<StreamedUpload>,
+    /// When to check again whether the system has sent all answers; `None` if it holds none, as far as is known.
+    next_delivery_check: Option<Instant>,
     /// Whether no further request is read, as the client closed its side or sent `quit`, or the connection
     /// ends because of invalid or unfinished input.
     has_stopped_requests: bool,
@@ -112,6 +115,8 @@
     Disconnected,
     /// The idle connection has to close.
     CloseRequested(FinalRead),
+    /// It is time to check whether the system has sent all answers.
+    DeliveryCheckDue,
     /// The deadline of the connection has passed.
     TimedOut,
     /// The slot is needed although part of a request has been received.
@@ -139,6 +144,7 @@
             last_written: None,
             download: None,
             upload: None,
+            next_delivery_check: None,
             has_stopped_requests: false,
             has_client_left: false,
             is_final_phase: false,
@@ -154,6 +160,9 @@
             self.release_buffers();
             self.update_times();
             if (self.has_stopped_requests || self.is_final_phase) && self.has_sent_all_answers() {
+                if self.must_await_delivery(&reader) {
+                    continue;
+                }
                 writer.shutdown().await?;
                 return Ok(Some(reader));
             }
@@ -163,6 +172,8 @@
                 continue;
             }
             match self.next_event::<S>(&mut reader, &mut writer, &interests).await? {
+                ConnectionEvent::CloseRequested(_) if self.must_await_delivery(&reader) => {}
+                ConnectionEvent::DeliveryCheckDue => self.check_delivery(&reader),
                 ConnectionEvent::CloseRequested(final_read) => {
                     if self.read_before_close(&mut reader, final_read).await? {
                         writer.shutdown().await?;
@@ -183,8 +194,11 @@
         self.has_sent_all_answers() && self.input.is_empty() && !self.request_reader.has_incomplete_request()
     }
 
+    /// Whether all answers have been sent. One that the system has taken counts as sent until it is found there when the
+    /// connection is about to close.
     fn has_sent_all_answers(&self) -> bool {
-        self.pending.is_empty() && self.output.is_empty() && self.download.is_none()
+        let has_written_all = self.pending.is_empty() && self.output.is_empty() && self.download.is_none();
+        has_written_all && self.next_delivery_check.is_none()
     }
 
     fn is_upload_blocked(&self) -> bool {
@@ -253,6 +267,9 @@
                 ConnectionEvent::CloseRequested(final_read)
             }
             () = wait_until(interests.deadline), if !interests.is_idle => ConnectionEvent::TimedOut,
+            () = wait_until(self.next_delivery_check), if self.next_delivery_check.is_some() => {
+                ConnectionEvent::DeliveryCheckDue
+            }
             // A connection in the middle of a request is evicted only when no other can be.
             () = self.slot.wait_for_eviction(&self.slot.evicted_mid_request),
                 if !interests.is_idle && !self.slot.is_busy.get() => ConnectionEvent::EvictedMidRequest,
@@ -273,8 +290,10 @@
             ConnectionEvent::Disconnected => self.on_disconnected(),
             ConnectionEvent::EvictedUnread => return Err(io::ErrorKind::TimedOut.into()),
             ConnectionEvent::TimedOut | ConnectionEvent::EvictedMidRequest => self.end_mid_request(),
-            // UploadUnblocked only wakes the loop; `serve` handles CloseRequested itself.
-            ConnectionEvent::UploadUnblocked | ConnectionEvent::CloseRequested(_) => {}
+            // UploadUnblocked only wakes the loop; `serve` handles the others itself.
+            ConnectionEvent::UploadUnblocked
+            | ConnectionEvent::CloseRequested(_)
+            | ConnectionEvent::DeliveryCheckDue => {}
         }
         Ok(())
     }
@@ -316,12 +335,6 @@
         }
     }
 
-    /// Whether an answer may still be in transit: input that arrives after the close would reset the connection,
-    /// and the answer would be lost.
-    fn has_written_recently(&self) -> bool {
-        self.last_written.is_some_and(|written| written.elapsed() < LINGER_TIMEOUT)
-    }
-
     /// Handles the reservation of the input's buffer. The time without it does not count as a stall of the client.
     fn on_input_reserved(&mut self, reservation: Reservation) {
         self.input_reservation = Some(reservation);
--- a/node/src/downstream/connection/timing.rs
+++ b/node/src/downstream/connection/timing.rs
@@ -52,9 +52,9 @@
             // The connection waits for the origin side and not for the client.
             self.last_received = now;
         }
-        let unread_since = (!self.output.is_empty()).then_some(self.last_output_progress);
-        self.slot.unread_since.set(unread_since);
-        if self.output.is_empty() {
+        let has_unread_output = !self.output.is_empty() || self.next_delivery_check.is_some();
+        self.slot.unread_since.set(has_unread_output.then_some(self.last_output_progress));
+        if !has_unread_output {
             self.last_output_progress = now;
         }
     }
--- a/node/src/downstream/stream.rs
+++ b/node/src/downstream/stream.rs
@@ -31,6 +31,9 @@
     /// Whether the connection has been closed or has broken, even if unread bytes precede that.
     fn has_disconnected(&self) -> bool;
 
+    /// Whether the system holds written bytes that it has not sent to the client.
+    fn has_unsent_output(&self) -> bool;
+
     /// Reads what has already arrived, even if the runtime has not polled for it yet. Pending if there is
     /// nothing.
     fn read_arrived(&mut self, input: &mut BytesMut) -> Poll<io::Result<usize>>;
@@ -53,6 +56,10 @@
         matches!(readiness, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
 
+    fn has_unsent_output(&self) -> bool {
+        self.has_unsent_bytes()
+    }
+
     fn read_arrived(&mut self, input: &mut BytesMut) -> Poll<io::Result<usize>> {
         self.read_available(input)
     }
--- a/node/src/downstream/tests.rs
+++ b/node/src/downstream/tests.rs
@@ -2,6 +2,7 @@
 
 mod broken_values;
 mod closing;
+mod delivery;
 mod eviction;
 mod short_of_buffers;
 mod slots;
--- a/node/src/graceful_shutdown.rs
+++ b/node/src/graceful_shutdown.rs
@@ -8,6 +8,9 @@
 //! 2. **Closing.** Each connection closes as soon as its client waits for no answer.
 //! 3. **Last answers.** [`EXIT_DELAY`] before the time limit nothing more is read: a connection that is never
 //!    idle gets its answers and is closed.
+//!
+//! After that the process keeps running while values are still being received by clients, for up to
+//! [`MAX_DELIVERY_TIME`].
 
 use std::cell::Cell;
 
@@ -27,6 +30,8 @@
 const TIME_AFTER_LONGEST_DEADLINE: Duration = Duration::from_millis(700);
 /// How much of the time that the protocol allows is left after the last answer.
 const TIME_AFTER_LAST_ANSWER: Duration = Duration::from_millis(100);
+/// How long the process keeps running after its time for answers, while clients still receive values.
+pub const MAX_DELIVERY_TIME: Duration = Duration::from_secs(30);
 /// How long the process keeps running after the last answer, so that the answer is transmitted.
 pub const EXIT_DELAY: Duration = Duration::from_millis(50);
 
--- a/node/src/socket.rs
+++ b/node/src/socket.rs
@@ -5,6 +5,8 @@
 //! an empty or full socket, so data could be left unread. Here a connection counts as exhausted only when a call returns
 //! `EWOULDBLOCK`, and an interrupted call is repeated. This costs one more system call per readiness event.
 
+mod send_queue;
+
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
@@ -61,6 +63,11 @@
 }
 
 impl<S: AsTcpStream> Socket<S> {
+    /// Whether the system holds written bytes that it has not sent to the peer, as the peer reads slowly.
+    pub fn has_unsent_bytes(&self) -> bool {
+        send_queue::has_unsent_bytes(self.0.as_tcp_stream())
+    }
+
     /// Reads available data directly from the socket, because the runtime only knows of data that arrived before it last
     /// polled for events. Returns `Pending` if no data is available, and zero at the end of the stream.
     pub fn read_available(&self, input: &mut BytesMut) -> Poll<io::Result<usize>> {
--- a/node/src/testing.rs
+++ b/node/src/testing.rs
@@ -55,6 +55,11 @@
         false
     }
 
+    /// Always false, as an in-memory stream passes written bytes on at once.
+    fn has_unsent_output(&self) -> bool {
+        false
+    }
+
     fn read_arrived(&mut self, input: &mut BytesMut) -> Poll<io::Result<usize>> {
         let mut context = Context::from_waker(Waker::noop());
         pin!(self.read_buf(input)).poll(&mut context)
