Count a request's time from its last byte while it stands unread

A request's time began when its last byte was read. Values were given their buffers from the whole pool, strictly in turn, as soon as their line had come, so that slow writers kept short values waiting; the wait was not counted; an upload waited up to 10 s for each piece.

Values that are still being written leave a quarter of the pool free, and what waits for them keeps back nothing but its own kind. While a value waits, the number of unread bytes shows when it is complete; its time counts from then. A streamed value's time counts from the moment the origin took no more while the client had sent more. Both are rejected in time, and the rest is skipped.

--- a/dispatch/src/counters.rs
+++ b/dispatch/src/counters.rs
@@ -57,6 +57,9 @@
     /// Rejections: all servers of the request were gapped.
     rejected_all_servers_gapped => "rejected_gapped",
     /// Requests answered as failed.
+    /// Requests rejected before they were read whole, as there was no buffer for them or the origin took no more.
+    rejected_unread => "rejected_unread",
+    /// Requests answered as failed.
     failed => "failed",
     /// Requests that the decision core had not closed by their deadline.
     overdue => "overdue",
--- a/dispatch/src/dispatcher.rs
+++ b/dispatch/src/dispatcher.rs
@@ -32,7 +32,7 @@
 use crate::log_throttle::LogThrottle;
 use crate::overrides::OperatorOverrides;
 use crate::request::{upload_handle, CancellationFlag, UploadHandle};
-pub use crate::request::{Attempt, ClientRequest, ClientRequestId};
+pub use crate::request::{Attempt, ClientRequest, ClientRequestId, UnreadWait};
 use crate::request_metrics::{RequestMetrics, RequestOutcome};
 use crate::stall_tracker::StallTracker;
 use crate::start_times::StartTimes;
@@ -45,7 +45,7 @@
 const DEADLINE_MARGIN: Micros = Micros(10_000);
 /// Time-out of a request if the settings have no classes.
 const DEFAULT_TIMEOUT: Micros = Micros(1_000_000);
-/// The largest share of a request's time-out that is subtracted for a wait before the request was read.
+/// The largest share of a request's time-out that is subtracted for a wait that is only possible.
 const MAX_WAIT_SHARE: f64 = 0.5;
 
 /// Turns client requests into attempts and attempt results into answers, as the decision core directs.
@@ -154,19 +154,17 @@
     /// Accepts a request; the receiver gets its answer. Returns none if another request with the same id is open:
     /// servers could not distinguish the two, and one might get the other's answer.
     pub fn accept(&self, request: ClientRequest) -> Option<(ClientRequestId, oneshot::Receiver<Answer>)> {
-        self.accept_delayed(request, Micros(0))
+        self.accept_delayed(request, UnreadWait::default())
     }
 
-    /// Accepts a request that may have waited for up to `longest_wait` before it was read. The wait is subtracted from
-    /// the request's time-out, but at most `MAX_WAIT_SHARE` of the time-out, as `longest_wait` is an upper bound that
-    /// may be far too large.
+    /// Accepts a request that may have waited before it was read. The wait is subtracted from the request's time-out.
     pub fn accept_delayed(
         &self,
         request: ClientRequest,
-        longest_wait: Micros,
+        wait: UnreadWait,
     ) -> Option<(ClientRequestId, oneshot::Receiver<Answer>)> {
         let now = self.clock.now();
-        let deadline = self.deadline_of(&request, now, longest_wait);
+        let deadline = self.deadline_of(&request, now, wait);
         let accepted = self.open_request(Rc::new(request), now, deadline, None);
         if accepted.is_some() {
             increment(&self.counters.requests);
@@ -219,17 +217,23 @@
     }
 
     /// When a request has to be answered: after its time-out, less the wait before it was read and [`DEADLINE_MARGIN`],
-    /// and by the final deadline. The time-out is at most the class's, which also applies if the request states none.
-    fn deadline_of(&self, request: &ClientRequest, now: Micros, longest_wait: Micros) -> Micros {
-        let class_timeout = self.class_timeouts.get(request.class as usize);
-        let class_timeout = class_timeout.or(self.class_timeouts.last()).copied();
-        let max_timeout = class_timeout.unwrap_or(DEFAULT_TIMEOUT);
-        let timeout = request.timeout.map_or(max_timeout, |timeout| timeout.min(max_timeout));
-        let time_left = timeout.saturating_sub(longest_wait.min(timeout.mul_f64(MAX_WAIT_SHARE)));
+    /// and by the final deadline.
+    fn deadline_of(&self, request: &ClientRequest, now: Micros, wait: UnreadWait) -> Micros {
+        let timeout = self.time_limit(request.class, request.timeout);
+        let possible_wait = wait.at_most.min(timeout.mul_f64(MAX_WAIT_SHARE));
+        let time_left = timeout.saturating_sub(wait.at_least.max(possible_wait));
         let deadline = now.saturating_add(time_left.saturating_sub(DEADLINE_MARGIN));
         deadline.min(self.final_deadline.get())
     }
 
+    /// The time-out of a request of this class: at most its class's, which also applies if the request states none.
+    pub fn time_limit(&self, class: u32, timeout: Option<Micros>) -> Micros {
+        let class_timeout = self.class_timeouts.get(class as usize);
+        let class_timeout = class_timeout.or(self.class_timeouts.last()).copied();
+        let max_timeout = class_timeout.unwrap_or(DEFAULT_TIMEOUT);
+        timeout.map_or(max_timeout, |timeout| timeout.min(max_timeout))
+    }
+
     /// Limits the deadline of all requests, including open ones, to the time at which the process ends.
     pub fn set_final_deadline(&self, deadline: Micros) {
         self.final_deadline.set(deadline);
@@ -343,6 +347,14 @@
         answer
     }
 
+    /// Counts a request of this class that its connection rejected before it could be read whole.
+    pub fn count_unread_rejection(&self, class: u32) {
+        increment(&self.counters.requests);
+        increment(&self.counters.rejected);
+        increment(&self.counters.rejected_unread);
+        self.request_metrics.record(class, RequestOutcome::Rejected);
+    }
+
     fn notify_if_idle(&self, state: &DispatcherState) {
         if state.requests.is_empty() {
             self.last_request_closed.notify_waiters();
--- a/dispatch/src/request.rs
+++ b/dispatch/src/request.rs
@@ -51,6 +51,15 @@
     pub properties: Vec<(Bytes, Bytes)>,
 }
 
+/// How long a request has waited since its last byte arrived, before it was read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UnreadWait {
+    /// The wait that is known.
+    pub at_least: Micros,
+    /// An upper bound, which may be far too large.
+    pub at_most: Micros,
+}
+
 /// A read whose answer is a streamed value, as far as it is needed to read the value once more if it breaks off.
 #[derive(Debug)]
 pub(crate) struct StreamedRead {
--- a/node/src/buffer_pool.rs
+++ b/node/src/buffer_pool.rs
@@ -4,19 +4,25 @@
 //! dropped. Guarantee: the reserved bytes never exceed the size of the pool. Which kinds of buffers draw from the pool, and
 //! which are paid for with their connection, is listed in [`crate::resource_limits`].
 
-use std::sync::Arc;
+mod waiting;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::{Bytes, BytesMut};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+pub use waiting::PendingReservation;
+use waiting::WaitingReservations;
 
 /// What a buffer is for, which decides how much of the pool has to stay free for others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BufferKind {
-    /// A value that a client writes, or an unusually long request line. There is no other way to read it, so that all of
-    /// the pool may be used.
+    /// A value that a client has written whole. There is no other way to read it, so that all of the pool may be used.
     Request,
+    /// An unusually long request line.
+    Line,
     /// The state of a request that a client sends before an earlier one is answered, and that otherwise waits for it.
     PipelinedRequest,
+    /// A value that a client is still writing, at a pace of its own.
+    IncompleteRequest,
     /// A value that could also be streamed.
     Value,
     /// A chunk of a streamed value that is larger than the chunk paid for with the connection.
@@ -28,25 +34,31 @@
     fn spared_divisor(self) -> Option<usize> {
         match self {
             BufferKind::Request => None,
-            BufferKind::PipelinedRequest => Some(8),
-            BufferKind::Value => Some(4),
+            BufferKind::Line | BufferKind::PipelinedRequest => Some(8),
+            BufferKind::IncompleteRequest | BufferKind::Value => Some(4),
             BufferKind::LargeChunk => Some(2),
         }
     }
 }
 
-/// The shared memory, of which each byte is a permit.
+/// The shared memory.
 #[derive(Clone, Debug)]
 pub struct BufferPool {
-    permits: Arc<Semaphore>,
     bytes: usize,
+    state: Arc<Mutex<PoolState>>,
+}
+
+#[derive(Debug)]
+struct PoolState {
+    available_bytes: usize,
+    waiting: WaitingReservations,
 }
 
 impl BufferPool {
-    /// A pool of this many bytes, at most [`u32::MAX`].
+    /// A pool of this many bytes.
     pub fn new(bytes: usize) -> BufferPool {
-        let bytes = bytes.min(u32::MAX as usize).min(Semaphore::MAX_PERMITS);
-        BufferPool { permits: Arc::new(Semaphore::new(bytes)), bytes }
+        let state = PoolState { available_bytes: bytes, waiting: WaitingReservations::default() };
+        BufferPool { bytes, state: Arc::new(Mutex::new(state)) }
     }
 
     /// The size of the pool in bytes.
@@ -56,39 +68,77 @@
 
     /// The bytes that are reserved now.
     pub fn reserved_bytes(&self) -> usize {
-        self.bytes - self.permits.available_permits()
+        self.bytes - self.lock().available_bytes
     }
 
     /// Reserves this many bytes if they are available now.
     pub fn try_reserve(&self, kind: BufferKind, bytes: usize) -> Option<Reservation> {
-        let spared = kind.spared_divisor().map_or(0, |divisor| self.bytes / divisor);
-        if self.permits.available_permits() < spared.saturating_add(bytes) {
-            return None;
-        }
-        let permits = u32::try_from(bytes).ok()?;
-        Arc::clone(&self.permits).try_acquire_many_owned(permits).ok().map(Reservation)
+        let mut state = self.lock();
+        let has_turn = !state.waiting.has_priority_over(kind);
+        let has_room = state.available_bytes >= self.spared_bytes(kind).saturating_add(bytes);
+        (has_turn && has_room).then(|| self.take(&mut state, bytes))
     }
 
     /// Reserves this many bytes of the whole pool, after all that wait already. More than the pool holds is reduced to all of
     /// it.
     pub async fn reserve(&self, bytes: usize) -> Reservation {
-        let permits = bytes.min(self.bytes) as u32;
-        match Arc::clone(&self.permits).acquire_many_owned(permits).await {
-            Ok(permit) => Reservation(permit),
-            // The semaphore is never closed.
-            Err(_) => std::future::pending().await,
+        self.reserve_later(BufferKind::Request, bytes).granted().await
+    }
+
+    /// Reserves this many bytes as soon as they are available, after all of this kind that wait already. More than the kind
+    /// may use is reduced to that.
+    pub fn reserve_later(&self, kind: BufferKind, bytes: usize) -> PendingReservation {
+        let bytes = bytes.min(self.bytes - self.spared_bytes(kind));
+        let pending = self.lock().waiting.push(kind, bytes);
+        self.grant_waiting();
+        pending
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PoolState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn spared_bytes(&self, kind: BufferKind) -> usize {
+        kind.spared_divisor().map_or(0, |divisor| self.bytes / divisor)
+    }
+
+    fn take(&self, state: &mut PoolState, bytes: usize) -> Reservation {
+        state.available_bytes -= bytes;
+        Reservation { bytes, pool: self.clone() }
+    }
+
+    fn release(&self, bytes: usize) {
+        self.lock().available_bytes += bytes;
+        self.grant_waiting();
+    }
+
+    /// Grants what waits and has room. A reservation that nobody waits for any more is released again at once.
+    fn grant_waiting(&self) {
+        loop {
+            let mut state = self.lock();
+            let available_bytes = state.available_bytes;
+            let has_room = |kind, bytes| available_bytes >= self.spared_bytes(kind).saturating_add(bytes);
+            let Some(kind) = state.waiting.next(has_room) else { return };
+            let Some(waiter) = state.waiting.pop(kind) else { return };
+            let reservation = self.take(&mut state, waiter.bytes);
+            // A reservation that is dropped here locks the state again.
+            drop(state);
+            waiter.grant(reservation);
         }
     }
 }
 
 /// Reserved bytes, which are released when this value, or the buffer that holds it, is dropped.
 #[derive(Debug)]
-pub struct Reservation(OwnedSemaphorePermit);
+pub struct Reservation {
+    bytes: usize,
+    pool: BufferPool,
+}
 
 impl Reservation {
     /// The number of reserved bytes.
     pub fn bytes(&self) -> usize {
-        self.0.num_permits()
+        self.bytes
     }
 
     /// Keeps the bytes reserved until the last handle to this buffer is dropped.
@@ -97,6 +147,12 @@
     }
 }
 
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.pool.release(self.bytes);
+    }
+}
+
 /// A buffer with its reservation.
 struct ReservedBuffer {
     buffer: Bytes,
--- a/node/src/buffer_pool/tests.rs
+++ b/node/src/buffer_pool/tests.rs
@@ -21,7 +21,9 @@
 fn each_kind_leaves_its_part_of_the_pool_free() {
     for (kind, most) in [
         (BufferKind::Request, 100),
+        (BufferKind::Line, 88),
         (BufferKind::PipelinedRequest, 88),
+        (BufferKind::IncompleteRequest, 75),
         (BufferKind::Value, 75),
         (BufferKind::LargeChunk, 50),
     ] {
@@ -48,6 +50,40 @@
     });
 }
 
+/// Guards against requests that wait for the buffers of clients that write slowly.
+#[test]
+fn a_complete_request_does_not_wait_for_incomplete_ones() {
+    testing::run_paused(async {
+        let pool = BufferPool::new(100);
+        let first = pool.try_reserve(BufferKind::IncompleteRequest, 75).unwrap();
+        let mut incomplete = pool.reserve_later(BufferKind::IncompleteRequest, 70);
+        assert!(pool.try_reserve(BufferKind::IncompleteRequest, 0).is_none(), "passed one that waits");
+        let second = pool.try_reserve(BufferKind::Request, 25).unwrap();
+        let mut complete = pool.reserve_later(BufferKind::Request, 20);
+        drop(second);
+        assert_eq!(complete.granted().await.bytes(), 20);
+        let has_waited = tokio::time::timeout(std::time::Duration::from_secs(1), incomplete.granted()).await;
+        assert!(has_waited.is_err());
+        drop(first);
+        assert_eq!(incomplete.granted().await.bytes(), 70);
+    });
+}
+
+/// Guards against bytes that are lost with a reservation that is given up while it waits.
+#[test]
+fn a_withdrawn_reservation_leaves_its_turn_to_the_next() {
+    testing::run_paused(async {
+        let pool = BufferPool::new(100);
+        let first = pool.reserve(100).await;
+        let withdrawn = pool.reserve_later(BufferKind::Request, 90);
+        let mut next = pool.reserve_later(BufferKind::Request, 50);
+        drop(withdrawn);
+        drop(first);
+        drop(next.granted().await);
+        assert_eq!(pool.reserved_bytes(), 0);
+    });
+}
+
 async fn wait(pool: BufferPool, bytes: usize) -> Reservation {
     pool.reserve(bytes).await
 }
--- a/node/src/downstream/connection.rs
+++ b/node/src/downstream/connection.rs
@@ -5,7 +5,9 @@
 //! it may hold its slot without an open request.
 
 mod answers;
+mod buffer_wait;
 mod delivery;
+mod held_up;
 mod input;
 mod requests;
 mod timing;
@@ -29,6 +31,7 @@
 use crate::downstream::upload::{self, StreamedUpload};
 use crate::memcache::RequestReader;
 use answers::{next_answer, PendingAnswer};
+use buffer_wait::BufferWait;
 
 /// Requests that one connection may have open: enough for any pipeline, and a bound for a runaway client.
 pub(super) const MAX_PENDING_ANSWERS: usize = 128;
@@ -46,6 +49,10 @@
     input: BytesMut,
     /// Pays for the input, if it is larger than [`READ_BYTES`](crate::resource_limits::READ_BYTES).
     input_reservation: Option<Reservation>,
+    /// The wait for the input's buffer, without which no more can be read.
+    buffer_wait: Option<BufferWait>,
+    /// Since when the request that is being received has been known to stand complete in the socket.
+    complete_since: Option<Instant>,
     /// Pays for the next request, if another is open.
     request_reservation: Option<Reservation>,
     output: OutputQueue,
@@ -83,8 +90,8 @@
     can_answer: bool,
     /// Whether more input may be read.
     can_read: bool,
-    /// The bytes that have to be reserved before more input may be read.
-    missing_input_bytes: Option<usize>,
+    /// Whether more input may be read only when its buffer is reserved.
+    is_awaiting_buffer: bool,
     /// Whether a disconnect has to be detected without reading.
     must_watch_disconnect: bool,
     /// Whether the upload waits for the origin side.
@@ -107,8 +114,8 @@
     Download(DownloadEvent),
     /// The upload is no longer blocked.
     UploadUnblocked,
-    /// The buffer for more input is reserved.
-    InputReserved(Reservation),
+    /// The buffer for more input is reserved, or the wait for it has to be checked.
+    BufferWaitEnded(Option<Reservation>),
     /// This many bytes were received; 0 is the end of the input.
     Received(usize),
     /// The client disconnected while nothing was read.
@@ -134,6 +141,8 @@
             request_reader: RequestReader::default(),
             input: BytesMut::new(),
             input_reservation: None,
+            buffer_wait: None,
+            complete_since: None,
             request_reservation: None,
             output: OutputQueue::default(),
             pending: VecDeque::new(),
@@ -166,7 +175,7 @@
                 writer.shutdown().await?;
                 return Ok(Some(reader));
             }
-            let interests = self.interests();
+            let interests = self.interests(&reader);
             if interests.must_watch_disconnect && reader.has_disconnected() {
                 self.on_disconnected();
                 continue;
@@ -206,7 +215,8 @@
     }
 
     /// What to wait for. Allocates the buffer for more input if that may be read.
-    fn interests(&mut self) -> Interests {
+    fn interests(&mut self, reader: &impl ClientReader) -> Interests {
+        self.check_upload(reader);
         let is_upload_blocked = self.is_upload_blocked();
         // Reading is allowed only once all complete requests have been taken, so that an end of input is never seen
         // before a request sent ahead of it.
@@ -217,16 +227,16 @@
             && self.pending.len() < MAX_PENDING_ANSWERS
             && self.can_hold_request();
         let can_answer = self.output.len() < self.downstream.resource_limits.unread_answer_bytes;
-        let missing_input_bytes =
-            if has_room_for_requests && can_answer { self.prepare_input() } else { None };
-        if missing_input_bytes.is_some() {
+        let may_read = has_room_for_requests && can_answer;
+        let is_awaiting_buffer = may_read && self.prepare_input(reader);
+        if is_awaiting_buffer {
             self.downstream.evict_stalled();
         }
-        let can_read = has_room_for_requests && can_answer && missing_input_bytes.is_none();
+        let can_read = may_read && !is_awaiting_buffer;
         Interests {
             can_answer,
             can_read,
-            missing_input_bytes,
+            is_awaiting_buffer,
             must_watch_disconnect: !(can_read || self.has_stopped_requests || self.has_client_left),
             is_upload_blocked,
             is_idle: self.is_idle(),
@@ -260,8 +270,9 @@
                 ConnectionEvent::Download(event)
             }
             () = upload::wait_until_unblocked(&self.upload), if interests.is_upload_blocked => ConnectionEvent::UploadUnblocked,
-            reservation = input::reserve(&downstream.buffers, interests.missing_input_bytes),
-                if interests.missing_input_bytes.is_some() => ConnectionEvent::InputReserved(reservation),
+            reservation = buffer_wait::next(&mut self.buffer_wait), if interests.is_awaiting_buffer => {
+                ConnectionEvent::BufferWaitEnded(reservation)
+            }
             received = receive(reader, &mut self.input, watch), if interests.can_read || watch => received?,
             final_read = downstream.wait_for_close(self.slot, interests.deadline), if interests.is_idle => {
                 ConnectionEvent::CloseRequested(final_read)
@@ -285,13 +296,15 @@
             ConnectionEvent::Answered(pending, answer) => self.write_answer(pending, answer),
             ConnectionEvent::Written => self.on_written(),
             ConnectionEvent::Download(event) => self.on_download_event(event),
-            ConnectionEvent::InputReserved(reservation) => self.on_input_reserved(reservation),
+            ConnectionEvent::BufferWaitEnded(Some(reservation)) => self.on_input_reserved(reservation),
             ConnectionEvent::Received(length) => self.on_received(length),
             ConnectionEvent::Disconnected => self.on_disconnected(),
             ConnectionEvent::EvictedUnread => return Err(io::ErrorKind::TimedOut.into()),
+            ConnectionEvent::TimedOut if self.held_up_since().is_some() => self.reject_held_up(),
             ConnectionEvent::TimedOut | ConnectionEvent::EvictedMidRequest => self.end_mid_request(),
-            // UploadUnblocked only wakes the loop; `serve` handles the others itself.
+            // The first two only wake the loop; `serve` handles the others itself.
             ConnectionEvent::UploadUnblocked
+            | ConnectionEvent::BufferWaitEnded(None)
             | ConnectionEvent::CloseRequested(_)
             | ConnectionEvent::DeliveryCheckDue => {}
         }
@@ -337,6 +350,7 @@
 
     /// Handles the reservation of the input's buffer. The time without it does not count as a stall of the client.
     fn on_input_reserved(&mut self, reservation: Reservation) {
+        self.buffer_wait = None;
         self.input_reservation = Some(reservation);
         self.last_received = Instant::now();
     }
--- a/node/src/downstream/connection/input.rs
+++ b/node/src/downstream/connection/input.rs
@@ -4,9 +4,12 @@
 //! buffer, get a buffer of their own size once that is reserved; until then the connection is not read.
 
 use bytes::{Bytes, BytesMut};
+use tokio::time::Instant;
 
+use super::buffer_wait::BufferWait;
 use super::DownstreamConnection;
-use crate::buffer_pool::{set_capacity, BufferKind, BufferPool, Reservation};
+use crate::buffer_pool::{set_capacity, BufferKind, Reservation};
+use crate::downstream::stream::ClientReader;
 use crate::memcache::MAX_LINE_BYTES;
 use crate::resource_limits::{LARGE_CHUNK_BYTES, OPEN_REQUEST_BYTES, READ_BYTES};
 
@@ -44,9 +47,8 @@
         }
     }
 
-    /// Makes room for more input. Returns the number of bytes that have to be reserved before, if there is too little left
-    /// in the pool.
-    pub(super) fn prepare_input(&mut self) -> Option<usize> {
+    /// Makes room for more input. Returns whether it has to wait for its buffer, as too little is left in the pool.
+    pub(super) fn prepare_input(&mut self, reader: &impl ClientReader) -> bool {
         match self.needed_buffer() {
             NeededBuffer::Lines => {
                 if self.input.capacity() < self.input.len() + MIN_READ_BYTES {
@@ -55,9 +57,10 @@
             }
             NeededBuffer::ShortValue(bytes) => set_capacity(&mut self.input, bytes),
             NeededBuffer::Reserved(bytes) => {
-                if !self.reserve_input(BufferKind::Request, bytes) {
-                    return Some(bytes);
+                if !self.has_reserved_input(bytes) && self.must_await_buffer(reader, bytes) {
+                    return true;
                 }
+                self.buffer_wait = None;
                 set_capacity(&mut self.input, bytes);
             }
             NeededBuffer::Chunk(bytes) => {
@@ -68,7 +71,48 @@
                 set_capacity(&mut self.input, chunk_bytes.max(least_bytes));
             }
         }
-        None
+        false
+    }
+
+    fn has_reserved_input(&self, bytes: usize) -> bool {
+        self.input_reservation.as_ref().is_some_and(|reservation| reservation.bytes() >= bytes)
+    }
+
+    /// Reserves a buffer of this size, or waits for it.
+    fn must_await_buffer(&mut self, reader: &impl ClientReader, bytes: usize) -> bool {
+        let now = Instant::now();
+        if self.buffer_wait.as_ref().is_some_and(|wait| !wait.is_check_due(now)) {
+            return true;
+        }
+        let is_value = self.request_reader.awaited_value_bytes().is_some();
+        let first_kind = if is_value { BufferKind::IncompleteRequest } else { BufferKind::Line };
+        if self.buffer_wait.is_none() && self.reserve_input(first_kind, bytes) {
+            return false;
+        }
+        let unread_bytes = reader.unread_bytes();
+        let missing_bytes = bytes.saturating_sub(self.input.len());
+        // The last bytes may be held back until more is read.
+        let is_complete = unread_bytes.is_none_or(|unread| unread + READ_BYTES >= missing_bytes);
+        let kind = if is_value && is_complete { BufferKind::Request } else { first_kind };
+        if kind != first_kind && self.reserve_input(kind, bytes) {
+            return false;
+        }
+        self.on_buffer_awaited(now, unread_bytes, kind);
+        let pool = &self.downstream.buffers;
+        let wait = self.buffer_wait.take().filter(|wait| wait.kind() == kind);
+        let wait = wait.unwrap_or_else(|| BufferWait::new(pool.reserve_later(kind, bytes)));
+        self.buffer_wait = Some(wait.checked(now, unread_bytes));
+        true
+    }
+
+    /// Notes what a check of a waiting connection has shown: whether its client has written all, or more than before.
+    fn on_buffer_awaited(&mut self, now: Instant, unread_bytes: Option<usize>, kind: BufferKind) {
+        if kind == BufferKind::Request && unread_bytes.is_some() {
+            self.complete_since.get_or_insert(now);
+        }
+        if self.buffer_wait.as_ref().is_some_and(|wait| wait.has_grown_to(unread_bytes)) {
+            self.last_received = now;
+        }
     }
 
     /// Reserves this many bytes for the input, unless they are reserved already.
@@ -122,11 +166,3 @@
         }
     }
 }
-
-/// Waits until this many bytes are reserved; forever if there is nothing to reserve.
-pub(super) async fn reserve(buffers: &BufferPool, bytes: Option<usize>) -> Reservation {
-    match bytes {
-        Some(bytes) => buffers.reserve(bytes).await,
-        None => std::future::pending().await,
-    }
-}
--- a/node/src/downstream/connection/requests.rs
+++ b/node/src/downstream/connection/requests.rs
@@ -8,7 +8,7 @@
 use super::{DownstreamConnection, MAX_INVALID_REQUESTS, MAX_PENDING_ANSWERS};
 use crate::clock;
 use crate::counters::increment;
-use crate::dispatcher::ClientRequest;
+use crate::dispatcher::{ClientRequest, UnreadWait};
 use crate::downstream::upload::StreamedUpload;
 use crate::memcache::{Incoming, BUSY, VALUE_TOO_LARGE};
 
@@ -107,7 +107,7 @@
             return self.answer_abandoned();
         }
         let client_id = request.id.clone();
-        let accepted = self.downstream.dispatcher.accept_delayed(request, self.longest_unread_wait());
+        let accepted = self.downstream.dispatcher.accept_delayed(request, self.take_unread_wait());
         let Some((id, answer)) = accepted else { return self.reject_invalid("CLIENT_ERROR id in use") };
         let reservations = [self.request_reservation.take(), self.take_input_reservation()];
         let pending = PendingRequest { id, client_id, answer, _reservations: reservations };
@@ -118,6 +118,13 @@
         }
     }
 
+    /// How long the request that was just received has waited unread.
+    fn take_unread_wait(&mut self) -> UnreadWait {
+        let known_wait = self.complete_since.take().map(|since| since.elapsed());
+        let at_least = clock::micros(known_wait.unwrap_or_default());
+        UnreadWait { at_least, at_most: self.longest_unread_wait() }
+    }
+
     /// The longest that a request read now may have waited unread: one read right after the accept of its
     /// connection may have arrived long before.
     fn longest_unread_wait(&self) -> Micros {
@@ -151,6 +158,6 @@
 }
 
 /// The position of this name in the settings.
-fn position_of(names: &[String], name: &[u8]) -> Option<u32> {
+pub(super) fn position_of(names: &[String], name: &[u8]) -> Option<u32> {
     names.iter().position(|known| known.as_bytes() == name).map(|position| position as u32)
 }
--- a/node/src/downstream/connection/timing.rs
+++ b/node/src/downstream/connection/timing.rs
@@ -23,6 +23,9 @@
         if !self.has_sent_all_answers() {
             return None;
         }
+        if let Some(held_up_until) = self.held_up_until() {
+            return Some(held_up_until);
+        }
         let idle_until = self.slot.idle_since.get() + IDLE_TIMEOUT;
         let incomplete_until = match self.incomplete_since {
             // A value may arrive slowly, but must not stall.
--- a/node/src/downstream/stream.rs
+++ b/node/src/downstream/stream.rs
@@ -31,6 +31,9 @@
     /// Whether the connection has been closed or has broken, even if unread bytes precede that.
     fn has_disconnected(&self) -> bool;
 
+    /// The number of received bytes that have not been read; none if that is not known.
+    fn unread_bytes(&self) -> Option<usize>;
+
     /// Whether the system holds written bytes that it has not sent to the client.
     fn has_unsent_output(&self) -> bool;
 
@@ -56,6 +59,10 @@
         matches!(readiness, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
 
+    fn unread_bytes(&self) -> Option<usize> {
+        Socket::unread_bytes(self)
+    }
+
     fn has_unsent_output(&self) -> bool {
         self.has_unsent_bytes()
     }
--- a/node/src/downstream/tests.rs
+++ b/node/src/downstream/tests.rs
@@ -4,6 +4,7 @@
 mod closing;
 mod delivery;
 mod eviction;
+mod held_up;
 mod short_of_buffers;
 mod slots;
 mod unread;
--- a/node/src/downstream/upload.rs
+++ b/node/src/downstream/upload.rs
@@ -46,6 +46,11 @@
         StreamedUpload { request, length, buffers, state: UploadState::Empty }
     }
 
+    /// The request, without its value.
+    pub fn request(&self) -> &ClientRequest {
+        &self.request
+    }
+
     /// Discards the value, as its client has left. The value is still read to its end.
     pub fn discard(&mut self) {
         self.state = UploadState::Discarding;
--- a/node/src/resource_limits.rs
+++ b/node/src/resource_limits.rs
@@ -7,7 +7,7 @@
 //! - Paid for with its connection, whether it is used or not. Its size is a constant of this module, and the number of
 //!   connections is bounded ([`CLIENT_CONNECTION_BYTES`], [`SERVER_CONNECTION_BYTES`]).
 //! - Drawn from the [`BufferPool`](crate::buffer_pool::BufferPool), if its size depends on what peers send. Without a
-//!   reservation it is not allocated: a written value then waits in the sockets, a read one passes in small chunks, and a
+//!   reservation it is not allocated: a written value then waits in the sockets and is rejected in time, a read one passes in small chunks, and a
 //!   pipeline is read no further.
 //!
 //! An idle connection holds no pool memory, and no buffer but the [`READ_BYTES`] into which a client's next request is read.
--- a/node/src/socket.rs
+++ b/node/src/socket.rs
@@ -5,7 +5,7 @@
 //! an empty or full socket, so data could be left unread. Here a connection counts as exhausted only when a call returns
 //! `EWOULDBLOCK`, and an interrupted call is repeated. This costs one more system call per readiness event.
 
-mod send_queue;
+mod system_queues;
 
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::pin::Pin;
@@ -65,7 +65,12 @@
 impl<S: AsTcpStream> Socket<S> {
     /// Whether the system holds written bytes that it has not sent to the peer, as the peer reads slowly.
     pub fn has_unsent_bytes(&self) -> bool {
-        send_queue::has_unsent_bytes(self.0.as_tcp_stream())
+        system_queues::has_unsent_bytes(self.0.as_tcp_stream())
+    }
+
+    /// The number of received bytes that have not been read; none if the system does not tell.
+    pub fn unread_bytes(&self) -> Option<usize> {
+        system_queues::unread_bytes(self.0.as_tcp_stream())
     }
 
     /// Reads available data directly from the socket, because the runtime only knows of data that arrived before it last
--- a/node/src/socket/send_queue.rs
+++ b/node/src/socket/system_queues.rs
@@ -1,6 +1,7 @@
-//! What the system has of a connection's written bytes.
+//! What the system holds of a connection's bytes in either direction.
 
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use rustix::io::ioctl_fionread;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
@@ -26,3 +27,8 @@
     let _ = socket.set_tcp_notsent_lowat(DEFAULT_UNSENT_BYTES);
     ready == Ok(0)
 }
+
+/// The number of received bytes that have not been read; none if the system does not tell.
+pub(super) fn unread_bytes(stream: &TcpStream) -> Option<usize> {
+    usize::try_from(ioctl_fionread(stream).ok()?).ok()
+}
--- a/node/src/testing.rs
+++ b/node/src/testing.rs
@@ -55,6 +55,11 @@
         false
     }
 
+    /// Not known of an in-memory stream.
+    fn unread_bytes(&self) -> Option<usize> {
+        None
+    }
+
     /// Always false, as an in-memory stream passes written bytes on at once.
     fn has_unsent_output(&self) -> bool {
         false
--- a/protocols/src/memcache/request_reader.rs
+++ b/protocols/src/memcache/request_reader.rs
@@ -89,6 +89,21 @@
         self.pending_write.as_ref().map(|write| write.length + LINE_END.len())
     }
 
+    /// The write whose value is being received, and the name of its class; none if it is streamed.
+    pub fn awaited_write(&self) -> Option<(&ClientRequest, &Bytes)> {
+        self.pending_write.as_ref().map(|write| (&*write.request, &write.class))
+    }
+
+    /// Gives up the value that is being received: the rest of it is skipped.
+    pub fn skip_value(&mut self) {
+        if let Some(write) = self.pending_write.take() {
+            self.skipped_bytes = write.length + LINE_END.len();
+        }
+        if let Some(remaining) = self.upload.take() {
+            self.skipped_bytes = remaining.bytes() + LINE_END.len();
+        }
+    }
+
     /// The number of bytes that are still to be received of a streamed value, with its line end; none if there is none.
     pub fn remaining_upload_bytes(&self) -> Option<usize> {
         self.upload.as_ref().map(|remaining| remaining.bytes() + LINE_END.len())
