End the connection of an upload as soon as its value is given up

A value that was rejected kept its connection to the origin, and its place among the uploads, for up to 10 s: write_in_time was not interrupted when the client side dropped the value. It is now; the last byte was not sent, so that the request has not run. Tests of node pass (138).

--- a/node/src/upstream/upload.rs
+++ b/node/src/upstream/upload.rs
@@ -5,9 +5,11 @@
 //! complete and before the balancer decides on it; the last byte is the attempt. If a value is interrupted or
 //! its request is rejected, it was not executed, and the connection ends.
 
+use std::pin::pin;
 use std::rc::Rc;
 
 use bytes::BytesMut;
+use juniperladder_dispatch::streamed_value::ChunkReceiver;
 use tokio::io::AsyncWriteExt;
 use tokio::time::timeout;
 
@@ -15,7 +17,7 @@
 use super::download::STALL_TIMEOUT;
 use super::{CounterGuard, Upstream};
 use crate::connect::ServerStream;
-use crate::dispatcher::{AttemptEnd, Upload};
+use crate::dispatcher::{AttemptEnd, ClientRequest, Upload};
 use crate::http;
 
 /// The share of the connections to servers (one in this many) that uploads may hold: clients may be slow, and
@@ -42,19 +44,39 @@
 }
 
 impl UpstreamConnection {
-    /// Sends the value, with the last byte as the attempt; then the connection carries other attempts.
-    async fn upload(&self, upstream: &Upstream, mut upload: Upload, upload_guard: CounterGuard) {
-        let stream = self.send_all_but_last_byte(upstream, &upload).await;
+    /// Sends the value, with the last byte as the attempt; then the connection carries other attempts. Ends at once when the
+    /// client side has given the value up.
+    async fn upload(&self, upstream: &Upstream, upload: Upload, upload_guard: CounterGuard) {
+        let Upload { request, value, last_byte: mut last_byte_receiver, .. } = upload;
+        let mut last_byte = None;
+        let stream = {
+            let mut sending = pin!(self.send_all_but_last_byte(upstream, &request, &value));
+            loop {
+                tokio::select! {
+                    stream = &mut sending => break stream,
+                    received = &mut last_byte_receiver, if last_byte.is_none() => match received {
+                        Ok(received) => last_byte = Some(received),
+                        Err(_) => return,
+                    },
+                }
+            }
+        };
         // From here on the client side sees that no further chunk is accepted.
-        drop(upload.value);
+        drop(value);
         let Some(mut stream) = stream else {
-            upload.last_byte.close();
-            if let Ok(last_byte) = upload.last_byte.try_recv() {
+            last_byte_receiver.close();
+            if let Some(last_byte) = last_byte.or_else(|| last_byte_receiver.try_recv().ok()) {
                 upstream.end_attempt(self.server, last_byte.attempt.id, AttemptEnd::ConnectFailed);
             }
             return;
         };
-        let Ok(last_byte) = upload.last_byte.await else { return };
+        let last_byte = match last_byte {
+            Some(last_byte) => last_byte,
+            None => match last_byte_receiver.await {
+                Ok(last_byte) => last_byte,
+                Err(_) => return,
+            },
+        };
         drop(upload_guard);
         let attempt = last_byte.attempt;
         let time_left = attempt.deadline.saturating_sub(upstream.clock.now());
@@ -74,17 +96,18 @@
     async fn send_all_but_last_byte(
         &self,
         upstream: &Upstream,
-        upload: &Upload,
+        request: &ClientRequest,
+        value: &ChunkReceiver,
     ) -> Option<Box<dyn ServerStream>> {
         let mut stream = self.connect(upstream).await.ok()?;
-        let length = upload.value.length();
+        let length = value.length();
         let (mut head, host) = (BytesMut::new(), self.address.to_string());
-        let time_left = upload.request.timeout.unwrap_or_default();
-        http::write_request_head(&mut head, &upload.request, &host, time_left, Some(length));
+        let time_left = request.timeout.unwrap_or_default();
+        http::write_request_head(&mut head, request, &host, time_left, Some(length));
         write_in_time(&mut stream, &head).await?;
         let mut remaining_bytes = length - 1;
         while remaining_bytes > 0 {
-            let chunk = upload.value.next().await?;
+            let chunk = value.next().await?;
             remaining_bytes = remaining_bytes.checked_sub(chunk.len())?;
             write_in_time(&mut stream, &chunk).await?;
         }
