See a client's end behind unread input, and accept an id that ran only once

Three ways were found: after quit, an endless line or 64 invalid ones a connection was neither read nor watched; requests in the socket before the client's end were read and dispatched all the same; an id was free again while an attempt at it could still run.

Input is read on and discarded while requests are open; the system's notice of the end counts before more input is forwarded; the ids of requests that may have run and must not run again are refused for 60 s, by a hash and 4,096 at most.

Three tests used one id for several requests of a class that must run once, which the protocol rules out ("every request gets a new id"): each request has its own id there now, and all checks are as they were.

--- a/dispatch/src/dispatcher.rs
+++ b/dispatch/src/dispatcher.rs
@@ -6,6 +6,7 @@
 //! No method may be called from an [`AttemptTransport`], which is called while the state is borrowed.
 
 mod attempts;
+mod disconnects;
 mod endpoints;
 mod metrics;
 mod overrides;
@@ -28,6 +29,7 @@
 pub use crate::attempt_transport::{AttemptEnd, AttemptTransport, Upload};
 use crate::clock::{to_ms, Clock};
 use crate::counters::{increment, Counters};
+use crate::executed_ids::ExecutedIds;
 pub use crate::identifiers::AttemptId;
 use crate::log_throttle::LogThrottle;
 use crate::overrides::OperatorOverrides;
@@ -99,6 +101,7 @@
             transport,
             requests: FxHashMap::default(),
             client_ids: HashSet::new(),
+            executed_ids: ExecutedIds::default(),
             attempts: FxHashMap::default(),
             timed_out: FxHashMap::default(),
             timers: BinaryHeap::new(),
@@ -152,7 +155,8 @@
     }
 
     /// Accepts a request; the receiver gets its answer. Returns none if another request with the same id is open:
-    /// servers could not distinguish the two, and one might get the other's answer.
+    /// servers could not distinguish the two, and one might get the other's answer. The same holds for a while after a
+    /// request that may have been executed and must not be executed again.
     pub fn accept(&self, request: ClientRequest) -> Option<(ClientRequestId, oneshot::Receiver<Answer>)> {
         self.accept_delayed(request, UnreadWait::default())
     }
@@ -172,7 +176,8 @@
         accepted
     }
 
-    /// Opens a request and reports it to the decision core. Returns none if another request with the same id is open.
+    /// Opens a request and reports it to the decision core. Returns none if another request with the same id is open, or was
+    /// executed and must not be executed again.
     fn open_request(
         &self,
         request: Rc<ClientRequest>,
@@ -181,6 +186,12 @@
         earlier_attempts: Option<u32>,
     ) -> Option<(ClientRequestId, oneshot::Receiver<Answer>)> {
         let mut state = self.state.borrow_mut();
+        if self.must_run_once(request.class)
+            && earlier_attempts.is_none()
+            && state.executed_ids.contains(now, &request.id)
+        {
+            return None;
+        }
         if !state.client_ids.insert(request.id.clone()) {
             return None;
         }
@@ -268,38 +279,6 @@
         Some((handle, sender))
     }
 
-    /// Closes a request whose client has disconnected, without an answer.
-    pub fn on_client_gone(&self, id: ClientRequestId) {
-        let mut state = self.state.borrow_mut();
-        if let Some(open) = state.remove_request(id) {
-            increment(&self.counters.requests_abandoned);
-            debug!(self.log, "request abandoned: client disconnected"; "request" => id.0,
-                "client_id" => %ClientText(&open.request.id));
-            if !open.is_half_closed {
-                let event = Event::RequestAbandoned(id.to_request_id());
-                self.handle(&mut state, self.clock.now(), event);
-            }
-        }
-        self.notify_if_idle(&state);
-    }
-
-    /// Handles a client that has closed its sending side. Whether it is gone or waits for its answer cannot be
-    /// distinguished, so no new attempt begins, and attempts in flight may still answer the request.
-    pub fn on_client_half_closed(&self, id: ClientRequestId) {
-        let mut state = self.state.borrow_mut();
-        let Some(open) = state.requests.get_mut(&id).filter(|open| !open.is_half_closed) else { return };
-        open.is_half_closed = true;
-        debug!(self.log, "request half-closed: client closed its sending side"; "request" => id.0,
-            "client_id" => %ClientText(&open.request.id));
-        // Attempts that are not fully written are cancelled.
-        open.attempts_cancelled.set(true);
-        let attempts_in_flight = open.attempts_in_flight;
-        self.handle(&mut state, self.clock.now(), Event::RequestAbandoned(id.to_request_id()));
-        if attempts_in_flight == 0 {
-            self.answer(&mut state, id, Answer::Failed);
-        }
-    }
-
     /// Waits until the decision core requests a watch of the endpoint list.
     pub async fn wait_for_watch_request(&self) {
         self.watch_requested.notified().await;
@@ -318,6 +297,9 @@
             debug!(self.log, "request answered"; "request" => id.0,
                 "client_id" => %ClientText(&open.request.id), "answer" => answer.label(),
                 "attempts" => open.attempts, "attempts_in_flight" => open.attempts_in_flight);
+            if !matches!(answer, Answer::Rejected(_)) {
+                self.keep_executed_id(state, &open);
+            }
             let answer = match answer {
                 Answer::Streamed(value) => Answer::Streamed(value.for_read(open.streamed_read())),
                 answer => answer,
--- a/dispatch/src/dispatcher/resumption.rs
+++ b/dispatch/src/dispatcher/resumption.rs
@@ -32,9 +32,7 @@
     }
 
     fn may_resume(&self, read: &StreamedRead, now: Micros) -> bool {
-        let class = read.request.class as usize;
-        // A class that is not in the settings counts as the last class everywhere.
-        let is_idempotent = self.is_idempotent.get(class).or(self.is_idempotent.last());
-        is_idempotent == Some(&true) && read.attempts < self.max_attempts && now < read.deadline
+        let is_idempotent = !self.must_run_once(read.request.class);
+        is_idempotent && read.attempts < self.max_attempts && now < read.deadline
     }
 }
--- a/dispatch/src/dispatcher/state.rs
+++ b/dispatch/src/dispatcher/state.rs
@@ -11,6 +11,7 @@
 use tokio::sync::oneshot;
 
 use crate::attempt_transport::AttemptTransport;
+use crate::executed_ids::ExecutedIds;
 use crate::identifiers::AttemptId;
 use crate::overrides::OperatorOverrides;
 use crate::request::{CancellationFlag, ClientRequest, ClientRequestId, StreamedRead};
@@ -77,6 +78,8 @@
     pub(super) requests: FxHashMap<ClientRequestId, OpenRequest>,
     /// The client-chosen ids of the open requests. The set has a seeded hash, as clients could choose ids that collide.
     pub(super) client_ids: HashSet<Bytes>,
+    /// The ids of closed requests that must not be executed again.
+    pub(super) executed_ids: ExecutedIds,
     pub(super) attempts: FxHashMap<AttemptId, InFlightAttempt>,
     /// The requests of attempts that have timed out and whose reply may still arrive.
     pub(super) timed_out: FxHashMap<AttemptId, ClientRequestId>,
--- a/dispatch/src/dispatcher/tests.rs
+++ b/dispatch/src/dispatcher/tests.rs
@@ -252,6 +252,34 @@
     });
 }
 
+/// Guards against a write that is executed twice, as it comes again after its client has left or was answered. What may be
+/// repeated, and what was rejected, is accepted again.
+#[test]
+fn a_request_that_must_run_once_is_not_accepted_again() {
+    testing::run_paused(async {
+        for idempotency in [Idempotency::NotIdempotent, Idempotency::Idempotent] {
+            let (dispatcher, recorder) = dispatcher_with_timers(1, idempotency, 3);
+            let is_accepted_again = |id: &str| dispatcher.accept(request(id, Some(vec![]))).is_some();
+            let may_repeat = idempotency == Idempotency::Idempotent;
+            let (id, _answer) = dispatcher.accept(request("left", Some(vec![]))).unwrap();
+            dispatcher.on_client_gone(id);
+            assert_eq!(is_accepted_again("left"), may_repeat, "{idempotency:?}");
+            for (name, reply, expected) in [
+                ("served", Reply::Served(Answer::Receipt("r".into())), may_repeat),
+                ("failed", Reply::Error, may_repeat),
+                ("rejected", Reply::Rejected, true),
+            ] {
+                recorder.started_attempts.borrow_mut().clear();
+                let (_, answer) = dispatcher.accept(request(name, Some(vec![]))).unwrap();
+                let attempt = recorder.started_attempts.borrow_mut().pop().unwrap();
+                dispatcher.on_attempt_ended(attempt.id, AttemptEnd::Reply(reply));
+                assert!(answer.await.is_ok());
+                assert_eq!(is_accepted_again(name), expected, "{name}, {idempotency:?}");
+            }
+        }
+    });
+}
+
 /// Guards against a wrong wall clock that lets a server that has just joined skip slow start, or keeps a server
 /// that has completed it in slow start.
 #[test]
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod counters;
 pub mod dispatcher;
+mod executed_ids;
 pub mod identifiers;
 pub mod log_throttle;
 pub mod metrics_text;
--- a/node/src/downstream/connection.rs
+++ b/node/src/downstream/connection.rs
@@ -9,6 +9,7 @@
 mod delivery;
 mod held_up;
 mod input;
+mod leaving;
 mod requests;
 mod timing;
 
@@ -26,7 +27,7 @@
 use super::stream::{wait_for_disconnect, ClientReader, ClientStream};
 use super::{Downstream, FinalRead, FINAL_READ_TIMEOUT};
 use crate::buffer_pool::Reservation;
-use crate::dispatcher::{Answer, ClientRequestId};
+use crate::dispatcher::Answer;
 use crate::downstream::download::{self, Download, DownloadEvent};
 use crate::downstream::upload::{self, StreamedUpload};
 use crate::memcache::RequestReader;
@@ -77,6 +78,10 @@
     /// Whether no further request is read, as the client closed its side or sent `quit`, or the connection
     /// ends because of invalid or unfinished input.
     has_stopped_requests: bool,
+    /// Whether the end of the input was read.
+    has_input_ended: bool,
+    /// Whether part of the input was read since the connection was last idle.
+    has_read_since_idle: bool,
     /// Whether the client has left before all its input was read; the rest is not forwarded.
     has_client_left: bool,
     /// Whether the shutdown is in its final phase: what has been read is answered, and no more is read.
@@ -155,6 +160,8 @@
             upload: None,
             next_delivery_check: None,
             has_stopped_requests: false,
+            has_input_ended: false,
+            has_read_since_idle: slot.backlog_wait > leaving::MAX_TIME_AFTER_LEAVING,
             has_client_left: false,
             is_final_phase: false,
         }
@@ -176,7 +183,7 @@
                 return Ok(Some(reader));
             }
             let interests = self.interests(&reader);
-            if interests.must_watch_disconnect && reader.has_disconnected() {
+            if self.must_see_disconnect(&interests) && reader.has_disconnected() {
                 self.on_disconnected();
                 continue;
             }
@@ -232,12 +239,16 @@
         if is_awaiting_buffer {
             self.downstream.evict_stalled();
         }
-        let can_read = may_read && !is_awaiting_buffer;
+        let must_discard = self.must_discard_input();
+        if must_discard {
+            self.discard_input();
+        }
+        let can_read = must_discard || may_read && !is_awaiting_buffer;
         Interests {
             can_answer,
             can_read,
             is_awaiting_buffer,
-            must_watch_disconnect: !(can_read || self.has_stopped_requests || self.has_client_left),
+            must_watch_disconnect: !(can_read || self.has_input_ended || self.has_client_left),
             is_upload_blocked,
             is_idle: self.is_idle(),
             deadline: self.deadline(),
@@ -354,53 +365,6 @@
         self.input_reservation = Some(reservation);
         self.last_received = Instant::now();
     }
-
-    /// Handles a read of `length` bytes; 0 is the end of the input.
-    fn on_received(&mut self, length: usize) {
-        if length == 0 {
-            self.on_input_ended();
-        } else {
-            self.last_received = Instant::now();
-        }
-    }
-
-    /// Handles the end of the input: the client has left, or waits for its remaining answers.
-    fn on_input_ended(&mut self) {
-        self.has_stopped_requests = true;
-        self.report_half_close();
-    }
-
-    /// Handles a disconnect with input still unread, which is read and answered but not forwarded.
-    fn on_disconnected(&mut self) {
-        self.has_client_left = true;
-        if let Some(upload) = &mut self.upload {
-            upload.discard();
-        }
-        self.report_half_close();
-    }
-
-    /// The requests that the dispatcher has not answered.
-    fn open_requests(&self) -> impl Iterator<Item = ClientRequestId> + '_ {
-        let pending = self.pending.iter().filter_map(|pending| match pending {
-            PendingAnswer::Request(request) => Some(request.id),
-            PendingAnswer::Line(_) => None,
-        });
-        pending.chain(self.download.as_ref().and_then(Download::resumption))
-    }
-
-    /// Reports the half-close for all open requests, so that no new attempt begins for them.
-    fn report_half_close(&self) {
-        for id in self.open_requests() {
-            self.downstream.dispatcher.on_client_half_closed(id);
-        }
-    }
-
-    /// Reports the client of each open request as gone.
-    fn report_clients_gone(&self) {
-        for id in self.open_requests() {
-            self.downstream.dispatcher.on_client_gone(id);
-        }
-    }
 }
 
 impl Drop for DownstreamConnection<'_> {
--- a/node/src/downstream/connection/timing.rs
+++ b/node/src/downstream/connection/timing.rs
@@ -44,6 +44,7 @@
         let is_busy = !self.has_sent_all_answers();
         if self.slot.is_busy.replace(is_busy) && !is_busy {
             self.slot.idle_since.set(now);
+            self.has_read_since_idle = false;
         }
         let has_incomplete_request = !self.input.is_empty() || self.request_reader.has_incomplete_request();
         self.slot.has_incomplete_request.set(has_incomplete_request);
--- a/node/src/downstream/tests.rs
+++ b/node/src/downstream/tests.rs
@@ -5,6 +5,7 @@
 mod delivery;
 mod eviction;
 mod held_up;
+mod leaving;
 mod short_of_buffers;
 mod slots;
 mod unread;
@@ -224,9 +225,10 @@
         let downstream = downstream(&recorder);
         let (stream, mut client) = duplex(1 << 10);
         spawn_local(serve(Rc::clone(&downstream), stream));
-        for (tenant_property, index) in [(",t=beta", 1), (",t=acme", 0), (",t=acm", 2), (",t=", 2), ("", 2)] {
+        let cases = [(",t=beta", 1), (",t=acme", 0), (",t=acm", 2), (",t=", 2), ("", 2)];
+        for (id, (tenant_property, index)) in cases.into_iter().enumerate() {
             client
-                .write_all(format!("mg k v O1 Pc=read{tenant_property},d=480\r\n").as_bytes())
+                .write_all(format!("mg k v O{id} Pc=read{tenant_property},d=480\r\n").as_bytes())
                 .await
                 .unwrap();
             yield_until_idle().await;
@@ -237,7 +239,7 @@
                 .on_attempt_ended(attempt.id, AttemptEnd::Reply(Reply::Served(Answer::Value("v".into()))));
             let mut received = [0; 12];
             client.read_exact(&mut received).await.unwrap();
-            assert_eq!(&received, b"VA 1 O1\r\nv\r\n");
+            assert_eq!(received, format!("VA 1 O{id}\r\nv\r\n").as_bytes());
         }
     });
 }
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -202,15 +202,15 @@
         let dispatcher =
             testing::dispatcher(testing::settings(1, Idempotency::NotIdempotent), upstream.clone(), 0);
         upstream.attach(&dispatcher);
-        for listener in &servers {
+        for (id, listener) in ["7", "8"].into_iter().zip(&servers) {
             let mut listed = listed_server(SERVER, EndpointState::Serving);
             listed.address = listener.local_addr().ok();
             listed.endpoint.server = ServerId(listed.address.unwrap().port().into());
             dispatcher.on_endpoints_changed(EndpointUpdate::Snapshot, &[listed]);
-            let (_, answer) = dispatcher.accept(testing::request("7", Some(vec![]))).unwrap();
+            let (_, answer) = dispatcher.accept(testing::request(id, Some(vec![]))).unwrap();
             let (mut stream, _) = listener.accept().await.unwrap();
             stream.read_buf(&mut BytesMut::new()).await.unwrap();
-            stream.write_all(b"HD O7 cr1\r\n").await.unwrap();
+            stream.write_all(format!("HD O{id} cr1\r\n").as_bytes()).await.unwrap();
             assert!(matches!(answer.await, Ok(Answer::Receipt(_))));
             yield_until_idle().await;
         }
--- a/node/src/upstream/tests/late_copies.rs
+++ b/node/src/upstream/tests/late_copies.rs
@@ -223,12 +223,12 @@
             let Site { dispatcher, mut opened, .. } = site(testing::ORIGIN, 1);
             let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
             for copy_delay in [35, later_delay] {
-                let (_, first) = dispatcher.accept(request("first")).unwrap();
+                let (_, first) = dispatcher.accept(request(&format!("first-{copy_delay}"))).unwrap();
                 let mut stream = next_connection(&mut opened).await;
                 assert!(read_request(&mut stream).await.is_some());
                 stream.write_all(answer).await.unwrap();
                 first.await.unwrap();
-                let (_, second) = dispatcher.accept(request("second")).unwrap();
+                let (_, second) = dispatcher.accept(request(&format!("second-{copy_delay}"))).unwrap();
                 sleep(Duration::from_millis(copy_delay)).await;
                 stream.write_all(answer).await.unwrap();
                 let mut stream = next_connection(&mut opened).await;
