Accept at most 32 properties in a request

Each property is kept as two handles of 32 bytes, so that a line of 4 KB takes 86 KB while its request is open, of which the budget pays for the line.

More than 32 properties are an error of the client.

--- a/cli/tests/memory/clients.rs
+++ b/cli/tests/memory/clients.rs
@@ -23,6 +23,8 @@
 const PIPELINE_REQUESTS: usize = 128;
 /// The length of a long request line, under the daemon's maximum.
 const LONG_LINE_BYTES: usize = 4_000;
+/// The shortest property, with its separator.
+const SHORT_PROPERTY: &str = ",a=";
 /// The receive buffer of a client that does not read.
 const SMALL_SOCKET_BUFFER_BYTES: u32 = 4 << 10;
 
@@ -50,11 +52,13 @@
     NewConnections,
     /// Many requests at once with lines of nearly the maximum length, and no byte of the answers is read.
     LongLines,
+    /// Many requests at once with as many properties as a line holds, and no byte of the answers is read.
+    ManyProperties,
     /// Each of the others in turn.
     Mixed,
 }
 
-const SINGLE_BEHAVIOURS: [Behaviour; 7] = [
+const SINGLE_BEHAVIOURS: [Behaviour; 8] = [
     Behaviour::Steady,
     Behaviour::ReadNothing,
     Behaviour::Pipeline,
@@ -62,6 +66,7 @@
     Behaviour::HalfValue,
     Behaviour::NewConnections,
     Behaviour::LongLines,
+    Behaviour::ManyProperties,
 ];
 
 /// A load of many clients.
@@ -128,9 +133,16 @@
                 let mut stream = BufReader::new(TcpStream::connect(self.address).await?);
                 self.ask(&mut stream, PIPELINE_REQUESTS).await
             }
-            Behaviour::ReadNothing => self.ask_and_not_read(1, 0).await,
-            Behaviour::PipelineUnread => self.ask_and_not_read(PIPELINE_REQUESTS, 0).await,
-            Behaviour::LongLines => self.ask_and_not_read(PIPELINE_REQUESTS, LONG_LINE_BYTES).await,
+            Behaviour::ReadNothing => self.ask_and_not_read(1, "").await,
+            Behaviour::PipelineUnread => self.ask_and_not_read(PIPELINE_REQUESTS, "").await,
+            Behaviour::LongLines => {
+                let property = format!(",x={}", "x".repeat(LONG_LINE_BYTES));
+                self.ask_and_not_read(PIPELINE_REQUESTS, &property).await
+            }
+            Behaviour::ManyProperties => {
+                let properties = SHORT_PROPERTY.repeat(LONG_LINE_BYTES / SHORT_PROPERTY.len());
+                self.ask_and_not_read(PIPELINE_REQUESTS, &properties).await
+            }
             Behaviour::HalfValue | Behaviour::Mixed => {
                 let mut stream = TcpStream::connect(self.address).await?;
                 let text = self.write(MAX_VALUE_BYTES.min(self.load.size.max.max(1)));
@@ -143,7 +155,7 @@
 
     /// Sends requests and reads their answers.
     async fn ask(&mut self, stream: &mut BufReader<TcpStream>, requests: usize) -> std::io::Result<()> {
-        let text = self.requests(requests, 0);
+        let text = self.requests(requests, "");
         let (reader, mut writer) = stream.get_mut().split();
         let mut reader = BufReader::new(reader);
         let served = Rc::clone(&self.served);
@@ -160,39 +172,38 @@
     }
 
     /// Sends requests on a connection with a small receive buffer, and reads nothing for a while.
-    async fn ask_and_not_read(&mut self, requests: usize, line_bytes: usize) -> std::io::Result<()> {
+    async fn ask_and_not_read(&mut self, requests: usize, properties: &str) -> std::io::Result<()> {
         let socket = TcpSocket::new_v4()?;
         socket.set_recv_buffer_size(SMALL_SOCKET_BUFFER_BYTES)?;
         let mut stream = socket.connect(self.address).await?;
-        let text = self.requests(requests, line_bytes);
+        let text = self.requests(requests, properties);
         let _ = timeout(UNREAD_TIME, stream.write_all(&text)).await;
         sleep(UNREAD_TIME).await;
         Ok(())
     }
 
-    fn requests(&mut self, count: usize, line_bytes: usize) -> Vec<u8> {
+    fn requests(&mut self, count: usize, properties: &str) -> Vec<u8> {
         let mut text = Vec::new();
         for _ in 0..count {
             if self.rng.u8(..100) < self.load.write_percent {
                 let length = self.rng.usize(self.load.size.min..=self.load.size.max);
                 text.extend(self.write(length));
             } else {
-                text.extend(self.read(line_bytes));
+                text.extend(self.read(properties));
             }
         }
         text
     }
 
-    fn read(&mut self, line_bytes: usize) -> Vec<u8> {
+    fn read(&mut self, properties: &str) -> Vec<u8> {
         let key = Key {
             length: self.rng.usize(self.load.size.min..=self.load.size.max),
             is_missing: self.rng.u8(..8) == 0,
             is_chunked: self.rng.u8(..2) == 0,
             has_pause: self.rng.u8(..4) == 0,
         };
-        let padding = "x".repeat(line_bytes);
         let (key, id) = (key.format(self.rng.u32(..)), self.rng.u64(..));
-        format!("mg {key} v O{id:016x} Pc=read,d={DEADLINE_MS},x={padding}\r\n").into()
+        format!("mg {key} v O{id:016x} Pc=read,d={DEADLINE_MS}{properties}\r\n").into()
     }
 
     fn write(&mut self, length: usize) -> Vec<u8> {
--- a/cli/tests/memory/main.rs
+++ b/cli/tests/memory/main.rs
@@ -82,6 +82,7 @@
         Behaviour::HalfValue,
         Behaviour::NewConnections,
         Behaviour::LongLines,
+        Behaviour::ManyProperties,
     ] {
         for (min, max) in [(64 << 10, 64 << 10), (0, 300 << 10)] {
             let size = ValueSize { min, max };
--- a/protocols/src/memcache/request_reader.rs
+++ b/protocols/src/memcache/request_reader.rs
@@ -14,6 +14,8 @@
     VALUE_TOO_LARGE,
 };
 
+/// Maximum number of properties of a request. Each takes far more memory than the few bytes that it may have in its line.
+const MAX_PROPERTIES: usize = 32;
 const BAD_DATA_CHUNK: &str = "CLIENT_ERROR bad data chunk";
 const BAD_PROPERTIES: &str = "CLIENT_ERROR bad properties";
 const LINE_TOO_LONG: &str = "CLIENT_ERROR line too long";
@@ -276,6 +278,9 @@
 fn parse_properties(list: &Bytes) -> Result<Vec<(Bytes, Bytes)>, &'static str> {
     let mut properties = Vec::new();
     for item in list.split(|byte| *byte == b',').filter(|item| !item.is_empty()) {
+        if properties.len() == MAX_PROPERTIES {
+            return Err(BAD_PROPERTIES);
+        }
         let (name, value) = property.parse(item).map_err(|_| BAD_PROPERTIES)?;
         properties.push((list.slice_ref(name), list.slice_ref(value)));
     }
--- a/protocols/src/memcache/tests.rs
+++ b/protocols/src/memcache/tests.rs
@@ -61,6 +61,15 @@
     assert_eq!(requests.next(&mut input), Some(Incoming::Unrecoverable("CLIENT_ERROR line too long")));
 }
 
+/// Guards against a line of a few bytes for each property that takes many times its length in memory.
+#[test]
+fn the_number_of_properties_is_bounded() {
+    let line = |count: usize| format!("mg k v O1 Pd=1{}\r\n", ",a=".repeat(count - 1));
+    assert!(matches!(&read_all(line(32).as_bytes(), 99)[..], [Incoming::Request { .. }]));
+    let too_many = [Incoming::Malformed("CLIENT_ERROR bad properties")];
+    assert_eq!(read_all(line(33).as_bytes(), 99), too_many);
+}
+
 #[test]
 fn a_reply_is_read_only_once_complete() {
     let Incoming::Request { request, .. } = read_all(b"mg k v O1 Pd=9\r\n", 99).remove(0) else { panic!() };
