End a server whose address a newly listed one has taken over

Each id had its own share, and nothing concluded that two servers cannot listen at one address.

Of two serving servers with one address the one that started earlier counts as deleted; with the same start time, the one that was listed first. A late word on the old one does not end the new one. The tests of dispatch/src/replaced_servers fail without the module; discovery's protocol and its answers are as before.

The fixture of listed servers gave all of them one address; each has its own now, and a_connection_to_an_old_address_is_not_used takes its addresses from it. All checks are as they were.

--- a/dispatch/src/dispatcher.rs
+++ b/dispatch/src/dispatcher.rs
@@ -40,6 +40,7 @@
 use crate::start_times::StartTimes;
 use crate::streamed_value::{streamed_value, ChunkSender};
 pub use crate::values::{Answer, ListedServer, Reply};
+pub(crate) use state::KnownServer;
 use state::{DispatcherState, OpenRequest, Timer, NO_DEADLINE};
 
 /// How long before the client's time-out a request has to be answered: allows for the network latency of the request
--- a/dispatch/src/dispatcher/endpoints.rs
+++ b/dispatch/src/dispatcher/endpoints.rs
@@ -7,6 +7,7 @@
 use super::state::{DispatcherState, KnownServer};
 use super::Dispatcher;
 use crate::clock::to_ms;
+use crate::replaced_servers::end_replaced_servers;
 use crate::values::ListedServer;
 
 /// Maximum number of servers known at once, several times the size of a fleet: an endless list must not exhaust the
@@ -66,6 +67,7 @@
         let mut servers = self.drop_surplus_servers(state, update, servers);
         let DispatcherState { start_times, overrides, servers: known, .. } = state;
         start_times.convert_to_local_clock(&mut servers, now);
+        end_replaced_servers(update.is_complete(), &mut servers, known);
         start_times.forget_unlisted(|server| known.contains_key(server));
         if matches!(update, EndpointUpdate::Delta | EndpointUpdate::Snapshot) {
             start_times.on_list_confirmed(now);
@@ -126,9 +128,8 @@
             if update.is_complete() {
                 state.servers.clear();
             }
-            for ListedServer { endpoint, address } in servers {
-                let known = KnownServer { state: endpoint.state, address: *address };
-                state.servers.insert(endpoint.server, known);
+            for server in servers {
+                state.servers.insert(server.endpoint.server, KnownServer::new(server));
             }
             state.servers.retain(|_, known| known.state != EndpointState::Deleted);
             state.transport.on_endpoints_changed(update, servers);
--- a/dispatch/src/dispatcher/state.rs
+++ b/dispatch/src/dispatcher/state.rs
@@ -16,7 +16,7 @@
 use crate::overrides::OperatorOverrides;
 use crate::request::{CancellationFlag, ClientRequest, ClientRequestId, StreamedRead};
 use crate::start_times::StartTimes;
-use crate::values::Answer;
+use crate::values::{Answer, ListedServer};
 
 /// A time that is never reached.
 pub(super) const NO_DEADLINE: Micros = Micros(u64::MAX);
@@ -65,9 +65,18 @@
 
 /// A server of the endpoint list in use.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct KnownServer {
-    pub(super) state: EndpointState,
-    pub(super) address: Option<SocketAddr>,
+pub(crate) struct KnownServer {
+    pub(crate) state: EndpointState,
+    pub(crate) address: Option<SocketAddr>,
+    /// When it started, by the local clock; zero for long ago.
+    pub(crate) started: Micros,
+}
+
+impl KnownServer {
+    pub(crate) fn new(listed: &ListedServer) -> KnownServer {
+        let endpoint = &listed.endpoint;
+        KnownServer { state: endpoint.state, address: listed.address, started: endpoint.started }
+    }
 }
 
 /// The mutable state of the dispatcher.
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod log_throttle;
 pub mod metrics_text;
 pub mod overrides;
+mod replaced_servers;
 pub mod request;
 pub mod request_metrics;
 pub mod stall_tracker;
--- a/dispatch/src/testing.rs
+++ b/dispatch/src/testing.rs
@@ -79,10 +79,11 @@
     }
 }
 
-/// A server in this state.
+/// A server in this state, at an address of its own.
 pub fn listed_server(server: ServerId, state: EndpointState) -> ListedServer {
     let endpoint = Endpoint { server, zone: 0, kind: 0, cell: 0, state, weight: 1.0, started: Micros(0) };
-    ListedServer { endpoint, address: Some(([127, 0, 0, 1], 1).into()) }
+    let [.., second, third, last] = server.0.to_be_bytes();
+    ListedServer { endpoint, address: Some(([127, second, third, last], 1).into()) }
 }
 
 /// A dispatcher with this transport and this many servers, the first of which is `SERVER`.
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -363,12 +363,13 @@
         let upstream = testing::upstream(4);
         let moved = listed_server(SERVER, EndpointState::Serving);
         upstream.on_endpoints_changed(EndpointUpdate::Snapshot, std::slice::from_ref(&moved));
+        let current = moved.address.unwrap();
         let connection = |port| UpstreamConnection {
             server: SERVER,
             is_origin: false,
-            address: ([127, 0, 0, 1], port).into(),
+            address: (current.ip(), port).into(),
         };
-        assert!(upstream.add_idle(&connection(1), Instant::now()).is_some());
+        assert!(upstream.add_idle(&connection(current.port()), Instant::now()).is_some());
         assert!(
             upstream.add_idle(&connection(2), Instant::now()).is_none()
                 && upstream.next_attempt(&connection(2)).is_none()
