--- a/node/src/downstream/connection/leaving.rs
+++ b/node/src/downstream/connection/leaving.rs
@@ -18,10 +18,11 @@
 
 impl DownstreamConnection<'_> {
     /// Whether a disconnect matters before more is read: it may stand behind requests that must not be forwarded any more.
-    /// Requests that came right before it are read and forwarded, as the client may have closed its sending side alone.
+    /// Requests that came right before it are read and forwarded, and so is one that is half read, as the client may have
+    /// closed its sending side alone.
     pub(super) fn must_see_disconnect(&self, interests: &Interests) -> bool {
         let has_more_input = self.has_read_since_idle && !self.has_input_ended && !self.has_client_left;
-        interests.must_watch_disconnect || has_more_input
+        interests.must_watch_disconnect || has_more_input && !self.request_reader.has_incomplete_request()
     }
 
     /// Whether input is read only to see its end, as no more requests are taken while some are open.
--- a/node/src/downstream/tests/leaving.rs
+++ b/node/src/downstream/tests/leaving.rs
@@ -69,3 +69,27 @@
         }
     });
 }
+
+/// A client that closes its sending side after a long write is served like before: the write was half read by then.
+#[test]
+fn a_long_write_of_a_client_that_half_closes_is_forwarded() {
+    testing::run_on_sockets(async {
+        let recorder = Rc::new(RecordingTransport::default());
+        let downstream = downstream(&recorder);
+        let (mut client, stream) = connection().await;
+        let value = vec![b'w'; 30_000];
+        let line = format!("ms k {} O1 Pc=read,d=1400\r\n", value.len());
+        client.write_all(&[line.as_bytes(), &value, b"\r\n"].concat()).await.unwrap();
+        client.shutdown().await.unwrap();
+        spawn_local(serve(Rc::clone(&downstream), stream));
+        while recorder.started_attempts.borrow().is_empty() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        let attempt = recorder.started_attempts.borrow_mut().pop().unwrap();
+        let reply = Reply::Served(Answer::Receipt("r1".into()));
+        downstream.dispatcher.on_attempt_ended(attempt.id, AttemptEnd::Reply(reply));
+        let mut received = String::new();
+        client.read_to_string(&mut received).await.unwrap();
+        assert_eq!(received, "HD O1 cr1\r\n");
+    });
+}
