Wait for an input buffer only while the connection may read

If its client left its answers unread, a granted buffer of up to 64 KiB stayed reserved without an end, and others had to wait for it. Found by reading. The wait is given up in one place as soon as nothing may be read, which also makes three resets of it needless.

a_connection_that_may_not_read_is_granted_no_buffer fails without the change and passes with it.

--- a/node/src/downstream/connection.rs
+++ b/node/src/downstream/connection.rs
@@ -247,6 +247,9 @@
         let is_awaiting_buffer = may_read && self.prepare_input(reader);
         if is_awaiting_buffer {
             self.downstream.evict_stalled();
+        } else {
+            // A buffer that is granted while nothing may be read would be kept from others.
+            self.buffer_wait = None;
         }
         let must_discard = self.must_discard_input();
         if must_discard {
@@ -370,7 +373,6 @@
 
     /// Handles the reservation of the input's buffer. The time without it does not count as a stall of the client.
     fn on_input_reserved(&mut self, reservation: Reservation) {
-        self.buffer_wait = None;
         self.input_reservation = Some(reservation);
         self.last_received = Instant::now();
     }
--- a/node/src/downstream/connection/held_up.rs
+++ b/node/src/downstream/connection/held_up.rs
@@ -64,7 +64,6 @@
             self.downstream.dispatcher.count_unread_rejection(class);
         }
         self.request_reader.skip_value();
-        self.buffer_wait = None;
         self.complete_since = None;
         self.incomplete_since = None;
         self.last_received = Instant::now();
--- a/node/src/downstream/connection/input.rs
+++ b/node/src/downstream/connection/input.rs
@@ -60,7 +60,6 @@
                 if !self.has_reserved_input(bytes) && self.must_await_buffer(reader, bytes) {
                     return true;
                 }
-                self.buffer_wait = None;
                 set_capacity(&mut self.input, bytes);
             }
             NeededBuffer::Chunk(bytes) => {
--- a/node/src/downstream/tests/short_of_buffers.rs
+++ b/node/src/downstream/tests/short_of_buffers.rs
@@ -64,6 +64,28 @@
     });
 }
 
+/// Guards against a buffer that is kept from others by a connection that may not read, as its client does not read its
+/// answers.
+#[test]
+fn a_connection_that_may_not_read_is_granted_no_buffer() {
+    testing::run_paused(async {
+        let recorder = Rc::new(RecordingTransport::default());
+        let downstream = downstream_with(&recorder, BufferPool::new(FEW_BUFFER_BYTES));
+        let held = downstream.buffers.reserve(FEW_BUFFER_BYTES * 3 / 4).await;
+        let (stream, mut client) = duplex(1 << 16);
+        spawn_local(serve(Rc::clone(&downstream), stream));
+        let requests = format!("mg k v O1 Pc=read,d=480\r\nms k {VALUE_BYTES} O2 Pc=read,d=480\r\n");
+        client.write_all(requests.as_bytes()).await.unwrap();
+        yield_until_idle().await;
+        let unread = Answer::Value(vec![b'v'; 1 << 18].into());
+        end_only_attempt(&downstream, &recorder, Reply::Served(unread));
+        yield_until_idle().await;
+        drop(held);
+        yield_until_idle().await;
+        assert!(downstream.buffers.reserved_bytes() < VALUE_BYTES);
+    });
+}
+
 /// A connection at rest must hold no memory of its last request, its value or its answer.
 #[test]
 fn a_connection_at_rest_holds_nothing_of_the_pool() {
