Count the wait of an invalid value for no other request

The time for which a value stood complete in its socket was taken off the next request on the connection if the value's class was unknown, and that request was refused although its time had just begun. Found by reading. What is rejected as invalid ends the wait.

the_wait_of_an_invalid_value_does_not_count_for_the_next_request fails without the change and passes with it. The tests of connections on loopback share one way to open them, which stood in four files.

--- a/node/src/downstream/connection/requests.rs
+++ b/node/src/downstream/connection/requests.rs
@@ -139,6 +139,8 @@
 
     /// Answers invalid input with `answer_line`. The connection ends after [`MAX_INVALID_REQUESTS`].
     fn reject_invalid(&mut self, answer_line: &'static str) {
+        // The wait was that of this request, and not of the next.
+        self.complete_since = None;
         increment(&self.downstream.dispatcher.counters().malformed_requests);
         self.pending.push_back(PendingAnswer::Line(answer_line));
         self.invalid_requests += 1;
--- a/node/src/downstream/tests.rs
+++ b/node/src/downstream/tests.rs
@@ -21,6 +21,7 @@
 use juniperladder::{Idempotency, Settings};
 use proptest::prelude::*;
 use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// A pool with room for one value of the maximum length that is held whole, and a part of another.
 const FEW_BUFFER_BYTES: usize = 1 << 17;
@@ -64,6 +65,20 @@
     Downstream::new(dispatcher, labels, Rc::default(), resource_limits, buffers, testing::log())
 }
 
+/// A client on loopback, and the balancer's side of its connection.
+async fn loopback() -> (TcpStream, Socket) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    (client, Socket(listener.accept().await.unwrap().0))
+}
+
+/// A client on loopback whose connection is served.
+async fn connect(downstream: &Rc<Downstream>) -> TcpStream {
+    let (client, stream) = loopback().await;
+    spawn_local(serve(Rc::clone(downstream), stream));
+    client
+}
+
 async fn serve(downstream: Rc<Downstream>, stream: impl ClientStream) -> io::Result<()> {
     serve_after(downstream, stream, Duration::ZERO).await
 }
--- a/node/src/downstream/tests/closing.rs
+++ b/node/src/downstream/tests/closing.rs
@@ -93,14 +93,6 @@
     });
 }
 
-async fn connect(downstream: &Rc<Downstream>) -> tokio::net::TcpStream {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
-    let client = tokio::net::TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
-    let (stream, _) = listener.accept().await.unwrap();
-    spawn_local(serve(Rc::clone(downstream), Socket(stream)));
-    client
-}
-
 /// How a client leaves that still waits for answers.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum ClientExit {
--- a/node/src/downstream/tests/delivery.rs
+++ b/node/src/downstream/tests/delivery.rs
@@ -1,10 +1,8 @@
 //! Clients on loopback that read slowly what the system has taken of their answers.
 
-use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
 use super::*;
-use crate::socket::Socket;
 
 const VALUE_BYTES: usize = 1 << 20;
 const READ: &str = "mg k v O1 Pc=read,d=480\r\n";
@@ -22,15 +20,13 @@
     /// A connection whose client has sent these requests, the first of which is a read that has been answered with a long
     /// value. The client has read nothing.
     async fn start(requests: &str) -> Case {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let mut client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
-        let (stream, _) = listener.accept().await.unwrap();
+        let (mut client, stream) = loopback().await;
         // Room for the whole value, whatever the system's limits for buffers that grow.
-        socket2::SockRef::from(&stream).set_send_buffer_size(2 * VALUE_BYTES).unwrap();
+        socket2::SockRef::from(&stream.0).set_send_buffer_size(2 * VALUE_BYTES).unwrap();
         socket2::SockRef::from(&client).set_recv_buffer_size(1 << 14).unwrap();
         let recorder = Rc::new(RecordingTransport::default());
         let downstream = downstream(&recorder);
-        let task = spawn_local(serve(Rc::clone(&downstream), Socket(stream)));
+        let task = spawn_local(serve(Rc::clone(&downstream), stream));
         client.write_all(requests.as_bytes()).await.unwrap();
         let case = Case { recorder, downstream, client, task };
         case.answer(Answer::Value(vec![b'v'; VALUE_BYTES].into())).await;
--- a/node/src/downstream/tests/held_up.rs
+++ b/node/src/downstream/tests/held_up.rs
@@ -1,11 +1,9 @@
 //! Clients on loopback whose requests cannot be read, for want of a buffer or as the origin takes no more of a value.
 
 use juniperladder::CacheMode;
-use tokio::net::{TcpListener, TcpStream};
 
 use super::*;
 use crate::buffer_pool::BufferKind;
-use crate::socket::Socket;
 
 const LONG_VALUE_BYTES: usize = 64 << 10;
 const SHORT_VALUE_BYTES: usize = 4 << 10;
@@ -15,15 +13,6 @@
 /// Longer than any wait that a test checks for its end.
 const FAR_LONGER: Duration = Duration::from_secs(20);
 
-/// A connection on loopback.
-async fn connect(downstream: &Rc<Downstream>) -> TcpStream {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
-    let (stream, _) = listener.accept().await.unwrap();
-    spawn_local(serve(Rc::clone(downstream), Socket(stream)));
-    client
-}
-
 fn write_line(id: &str, bytes: usize) -> Vec<u8> {
     format!("ms k {bytes} O{id} Pc=read,d={}\r\n", TIME_LIMIT.as_millis()).into_bytes()
 }
@@ -89,6 +78,26 @@
     });
 }
 
+/// Guards against the wait of a value that is invalid being counted as that of the next request.
+#[test]
+fn the_wait_of_an_invalid_value_does_not_count_for_the_next_request() {
+    testing::run_on_sockets(async {
+        let recorder = Rc::new(RecordingTransport::default());
+        let downstream = downstream_with(&recorder, BufferPool::new(FEW_BUFFER_BYTES));
+        let all = downstream.buffers.try_reserve(BufferKind::Request, FEW_BUFFER_BYTES).unwrap();
+        let mut client = connect(&downstream).await;
+        let unknown_class = String::from_utf8(write("1", SHORT_VALUE_BYTES)).unwrap().replace("read", "none");
+        client.write_all(unknown_class.as_bytes()).await.unwrap();
+        sleep(TIME_LIMIT / 4).await;
+        drop(all);
+        assert_eq!(read_line(&mut client).await, "CLIENT_ERROR unknown class\r\n");
+        sleep(TIME_LIMIT).await;
+        client.write_all(b"mg k v O2 Pc=read,d=480\r\n").await.unwrap();
+        sleep(TIME_LIMIT / 4).await;
+        assert_eq!(recorder.started_attempts.borrow().len(), 1, "the request was not forwarded");
+    });
+}
+
 /// Guards against a request that is answered only when the origin reads again, though its client has written all of it.
 #[test]
 fn a_streamed_value_that_the_origin_does_not_take_is_rejected_in_time() {
--- a/node/src/downstream/tests/leaving.rs
+++ b/node/src/downstream/tests/leaving.rs
@@ -1,21 +1,12 @@
 //! Clients on loopback that leave with much of what they sent unread.
 
-use tokio::net::{TcpListener, TcpStream};
-
 use super::*;
-use crate::socket::Socket;
 
 const REQUESTS: usize = 500;
 const JUNK_BYTES: usize = 8 << 20;
 /// No attempt may begin later than this after a client has left.
 const MAX_TIME_AFTER_LEAVING: Duration = Duration::from_millis(100);
 
-async fn connection() -> (TcpStream, Socket) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
-    (client, Socket(listener.accept().await.unwrap().0))
-}
-
 /// Guards against attempts for a client that has left, where its end stands behind input that nobody reads any more: a
 /// line whose end cannot be found, and what follows it.
 #[test]
@@ -24,7 +15,7 @@
         for end in ["ms k -1 O2 Pc=read,d=1400\r\n", "quit\r\n"] {
             let recorder = Rc::new(RecordingTransport::default());
             let downstream = downstream(&recorder);
-            let (mut client, stream) = connection().await;
+            let (mut client, stream) = loopback().await;
             spawn_local(serve(Rc::clone(&downstream), stream));
             client.write_all(format!("mg k v O1 Pc=read,d=1400\r\n{end}").as_bytes()).await.unwrap();
             while recorder.started_attempts.borrow().is_empty() {
@@ -50,7 +41,7 @@
         for (waited, allowed) in [(Duration::ZERO, REQUESTS / 4), (Duration::from_secs(1), 0)] {
             let recorder = Rc::new(RecordingTransport::default());
             let downstream = downstream(&recorder);
-            let (mut client, stream) = connection().await;
+            let (mut client, stream) = loopback().await;
             let requests: String =
                 (0..REQUESTS).map(|id| format!("mg k v O{id} Pc=read,d=1400\r\n")).collect();
             client.write_all(requests.as_bytes()).await.unwrap();
@@ -76,7 +67,7 @@
     testing::run_on_sockets(async {
         let recorder = Rc::new(RecordingTransport::default());
         let downstream = downstream(&recorder);
-        let (mut client, stream) = connection().await;
+        let (mut client, stream) = loopback().await;
         let value = vec![b'w'; 30_000];
         let line = format!("ms k {} O1 Pc=read,d=1400\r\n", value.len());
         client.write_all(&[line.as_bytes(), &value, b"\r\n"].concat()).await.unwrap();
