Remove a condition that is always true and a constant that stood twice

A request that resumes a value is never of a class that must run once, so that its check was idle; the interval of delivery checks had a constant in two modules; the doc of BufferKind::Request names all that uses it.

--- a/dispatch/src/dispatcher.rs
+++ b/dispatch/src/dispatcher.rs
@@ -187,10 +187,7 @@
         earlier_attempts: Option<u32>,
     ) -> Option<(ClientRequestId, oneshot::Receiver<Answer>)> {
         let mut state = self.state.borrow_mut();
-        if self.must_run_once(request.class)
-            && earlier_attempts.is_none()
-            && state.executed_ids.contains(now, &request.id)
-        {
+        if self.must_run_once(request.class) && state.executed_ids.contains(now, &request.id) {
             return None;
         }
         if !state.client_ids.insert(request.id.clone()) {
--- a/node/src/buffer_pool.rs
+++ b/node/src/buffer_pool.rs
@@ -15,7 +15,8 @@
 /// What a buffer is for, which decides how much of the pool has to stay free for others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BufferKind {
-    /// A value that a client has written whole. There is no other way to read it, so that all of the pool may be used.
+    /// What there is no other way to hold, so that all of the pool may be used: a value that a client has written whole, a
+    /// body of unknown length, the state of listed servers.
     Request,
     /// An unusually long request line.
     Line,
--- a/node/src/downstream.rs
+++ b/node/src/downstream.rs
@@ -44,7 +44,7 @@
 const EVICTION_TIMEOUT: Duration = Duration::from_millis(10);
 /// How long connections in the backlog wait for slots, in total, once the listener is about to close.
 const FINAL_ACCEPT_TIMEOUT: Duration = Duration::from_millis(100);
-/// How often the shutdown checks whether all answers have been sent.
+/// How often a connection that is about to close, and the shutdown, check whether all answers have been sent.
 const DELIVERY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Client descriptors that slots leave free: an accepted connection that still waits for its slot holds one.
 const DESCRIPTORS_WITHOUT_SLOT: usize = 1;
--- a/node/src/downstream/connection/delivery.rs
+++ b/node/src/downstream/connection/delivery.rs
@@ -3,14 +3,11 @@
 //! Guarantee: a connection closes only once the system has sent every answer. Until then it is neither idle nor closed: input
 //! that arrives after a close would reset the connection, and what the system still held would be lost.
 
-use tokio::time::{Duration, Instant};
+use tokio::time::Instant;
 
 use super::DownstreamConnection;
 use crate::downstream::stream::ClientReader;
-use crate::downstream::LINGER_TIMEOUT;
-
-/// How often a connection that is about to close checks whether the system has sent all answers.
-const DELIVERY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+use crate::downstream::{DELIVERY_CHECK_INTERVAL, LINGER_TIMEOUT};
 
 impl DownstreamConnection<'_> {
     /// Whether the connection, all answers of which are written, must not close yet. If so, it is checked again later.
